--- /dev/null
+++ b/invariant/invariant.go
@@ -0,0 +1,81 @@
+// Package invariant counts and reports violations of what the system guarantees. It is active in every build.
+package invariant
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+)
+
+// Name identifies an invariant in metrics and reports.
+type Name string
+
+// The invariants.
+const (
+	VersionRollback Name = "version_rollback"
+	DanglingRoute   Name = "dangling_route"
+	PartialApply    Name = "partial_apply"
+	WrongAnswer     Name = "wrong_answer"
+	FalseNotRun     Name = "false_not_run"
+	DoubleRun       Name = "double_run"
+	LateDrainWork   Name = "late_drain_work"
+	CutInFlight     Name = "cut_in_flight"
+	RevertedBundle  Name = "reverted_bundle"
+	// Internal covers invariants of one package's own state.
+	Internal Name = "internal"
+)
+
+// Names lists the invariants in the order in which reports show them.
+func Names() []Name {
+	return []Name{
+		VersionRollback, DanglingRoute, PartialApply, WrongAnswer, FalseNotRun,
+		DoubleRun, LateDrainWork, CutInFlight, RevertedBundle, Internal,
+	}
+}
+
+// Handler receives each violation. It must be safe for concurrent use.
+type Handler func(name Name, message string, values map[string]any)
+
+var (
+	counts  = expvar.NewMap("sapphiregate_violations")
+	handler atomic.Pointer[Handler]
+	once    sync.Once
+)
+
+func initCounts() {
+	for _, name := range Names() {
+		counts.Add(string(name), 0)
+	}
+}
+
+// SetHandler installs the receiver of violations: a logger in the daemons, a failing assertion in tests.
+func SetHandler(h Handler) { handler.Store(&h) }
+
+// Violated reports a violation.
+func Violated(name Name, message string, values map[string]any) {
+	once.Do(initCounts)
+	counts.Add(string(name), 1)
+	if h := handler.Load(); h != nil {
+		(*h)(name, message, values)
+	}
+}
+
+// Check reports a violation unless ok holds. It returns ok.
+func Check(ok bool, name Name, message string, values map[string]any) bool {
+	if !ok {
+		Violated(name, message, values)
+	}
+	return ok
+}
+
+// Counts returns the violations seen by this process.
+func Counts() map[Name]int64 {
+	once.Do(initCounts)
+	result := make(map[Name]int64)
+	for _, name := range Names() {
+		if value, ok := counts.Get(string(name)).(*expvar.Int); ok {
+			result[name] = value.Value()
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/state/bundle/manifest.go
@@ -0,0 +1,79 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Entry names one part of a bundle and its content.
+type Entry struct {
+	ID     PartID `cbor:"1,keyasint"`
+	Digest Digest `cbor:"2,keyasint"`
+}
+
+// Manifest lists all parts of a bundle, sorted by identifier.
+type Manifest struct {
+	Entries []Entry `cbor:"1,keyasint"`
+}
+
+// Digest returns the bundle digest: the SHA-256 of the canonical encoding of the sorted entries.
+func (m Manifest) Digest() Digest {
+	data, err := canonical.Marshal(m)
+	if err != nil {
+		// The type holds only strings, integers and byte arrays, which always encode.
+		panic(err)
+	}
+	return sha256.Sum256(data)
+}
+
+// Delta is the change from one manifest to another.
+type Delta struct {
+	Set     []Entry  `cbor:"1,keyasint,omitempty"`
+	Removed []PartID `cbor:"2,keyasint,omitempty"`
+}
+
+// Diff returns the change that leads from one manifest to another.
+func Diff(from, to Manifest) Delta {
+	held := make(map[PartID]Digest, len(from.Entries))
+	for _, entry := range from.Entries {
+		held[entry.ID] = entry.Digest
+	}
+	var delta Delta
+	for _, entry := range to.Entries {
+		if digest, ok := held[entry.ID]; !ok || digest != entry.Digest {
+			delta.Set = append(delta.Set, entry)
+		}
+		delete(held, entry.ID)
+	}
+	for id := range held {
+		delta.Removed = append(delta.Removed, id)
+	}
+	slices.SortFunc(delta.Removed, PartID.Compare)
+	return delta
+}
+
+// Apply returns the manifest that the change leads to. It returns ErrDigestMismatch unless that manifest has the
+// expected digest, so that a delta applied to the wrong base is always found.
+func (m Manifest) Apply(delta Delta, want Digest) (Manifest, error) {
+	entries := make(map[PartID]Digest, len(m.Entries)+len(delta.Set))
+	for _, entry := range m.Entries {
+		entries[entry.ID] = entry.Digest
+	}
+	for _, id := range delta.Removed {
+		delete(entries, id)
+	}
+	for _, entry := range delta.Set {
+		entries[entry.ID] = entry.Digest
+	}
+	next := Manifest{Entries: make([]Entry, 0, len(entries))}
+	for id, digest := range entries {
+		next.Entries = append(next.Entries, Entry{ID: id, Digest: digest})
+	}
+	next.sort()
+	if next.Digest() != want {
+		return Manifest{}, errors.Wrapf(ErrDigestMismatch, "want %s", want.Short())
+	}
+	return next, nil
+}
--- /dev/null
+++ b/state/bundle/part.go
@@ -0,0 +1,189 @@
+package bundle
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Errors of this package. Callers test for them with errors.Is.
+var (
+	// ErrCorruptPart reports a part whose content does not match its digest.
+	ErrCorruptPart = errors.New("bundle: part does not match its digest")
+	// ErrMissingPart reports a manifest that names a part which is not held.
+	ErrMissingPart = errors.New("bundle: part is not held")
+	// ErrUnknownKind reports a part of a kind that this program does not know.
+	ErrUnknownKind = errors.New("bundle: unknown part kind")
+	// ErrDigestMismatch reports a manifest that does not have the expected bundle digest.
+	ErrDigestMismatch = errors.New("bundle: manifest does not match the bundle digest")
+)
+
+// Digest is the SHA-256 of a canonical encoding.
+type Digest [sha256.Size]byte
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Short returns the first 12 hexadecimal digits, for logs and tables.
+func (d Digest) Short() string { return d.String()[:12] }
+
+// IsZero reports whether the digest is unset.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// MarshalText encodes the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText decodes a hexadecimal digest.
+func (d *Digest) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil || len(raw) != len(d) {
+		return errors.Newf("bundle: %q is not a digest of %d hexadecimal digits", text, 2*len(d))
+	}
+	copy(d[:], raw)
+	return nil
+}
+
+// Kind is the kind of a part.
+type Kind uint8
+
+// The kinds of parts.
+const (
+	KindService Kind = iota + 1
+	KindRoute
+	KindResource
+)
+
+// PartID names a part within a bundle.
+type PartID struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	Name string `cbor:"2,keyasint"`
+}
+
+// Compare orders part identifiers by kind, then name.
+func (p PartID) Compare(other PartID) int {
+	return cmp.Or(cmp.Compare(p.Kind, other.Kind), cmp.Compare(p.Name, other.Name))
+}
+
+// Part is the canonical encoding of one service, route or resource, addressed by its digest.
+type Part struct {
+	Digest Digest `cbor:"1,keyasint"`
+	Data   []byte `cbor:"2,keyasint"`
+}
+
+// Verify returns ErrCorruptPart unless the content has the part's digest.
+func (p Part) Verify() error {
+	if sha256.Sum256(p.Data) != p.Digest {
+		return errors.Wrapf(ErrCorruptPart, "%s", p.Digest.Short())
+	}
+	return nil
+}
+
+var canonical = mustEncMode(cbor.CoreDetEncOptions())
+
+// strict rejects duplicate map keys and unknown fields, so that one value has one encoding.
+var strict = mustDecMode(cbor.DecOptions{
+	DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+	ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+})
+
+func mustEncMode(options cbor.EncOptions) cbor.EncMode {
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newPart(value any) (Part, error) {
+	data, err := canonical.Marshal(value)
+	if err != nil {
+		return Part{}, errors.Wrap(err, "bundle: encode part")
+	}
+	return Part{Digest: sha256.Sum256(data), Data: data}, nil
+}
+
+// Split returns the bundle's parts and the manifest that lists them.
+func Split(b *Bundle) ([]Part, Manifest, error) {
+	var parts []Part
+	var manifest Manifest
+	add := func(kind Kind, name string, value any) error {
+		part, err := newPart(value)
+		if err != nil {
+			return err
+		}
+		parts = append(parts, part)
+		manifest.Entries = append(manifest.Entries, Entry{ID: PartID{Kind: kind, Name: name}, Digest: part.Digest})
+		return nil
+	}
+	for _, service := range b.Services {
+		if err := add(KindService, service.Name, service); err != nil {
+			return nil, Manifest{}, err
+		}
+	}
+	for _, route := range b.Routes {
+		if err := add(KindRoute, route.Name, route); err != nil {
+			return nil, Manifest{}, err
+		}
+	}
+	for _, resource := range b.Resources {
+		if err := add(KindResource, resource.Name, resource); err != nil {
+			return nil, Manifest{}, err
+		}
+	}
+	manifest.sort()
+	return parts, manifest, nil
+}
+
+// Assemble builds the bundle that a manifest lists. It returns ErrMissingPart if lookup lacks a part.
+func Assemble(manifest Manifest, lookup func(Digest) ([]byte, bool)) (*Bundle, error) {
+	b := &Bundle{}
+	for _, entry := range manifest.Entries {
+		data, ok := lookup(entry.Digest)
+		if !ok {
+			return nil, errors.Wrapf(ErrMissingPart, "%s", entry.ID.Name)
+		}
+		if err := b.decodePart(entry.ID, data); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func (b *Bundle) decodePart(id PartID, data []byte) error {
+	switch id.Kind {
+	case KindService:
+		return appendDecoded(&b.Services, data)
+	case KindRoute:
+		return appendDecoded(&b.Routes, data)
+	case KindResource:
+		return appendDecoded(&b.Resources, data)
+	default:
+		return errors.Wrapf(ErrUnknownKind, "%d", id.Kind)
+	}
+}
+
+func appendDecoded[T any](list *[]T, data []byte) error {
+	var value T
+	if err := strict.Unmarshal(data, &value); err != nil {
+		return errors.Wrap(err, "bundle: decode part")
+	}
+	*list = append(*list, value)
+	return nil
+}
+
+// sort brings the entries into the order that the digest is computed over.
+func (m *Manifest) sort() {
+	slices.SortFunc(m.Entries, func(a, b Entry) int { return a.ID.Compare(b.ID) })
+}
--- /dev/null
+++ b/state/bundle/store.go
@@ -0,0 +1,142 @@
+package bundle
+
+import (
+	"github.com/cockroachdb/errors"
+)
+
+// Update moves a holder from one bundle to another: the manifest's change and the parts that the base lacks.
+// A zero Base means that the update is complete in itself.
+type Update struct {
+	Base   Digest `cbor:"1,keyasint"`
+	Target Digest `cbor:"2,keyasint"`
+	Delta  Delta  `cbor:"3,keyasint"`
+	Parts  []Part `cbor:"4,keyasint,omitempty"`
+}
+
+// Store holds the parts and manifests of a few bundles. It is not safe for concurrent use.
+type Store struct {
+	parts     map[Digest][]byte
+	manifests map[Digest]Manifest
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{parts: make(map[Digest][]byte), manifests: make(map[Digest]Manifest)}
+}
+
+// Add applies an update. It is idempotent. Nothing is kept if a part is corrupt, the base is not held,
+// a part is missing, or the result does not have the target's digest.
+func (s *Store) Add(update Update) error {
+	if s.Holds(update.Target) {
+		return nil
+	}
+	base, err := s.base(update.Base)
+	if err != nil {
+		return err
+	}
+	manifest, err := base.Apply(update.Delta, update.Target)
+	if err != nil {
+		return err
+	}
+	added := make(map[Digest][]byte, len(update.Parts))
+	for _, part := range update.Parts {
+		if err := part.Verify(); err != nil {
+			return err
+		}
+		added[part.Digest] = part.Data
+	}
+	for _, entry := range manifest.Entries {
+		if _, ok := added[entry.Digest]; ok {
+			continue
+		}
+		if _, ok := s.parts[entry.Digest]; !ok {
+			return errors.Wrapf(ErrMissingPart, "%s", entry.ID.Name)
+		}
+	}
+	for digest, data := range added {
+		s.parts[digest] = data
+	}
+	s.manifests[update.Target] = manifest
+	return nil
+}
+
+func (s *Store) base(digest Digest) (Manifest, error) {
+	if digest.IsZero() {
+		return Manifest{}, nil
+	}
+	manifest, ok := s.manifests[digest]
+	if !ok {
+		return Manifest{}, errors.Wrapf(ErrMissingPart, "base bundle %s", digest.Short())
+	}
+	return manifest, nil
+}
+
+// Holds reports whether the bundle with this digest is complete in the store.
+func (s *Store) Holds(digest Digest) bool {
+	_, ok := s.manifests[digest]
+	return ok
+}
+
+// Manifest returns the manifest of a held bundle.
+func (s *Store) Manifest(digest Digest) (Manifest, bool) {
+	manifest, ok := s.manifests[digest]
+	return manifest, ok
+}
+
+// Bundle assembles a held bundle.
+func (s *Store) Bundle(digest Digest) (*Bundle, error) {
+	manifest, ok := s.manifests[digest]
+	if !ok {
+		return nil, errors.Wrapf(ErrMissingPart, "bundle %s", digest.Short())
+	}
+	return Assemble(manifest, s.part)
+}
+
+func (s *Store) part(digest Digest) ([]byte, bool) {
+	data, ok := s.parts[digest]
+	return data, ok
+}
+
+// Update returns the change from base to target with the parts that base lacks. An unknown base yields an update
+// that is complete in itself.
+func (s *Store) Update(base, target Digest) (Update, error) {
+	to, ok := s.manifests[target]
+	if !ok {
+		return Update{}, errors.Wrapf(ErrMissingPart, "bundle %s", target.Short())
+	}
+	from, ok := s.manifests[base]
+	if !ok {
+		base = Digest{}
+	}
+	update := Update{Base: base, Target: target, Delta: Diff(from, to)}
+	held := make(map[Digest]bool, len(from.Entries))
+	for _, entry := range from.Entries {
+		held[entry.Digest] = true
+	}
+	for _, entry := range update.Delta.Set {
+		if held[entry.Digest] {
+			continue
+		}
+		held[entry.Digest] = true
+		update.Parts = append(update.Parts, Part{Digest: entry.Digest, Data: s.parts[entry.Digest]})
+	}
+	return update, nil
+}
+
+// Retain drops all bundles but the named ones, and the parts that only the dropped ones use.
+func (s *Store) Retain(digests ...Digest) {
+	manifests := make(map[Digest]Manifest, len(digests))
+	parts := make(map[Digest][]byte)
+	for _, digest := range digests {
+		manifest, ok := s.manifests[digest]
+		if !ok {
+			continue
+		}
+		manifests[digest] = manifest
+		for _, entry := range manifest.Entries {
+			parts[entry.Digest] = s.parts[entry.Digest]
+		}
+	}
+	s.manifests = manifests
+	s.parts = parts
+}
