--- /dev/null
+++ b/protocol/call.go
@@ -0,0 +1,74 @@
+package protocol
+
+import (
+	"time"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// ChunkBytes is the largest body part that one frame carries.
+const ChunkBytes = 64 << 10
+
+// CallHead opens a call from an ingress to the executor beside the chosen upstream.
+type CallHead struct {
+	Service string              `cbor:"1,keyasint"`
+	Route   string              `cbor:"2,keyasint"`
+	Class   bundle.Class        `cbor:"3,keyasint"`
+	Method  string              `cbor:"4,keyasint"`
+	URI     string              `cbor:"5,keyasint"`
+	Host    string              `cbor:"6,keyasint"`
+	Header  map[string][]string `cbor:"7,keyasint,omitempty"`
+	// Remaining is the time left when the ingress sent the call; durations need no common clock.
+	Remaining time.Duration `cbor:"8,keyasint"`
+	Depth     int           `cbor:"9,keyasint,omitempty"`
+	Retry     bool          `cbor:"10,keyasint,omitempty"`
+	// Key is the idempotency key of an irreversible call.
+	Key string `cbor:"11,keyasint,omitempty"`
+	// ContentLength is -1 if the length is not known in advance.
+	ContentLength int64 `cbor:"12,keyasint"`
+	// Incarnation is the executor's incarnation that the ingress chose; another one refuses the call.
+	Incarnation uint64 `cbor:"13,keyasint,omitempty"`
+	// Fingerprint identifies the request among those that crash upstreams.
+	Fingerprint [16]byte `cbor:"14,keyasint"`
+	// Alone asks the executor to run the call with no other call in flight.
+	Alone   bool   `cbor:"15,keyasint,omitempty"`
+	Version uint64 `cbor:"16,keyasint,omitempty"`
+}
+
+// CallFrame is one message from ingress to executor. The first frame has a head; Last ends the request.
+type CallFrame struct {
+	Head    *CallHead           `cbor:"1,keyasint,omitempty"`
+	Body    []byte              `cbor:"2,keyasint,omitempty"`
+	Last    bool                `cbor:"3,keyasint,omitempty"`
+	Trailer map[string][]string `cbor:"4,keyasint,omitempty"`
+}
+
+// LoadReport is the executor's first-hand knowledge of its upstream, carried on every answer.
+type LoadReport struct {
+	InFlight      int   `cbor:"1,keyasint,omitempty"`
+	Queued        int   `cbor:"2,keyasint,omitempty"`
+	Slots         int   `cbor:"3,keyasint,omitempty"`
+	LatencyMicros int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// ReplyHead opens an executor's answer.
+type ReplyHead struct {
+	Outcome Outcome             `cbor:"1,keyasint"`
+	Reason  Reason              `cbor:"2,keyasint,omitempty"`
+	Status  int                 `cbor:"3,keyasint,omitempty"`
+	Header  map[string][]string `cbor:"4,keyasint,omitempty"`
+	// ContentLength is -1 if the length is not known in advance.
+	ContentLength int64      `cbor:"5,keyasint,omitempty"`
+	Load          LoadReport `cbor:"6,keyasint"`
+	// Upstream is the time between the request written to the upstream and its answer read, as far as known.
+	Upstream time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// ReplyFrame is one message from executor to ingress. Last ends a whole answer; a stream that ends without it
+// was cut and the answer is not whole.
+type ReplyFrame struct {
+	Head    *ReplyHead          `cbor:"1,keyasint,omitempty"`
+	Body    []byte              `cbor:"2,keyasint,omitempty"`
+	Last    bool                `cbor:"3,keyasint,omitempty"`
+	Trailer map[string][]string `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/protocol/control.go
@@ -0,0 +1,40 @@
+package protocol
+
+// Target names the replicated state machine that a command is for.
+type Target uint8
+
+// The replicated state machines.
+const (
+	TargetRegistry Target = iota + 1
+	TargetLedger
+)
+
+// ProposeRequest asks a control member to commit a command. Key selects the ledger group.
+type ProposeRequest struct {
+	Target  Target `cbor:"1,keyasint"`
+	Key     string `cbor:"2,keyasint,omitempty"`
+	Command []byte `cbor:"3,keyasint"`
+}
+
+// ProposeStatus tells what became of a proposal.
+type ProposeStatus uint8
+
+const (
+	// ProposeApplied means that the command was committed and applied; Result is its result.
+	ProposeApplied ProposeStatus = iota + 1
+	// ProposeNotLeader means that the member is not the leader; nothing was proposed.
+	ProposeNotLeader
+	// ProposeUncertain means that the command may be committed later. Commands are idempotent: send it again.
+	ProposeUncertain
+	// ProposeRefused means that the request does not decode; nothing was proposed.
+	ProposeRefused
+)
+
+// ProposeReply answers a ProposeRequest.
+type ProposeReply struct {
+	Status ProposeStatus `cbor:"1,keyasint"`
+	Result []byte        `cbor:"2,keyasint,omitempty"`
+	// Leader is the mesh address of the leader as far as this member knows.
+	Leader string `cbor:"3,keyasint,omitempty"`
+	Detail string `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/transport/web/upstream_test.go
@@ -0,0 +1,91 @@
+package web_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/transport/web"
+)
+
+func TestWeb(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "web")
+}
+
+func post(body string) web.UpstreamRequest {
+	request := web.UpstreamRequest{
+		Method: http.MethodPost, URI: "/promotions", Header: http.Header{protocol.HeaderKey: {"k1"}}, Once: true,
+	}
+	if body != "" {
+		request.Body = bytes.NewReader([]byte(body))
+		request.ContentLength = int64(len(body))
+	}
+	return request
+}
+
+var _ = Describe("UpstreamClient", func() {
+	var runs atomic.Int64
+	var breakConnection atomic.Bool
+	var server *httptest.Server
+	var client *web.UpstreamClient
+
+	BeforeEach(func() {
+		runs.Store(0)
+		breakConnection.Store(false)
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			runs.Add(1)
+			if breakConnection.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, r.Header.Get(protocol.HeaderKey))
+		}))
+		DeferCleanup(server.Close)
+		client = web.NewUpstreamClient(server.Listener.Addr().String(), 4)
+		DeferCleanup(client.Close)
+	})
+
+	DescribeTable("does not let net/http resend a keyed request on a reused connection",
+		func(body string) {
+			answer, err := client.Do(context.Background(), post(body))
+			Expect(err).NotTo(HaveOccurred())
+			got, err := io.ReadAll(answer.Response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(got)).To(Equal("k1"), "the key must still reach the upstream")
+			Expect(answer.Response.Body.Close()).To(Succeed())
+
+			breakConnection.Store(true)
+			_, err = client.Do(context.Background(), post(body))
+			Expect(err).To(MatchError(web.ErrBroken))
+			Expect(runs.Load()).To(BeEquivalentTo(2))
+		},
+		Entry("without a body", ""),
+		Entry("with a body", "belt=black"),
+	)
+
+	It("proves that a refused connection did not run the request", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = web.NewUpstreamClient(address, 1).Do(context.Background(), post("x"))
+		Expect(err).To(MatchError(web.ErrNotWritten))
+	})
+})
+
+var _ = Describe("CopyHeader", func() {
+	It("drops hop-by-hop fields and those that Connection names", func() {
+		header := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-Kept": {"2"}}
+		Expect(web.CopyHeader(header)).To(Equal(http.Header{"X-Kept": {"2"}}))
+	})
+})
