Declare the types of bundle loading, registry, settings and operator API

Other packages are built against these signatures at the same time, so they land before the behaviour. The functions return zero values for now.

--- /dev/null
+++ b/protocol/operator/errors.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// Errors of the API. Callers test for them with errors.Is and read details with errors.As and *Error.
+var (
+	// ErrVersionTaken reports a version that is approved with another digest; Error.Winner names the approval.
+	ErrVersionTaken = errors.New("operator: version is already approved with another digest")
+	// ErrVersionOld reports a version below the latest approved one; Error.Winner names the latest.
+	ErrVersionOld = errors.New("operator: a greater version is already approved")
+	// ErrWithdrawn reports a version that was withdrawn by a stop.
+	ErrWithdrawn = errors.New("operator: version was withdrawn")
+	// ErrNotLatest reports a stop or replace of a version that is not the latest; Error.Winner names the latest.
+	ErrNotLatest = errors.New("operator: version is not the latest approved one")
+	// ErrUnknownVersion reports a stop of a version that is neither staged nor approved.
+	ErrUnknownVersion = errors.New("operator: version is neither staged nor approved")
+	// ErrNotStaged reports an approval of a bundle whose parts are not held.
+	ErrNotStaged = errors.New("operator: bundle is not staged")
+	// ErrInvalidBundle reports a bundle that does not validate; Error.Problems lists the faults.
+	ErrInvalidBundle = errors.New("operator: bundle does not validate")
+	// ErrUnauthorized reports an unknown operator or a signature that does not verify.
+	ErrUnauthorized = errors.New("operator: operator is unknown or the signature does not verify")
+	// ErrBadRequest reports a request that cannot be decoded or lacks a field.
+	ErrBadRequest = errors.New("operator: malformed request")
+	// ErrNotFound reports a member or fingerprint that does not exist.
+	ErrNotFound = errors.New("operator: not found")
+	// ErrMembershipBusy reports that another membership change is in progress.
+	ErrMembershipBusy = errors.New("operator: another membership change is in progress")
+	// ErrNotLeader reports a member that does not lead; Error.Leader names the leader's API address if known.
+	ErrNotLeader = errors.New("operator: this member is not the leader")
+	// ErrNoQuorum reports that the request was not accepted because no quorum is reachable.
+	ErrNoQuorum = errors.New("operator: no quorum is reachable")
+	// ErrOutcomeUnknown reports that the request may or may not have taken effect.
+	ErrOutcomeUnknown = errors.New("operator: outcome is unknown")
+	// ErrUnreachable reports that no address answered.
+	ErrUnreachable = errors.New("operator: no control member answered")
+	// ErrInternal reports a fault of the member.
+	ErrInternal = errors.New("operator: internal fault")
+)
+
+// Error is an answer that carries details.
+type Error struct {
+	// Kind is one of the errors above.
+	Kind    error
+	Message string
+	// Leader is the address of the leader's operator API.
+	Leader string
+	// Winner is the approval that stands in the way.
+	Winner *bundle.Approval
+	// Problems lists the faults of a bundle.
+	Problems bundle.Problems
+}
+
+// Error returns the kind and the message.
+func (e *Error) Error() string {
+	if e.Message == "" {
+		return e.Kind.Error()
+	}
+	return e.Kind.Error() + ": " + e.Message
+}
+
+// Unwrap returns the kind.
+func (e *Error) Unwrap() error { return e.Kind }
+
+// FromResult converts a registry result into the answer of a backend.
+func FromResult(r registry.Result) (Decision, error) {
+	return Decision{Effect: r.Effect, Index: r.Index, Approval: r.Approval}, nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,184 @@
+// Package settings reads the JSON settings of the node and control processes.
+package settings
+
+import (
+	"crypto/tls"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration that is written as a string such as "250ms".
+type Duration time.Duration
+
+// Std returns the value as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText encodes the duration as a string.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText decodes a string such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// TLS names the files that secure connections between processes and with operators.
+type TLS struct {
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	CA          string `json:"ca,omitempty"`
+	// Insecure switches TLS off. The file names must then be empty.
+	Insecure bool `json:"insecure,omitempty"`
+}
+
+// ServerConfig returns the configuration of a server that demands client certificates, or nil if TLS is off.
+func (t TLS) ServerConfig() (*tls.Config, error) { return nil, nil }
+
+// ClientConfig returns the configuration of a client, or nil if TLS is off.
+func (t TLS) ClientConfig() (*tls.Config, error) { return nil, nil }
+
+// Upstream describes the local upstream of a node.
+type Upstream struct {
+	// Service is the service that the upstream serves.
+	Service string `json:"service"`
+	// Address is the HTTP address of the upstream.
+	Address string `json:"address"`
+	// Slots is the number of calls that the upstream runs at once.
+	Slots int `json:"slots"`
+	// Connections bounds the connections to the upstream.
+	Connections int `json:"connections"`
+	// HealthPath is requested to detect that the upstream is up.
+	HealthPath string `json:"health_path"`
+	// HealthInterval is the time between health requests.
+	HealthInterval Duration `json:"health_interval"`
+	// LoadPath is requested for load reports; empty if the upstream has none.
+	LoadPath string `json:"load_path,omitempty"`
+}
+
+// NodeLimits bounds the resources of a node.
+type NodeLimits struct {
+	MaxCalls       int      `json:"max_calls"`
+	MaxHeaderBytes int      `json:"max_header_bytes"`
+	MaxBodyBytes   int64    `json:"max_body_bytes"`
+	DrainTimeout   Duration `json:"drain_timeout"`
+}
+
+// Node is the settings of a node process.
+type Node struct {
+	// Instance identifies the machine and stays the same across restarts.
+	Instance string `json:"instance"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Callers is the listen address for HTTP calls.
+	Callers string `json:"callers"`
+	// Mesh is the listen address for gRPC between processes.
+	Mesh string `json:"mesh"`
+	// Admin is the listen address for metrics and the state dump.
+	Admin string `json:"admin"`
+	// Advertise is the mesh address that others dial; empty takes Mesh.
+	Advertise string `json:"advertise"`
+	// Join lists mesh addresses of control members and nodes.
+	Join []string `json:"join"`
+	TLS  TLS      `json:"tls"`
+	// Keyring is the file with the operators' public keys.
+	Keyring string `json:"keyring"`
+	// Upstream is nil for a node that only takes calls in.
+	Upstream *Upstream `json:"upstream,omitempty"`
+	// ZoneDelays holds the one-way delay to other availability zones.
+	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
+	Limits     NodeLimits          `json:"limits"`
+}
+
+// Peer is a control member of the first start.
+type Peer struct {
+	// Address is the member's mesh address.
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Admin is the address of the member's operator API.
+	Admin string `json:"admin"`
+}
+
+// ControlLimits bounds the resources of a control process.
+type ControlLimits struct {
+	ElectionTimeout   Duration `json:"election_timeout"`
+	HeartbeatInterval Duration `json:"heartbeat_interval"`
+	MaxAppendBytes    int      `json:"max_append_bytes"`
+	SnapshotEntries   int      `json:"snapshot_entries"`
+	// DirectFollowers bounds the nodes per zone that follow this member directly.
+	DirectFollowers int `json:"direct_followers"`
+	JoinsPerSecond  int `json:"joins_per_second"`
+	MaxLedgerBytes  int `json:"max_ledger_bytes"`
+}
+
+// Control is the settings of a control process.
+type Control struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	// Mesh is the listen address for gRPC between processes.
+	Mesh string `json:"mesh"`
+	// Admin is the listen address for the operator API, metrics and the state dump.
+	Admin string `json:"admin"`
+	// Advertise is the mesh address that others dial; empty takes Mesh.
+	Advertise string `json:"advertise"`
+	// AdvertiseAdmin is the operator API address that clients are sent to; empty takes Admin.
+	AdvertiseAdmin string `json:"advertise_admin"`
+	// DataFolder holds the log and the snapshots.
+	DataFolder string `json:"data_folder"`
+	TLS        TLS    `json:"tls"`
+	// Keyring is the file with the operators' public keys. It must be the same on all members.
+	Keyring string `json:"keyring"`
+	// Peers lists all members of the first start, including this one. It is read only while the data folder is empty.
+	Peers []Peer `json:"peers,omitempty"`
+	// Join lists mesh addresses of existing members; a member that is added later has Join instead of Peers.
+	Join       []string            `json:"join,omitempty"`
+	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
+	Limits     ControlLimits       `json:"limits"`
+}
+
+// Problem is one fault in a settings file.
+type Problem struct {
+	File    string `json:"file,omitempty"`
+	Field   string `json:"field"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// String formats the problem as one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: %s: got %s, allowed: %s", p.File, p.Field, p.Value, p.Allowed)
+}
+
+// Problems lists all faults of a settings file.
+type Problems []Problem
+
+// Error formats one problem per line.
+func (p Problems) Error() string {
+	lines := []string{fmt.Sprintf("settings: %d problems", len(p))}
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// DefaultNode returns the defaults of a node.
+func DefaultNode() Node { return Node{} }
+
+// DefaultControl returns the defaults of a control process.
+func DefaultControl() Control { return Control{} }
+
+// LoadNode reads the settings of a node. The error is of type Problems when the content is at fault.
+func LoadNode(file string) (Node, error) { return Node{}, nil }
+
+// LoadControl reads the settings of a control process. The error is of type Problems when the content is at fault.
+func LoadControl(file string) (Control, error) { return Control{}, nil }
+
+// ParseNode decodes the settings of a node; file is used in error messages.
+func ParseNode(file string, data []byte) (Node, error) { return Node{}, nil }
+
+// ParseControl decodes the settings of a control process; file is used in error messages.
+func ParseControl(file string, data []byte) (Control, error) { return Control{}, nil }
--- /dev/null
+++ b/state/bundle/validate.go
@@ -0,0 +1,4 @@
+package bundle
+
+// Validate returns all faults of a bundle.
+func Validate(b *Bundle) Problems { return nil }
--- /dev/null
+++ b/state/registry/result.go
@@ -0,0 +1,77 @@
+package registry
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Code is the outcome of a command.
+type Code uint8
+
+// The outcomes.
+const (
+	CodeOK Code = iota
+	// CodeVersionTaken means that the version was approved with another digest.
+	CodeVersionTaken
+	// CodeVersionOld means that a greater version is approved.
+	CodeVersionOld
+	// CodeWithdrawn means that the version was withdrawn by a stop and cannot be used again.
+	CodeWithdrawn
+	// CodeNotLatest means that the version to be replaced or stopped is not the latest approved one.
+	CodeNotLatest
+	// CodeUnknownVersion means that the version to be stopped is neither staged nor approved.
+	CodeUnknownVersion
+	// CodeNotHeld means that parts of the bundle, or the base of an update, are not held.
+	CodeNotHeld
+	// CodeInvalid means that the bundle does not validate.
+	CodeInvalid
+	// CodeUnauthorized means that the operator is unknown or the signature does not verify.
+	CodeUnauthorized
+	// CodeMalformed means that the command cannot be decoded or lacks a field.
+	CodeMalformed
+)
+
+// Errors that Result.Err returns. Callers test for them with errors.Is.
+var (
+	ErrVersionTaken   = errors.New("registry: version is already approved with another digest")
+	ErrVersionOld     = errors.New("registry: a greater version is already approved")
+	ErrWithdrawn      = errors.New("registry: version was withdrawn")
+	ErrNotLatest      = errors.New("registry: version is not the latest approved one")
+	ErrUnknownVersion = errors.New("registry: version is neither staged nor approved")
+	ErrNotHeld        = errors.New("registry: parts are not held")
+	ErrInvalid        = errors.New("registry: bundle does not validate")
+	ErrUnauthorized   = errors.New("registry: operator is unknown or the signature does not verify")
+	ErrMalformed      = errors.New("registry: malformed command")
+)
+
+// Effect tells what a successful command did.
+type Effect string
+
+// The effects.
+const (
+	EffectStaged    Effect = "staged"
+	EffectApproved  Effect = "approved"
+	EffectWithdrawn Effect = "withdrawn"
+	EffectStopped   Effect = "stopped"
+)
+
+// Result is the answer to a command.
+type Result struct {
+	Code    Code   `cbor:"1,keyasint,omitempty"`
+	Message string `cbor:"2,keyasint,omitempty"`
+	// Effect is set when Code is CodeOK.
+	Effect Effect `cbor:"3,keyasint,omitempty"`
+	// Approval is the approval that the command created or that an equal earlier command created, or the approval
+	// that a stop refers to.
+	Approval *bundle.Approval `cbor:"4,keyasint,omitempty"`
+	// Winner is the approval that stands in the way of a refused command.
+	Winner *bundle.Approval `cbor:"5,keyasint,omitempty"`
+	// Index is the log index of the command whose result this is.
+	Index uint64 `cbor:"6,keyasint,omitempty"`
+	// Problems lists the faults of a bundle when Code is CodeInvalid.
+	Problems bundle.Problems `cbor:"7,keyasint,omitempty"`
+}
+
+// Err returns nil for CodeOK, otherwise an error that wraps one of this package's errors.
+func (r Result) Err() error { return nil }
