Add the types and signatures of the traffic decision packages

Other packages are built against balance, admission, retry, quarantine, execution and ledger at the same time, so their exported signatures come first. The functions have no behaviour yet. Checked: go build, go vet.

--- /dev/null
+++ b/coordination/balance/balance.go
@@ -0,0 +1,153 @@
+// Package balance selects the upstream of a call. It is safe for concurrent use by traffic goroutines: the candidates
+// of a service are an immutable snapshot and the counters of an endpoint are atomic.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Errors of this package. Callers test for them with errors.Is.
+var (
+	// ErrNoUpstream reports a service without an upstream that may receive calls.
+	ErrNoUpstream = errors.New("balance: no upstream is available")
+)
+
+// State is the announced state of an endpoint. The values follow the order of endpoints.State.
+type State uint8
+
+// The states of an endpoint. Draining and gone endpoints receive no calls; suspect endpoints receive calls only if
+// the service has no serving endpoint.
+const (
+	Serving State = iota
+	Draining
+	Gone
+	Suspect
+)
+
+// Endpoint is one upstream as the endpoint table describes it.
+type Endpoint struct {
+	ID          string
+	Incarnation uint64
+	Zone        string
+	Service     string
+	Address     string
+	State       State
+	Slots       int
+	// Since is the local time at which this incarnation began to serve. Slow start counts from it; the zero value
+	// switches slow start off for the endpoint.
+	Since time.Time
+}
+
+// Policy selects how an upstream is chosen among the candidates.
+type Policy uint8
+
+// The policies.
+const (
+	// ChoiceOfTwo takes the candidate with the lower expected delay of two random ones.
+	ChoiceOfTwo Policy = iota
+	// RoundRobin takes the candidates in turn.
+	RoundRobin
+	// LeastOutstanding takes the candidate with the fewest calls of this process in flight out of a fixed sample.
+	LeastOutstanding
+)
+
+// Config holds the settings of a Balancer. Zero fields take the defaults.
+type Config struct {
+	Policy Policy
+	// Zone is the availability zone of this process.
+	Zone string
+	// ZoneDelay returns the one-way delay to a zone. It is called by Update, not by Pick.
+	ZoneDelay func(zone string) time.Duration
+	// SpillLoad is the load per slot from which calls of the local zone are also offered to other zones.
+	SpillLoad float64
+	// ReportLifetime is the time over which a load report decays to the average of the service.
+	ReportLifetime time.Duration
+	// EjectBase is the first ejection time after a connection failure; it doubles with each further failure.
+	EjectBase time.Duration
+	// EjectMax bounds the ejection time.
+	EjectMax time.Duration
+	// SlowStart is used for services without a value of their own; negative switches slow start off.
+	SlowStart time.Duration
+}
+
+// Load is the load of one upstream.
+type Load struct {
+	InFlight      int   `cbor:"1,keyasint,omitempty"`
+	Queued        int   `cbor:"2,keyasint,omitempty"`
+	Slots         int   `cbor:"3,keyasint,omitempty"`
+	LatencyMicros int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Request describes the call that needs an upstream.
+type Request struct {
+	Service string
+	Zone    bundle.ZonePolicy
+	// Exclude lists the identifiers of upstreams that were already tried. They are avoided while others exist.
+	Exclude []string
+	// Rand must not be shared between goroutines unless it is safe for that.
+	Rand rand.Source
+}
+
+// Target is the selected upstream. Each Target must be passed to Done exactly once.
+type Target struct {
+	ID          string
+	Incarnation uint64
+	Zone        string
+	Service     string
+	Address     string
+
+	endpoint *endpoint
+}
+
+// Outcome tells how a call ended, as far as it concerns balancing.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	// Done is a complete response.
+	Done Outcome = iota
+	// Refused means that the executor or the upstream refused the call without running it.
+	Refused
+	// Failed means that the call failed after the connection was made, or timed out.
+	Failed
+	// ConnectFailed means that no connection could be made or that it broke. The endpoint is ejected for a while.
+	ConnectFailed
+	// Canceled means that the caller left; it says nothing about the upstream.
+	Canceled
+)
+
+// Report tells the Balancer how a call ended.
+type Report struct {
+	Outcome Outcome
+	// Latency is measured at the ingress, from sending the call to receiving the response.
+	Latency time.Duration
+	// Load is the executor's first-hand load. It takes precedence over UpstreamLoad.
+	Load *Load
+	// UpstreamLoad is the load that the upstream reports about itself. It may lag or be wrong.
+	UpstreamLoad *Load
+}
+
+// Balancer selects upstreams.
+type Balancer struct {
+	config Config
+}
+
+type endpoint struct{}
+
+// New returns a Balancer without endpoints.
+func New(c Config) *Balancer { return &Balancer{config: c} }
+
+// Update replaces the endpoints and the service settings. The counters of endpoints that remain in the same
+// incarnation are kept.
+func (b *Balancer) Update(now time.Time, table []Endpoint, services map[string]bundle.Service) {}
+
+// Pick selects an upstream and counts the call as in flight until Done.
+func (b *Balancer) Pick(now time.Time, r Request) (Target, error) { return Target{}, ErrNoUpstream }
+
+// Done reports the end of a call.
+func (b *Balancer) Done(now time.Time, t Target, r Report) {}
