Add the types and signatures of the endpoint table and the relay

The table merges by (incarnation, sequence), keeps tombstones and compares by 256 bucket digests. Nothing was measured.

--- /dev/null
+++ b/coordination/endpoints/table.go
@@ -0,0 +1,287 @@
+package endpoints
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of a table.
+const (
+	// BucketCount is the number of buckets of the comparison. At 16,000 records a bucket holds about 62.
+	BucketCount = 256
+	// DefaultLimit bounds the records of a table: 2.5 times the design scale of 16,000 workers.
+	DefaultLimit = 40_000
+	// maxTextBytes bounds each text field of a record.
+	maxTextBytes = 256
+)
+
+type entry struct {
+	record  Record
+	bucket  uint8
+	sum     uint64
+	updated time.Time
+}
+
+type tombstone struct {
+	record Record
+	until  time.Time
+}
+
+// Table is the set of known records. It is not safe for concurrent use.
+type Table struct {
+	now        time.Time
+	limit      int
+	entries    map[string]*entry
+	leaving    map[string]time.Time
+	tombstones map[string]tombstone
+	// expiry lists the tombstones in the order in which they end; an entry whose tombstone is gone is skipped.
+	expiry  []tombstone
+	texts   map[string]string
+	sums    [BucketCount]uint64
+	digest  uint64
+	version uint64
+	dropped uint64
+}
+
+// NewTable returns an empty table. A limit of 0 takes DefaultLimit.
+func NewTable(now time.Time, limit int) *Table {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
+	return &Table{
+		now:        now,
+		limit:      limit,
+		entries:    make(map[string]*entry),
+		leaving:    make(map[string]time.Time),
+		tombstones: make(map[string]tombstone),
+		texts:      make(map[string]string),
+	}
+}
+
+// Advance sets the time that Merge uses and drops the records that have been suspect or gone for RemoveAfter.
+// It returns the dropped records.
+func (t *Table) Advance(now time.Time) []Record {
+	t.now = now
+	var removed []Record
+	for id, since := range t.leaving {
+		if now.Sub(since) >= RemoveAfter {
+			removed = append(removed, t.remove(id))
+		}
+	}
+	for len(t.expiry) > 0 && !now.Before(t.expiry[0].until) {
+		t.dropOldestTombstone()
+	}
+	slices.SortFunc(removed, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+	return removed
+}
+
+// Merge adds the records that are newer than the held ones and returns them.
+func (t *Table) Merge(records []Record) []Record {
+	var changed []Record
+	for _, record := range records {
+		if t.merge(record) {
+			changed = append(changed, record)
+		}
+	}
+	return changed
+}
+
+func (t *Table) merge(record Record) bool {
+	if !valid(record) {
+		t.dropped++
+		return false
+	}
+	if stone, ok := t.tombstones[record.ID]; ok && record.Compare(stone.record) <= 0 {
+		return false
+	}
+	held, ok := t.entries[record.ID]
+	if ok && record.Compare(held.record) <= 0 {
+		return false
+	}
+	if !ok && len(t.entries) >= t.limit {
+		t.dropped++
+		return false
+	}
+	if !ok {
+		held = &entry{bucket: bucketOf(record.ID)}
+		t.entries[strings.Clone(record.ID)] = held
+	}
+	t.store(held, record)
+	delete(t.tombstones, record.ID)
+	return true
+}
+
+func valid(record Record) bool {
+	if record.ID == "" || record.State < Serving || record.State > Suspect {
+		return false
+	}
+	longest := max(len(record.ID), len(record.Zone), len(record.Service), len(record.Address), len(record.Parent))
+	return longest <= maxTextBytes
+}
+
+func (t *Table) store(held *entry, record Record) {
+	t.toggle(held)
+	record.Zone = t.intern(record.Zone)
+	record.Service = t.intern(record.Service)
+	record.Parent = t.intern(record.Parent)
+	held.record = record
+	held.sum = record.sum()
+	held.updated = t.now
+	t.toggle(held)
+	if record.Leaving() {
+		t.leaving[record.ID] = t.now
+	} else {
+		delete(t.leaving, record.ID)
+	}
+	t.version++
+}
+
+// toggle adds an entry to the digests, or takes it out of them.
+func (t *Table) toggle(held *entry) {
+	t.sums[held.bucket] ^= held.sum
+	t.digest ^= held.sum
+}
+
+// intern lets records share the text of fields that few distinct values fill. The set is rebuilt when values that are
+// no longer used would make it grow without bound.
+func (t *Table) intern(text string) string {
+	if shared, ok := t.texts[text]; ok {
+		return shared
+	}
+	if len(t.texts) > 2*t.limit {
+		clear(t.texts)
+	}
+	text = strings.Clone(text)
+	t.texts[text] = text
+	return text
+}
+
+func (t *Table) remove(id string) Record {
+	held := t.entries[id]
+	t.toggle(held)
+	delete(t.entries, id)
+	delete(t.leaving, id)
+	t.addTombstone(held.record)
+	t.version++
+	return held.record
+}
+
+// addTombstone keeps at most as many tombstones as records; when the set is full, the oldest makes room.
+func (t *Table) addTombstone(record Record) {
+	if len(t.expiry) >= t.limit {
+		t.dropOldestTombstone()
+	}
+	stone := tombstone{record: record, until: t.now.Add(TombstoneLifetime)}
+	t.tombstones[record.ID] = stone
+	t.expiry = append(t.expiry, stone)
+}
+
+func (t *Table) dropOldestTombstone() {
+	oldest := t.expiry[0]
+	t.expiry = t.expiry[1:]
+	if held, ok := t.tombstones[oldest.record.ID]; ok && held.until.Equal(oldest.until) {
+		delete(t.tombstones, oldest.record.ID)
+	}
+}
+
+// Tombstone returns the last version of a dropped record.
+func (t *Table) Tombstone(id string) (Record, bool) {
+	stone, ok := t.tombstones[id]
+	return stone.record, ok
+}
+
+// Get returns the record of one upstream.
+func (t *Table) Get(id string) (Record, bool) {
+	held, ok := t.entries[id]
+	if !ok {
+		return Record{}, false
+	}
+	return held.record, true
+}
+
+// Updated returns the time at which the held version of a record was merged.
+func (t *Table) Updated(id string) (time.Time, bool) {
+	held, ok := t.entries[id]
+	if !ok {
+		return time.Time{}, false
+	}
+	return held.updated, true
+}
+
+// Suspicion returns the record that publishes a held record as suspect; false if the record is unknown or leaving.
+func (t *Table) Suspicion(id string) (Record, bool) {
+	record, ok := t.Get(id)
+	if !ok || record.Leaving() {
+		return Record{}, false
+	}
+	record.State = Suspect
+	return record, true
+}
+
+// All returns all records in tree order.
+func (t *Table) All() []Record { return t.filter(func(*entry) bool { return true }) }
+
+// InZone returns the records of one availability zone in tree order.
+func (t *Table) InZone(zone string) []Record {
+	return t.filter(func(e *entry) bool { return e.record.Zone == zone })
+}
+
+// Service returns the records of one service in tree order.
+func (t *Table) Service(name string) []Record {
+	return t.filter(func(e *entry) bool { return e.record.Service == name })
+}
+
+// InBuckets returns the records of the marked buckets in tree order.
+func (t *Table) InBuckets(marked *[BucketCount]bool) []Record {
+	return t.filter(func(e *entry) bool { return marked[e.bucket] })
+}
+
+func (t *Table) filter(keep func(*entry) bool) []Record {
+	var records []Record
+	for _, held := range t.entries {
+		if keep(held) {
+			records = append(records, held.record)
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		if a.Older(b) {
+			return -1
+		}
+		return 1
+	})
+	return records
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.entries) }
+
+// LeavingCount returns the number of suspect and gone records.
+func (t *Table) LeavingCount() int { return len(t.leaving) }
+
+// Digest identifies the content of the table: equal tables have equal digests.
+func (t *Table) Digest() uint64 { return t.digest }
+
+// Buckets returns one digest per bucket.
+func (t *Table) Buckets() []uint64 { return slices.Clone(t.sums[:]) }
+
+// Differing marks the buckets whose digests differ from another table's.
+func (t *Table) Differing(buckets []uint64) (marked [BucketCount]bool, count int) {
+	for i := range t.sums {
+		if i >= len(buckets) || buckets[i] != t.sums[i] {
+			marked[i] = true
+			count++
+		}
+	}
+	return marked, count
+}
+
+// Version grows with every change of the table.
+func (t *Table) Version() uint64 { return t.version }
+
+// Dropped counts records that were refused because they were malformed or the table was full.
+func (t *Table) Dropped() uint64 { return t.dropped }
+
+func bucketOf(id string) uint8 { return uint8(xxhash.Sum64String(id)) }
--- /dev/null
+++ b/coordination/relay/config.go
@@ -0,0 +1,97 @@
+// Package relay distributes configuration, endpoint records and crash reports among nodes and control members. The
+// same Peer runs in both; a member is a source. A Peer is a state machine: time and messages go in, outputs come out.
+// It uses no I/O, no clock, no goroutine and no global randomness, and one goroutine drives it.
+package relay
+
+import (
+	"cmp"
+	"math/rand"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Verifier checks an approval's signature. bundle.Keyring implements it.
+type Verifier interface {
+	Verify(a bundle.Approval) error
+}
+
+// Config sets up a Peer.
+type Config struct {
+	ID      string
+	Zone    string
+	Address string
+	// Incarnation grows with every start of the process. It is never 0.
+	Incarnation uint64
+	// Member is set in control members.
+	Member bool
+	// Join lists addresses of nodes and members that are tried when nothing else is known.
+	Join []string
+	Keys Verifier
+	// Validate checks an assembled bundle before it is activated. Nil accepts every bundle.
+	Validate func(*bundle.Bundle) error
+	Rand     *rand.Rand
+	// FanOut bounds the children of a node.
+	FanOut int
+	// ZoneFollowers bounds the direct followers of a member in its own zone.
+	ZoneFollowers int
+	// RemoteFollowers bounds the direct followers of a member in each other zone. Each costs one copy of the content on
+	// a zone link, so one follower serves the others of its zone.
+	RemoteFollowers int
+	// JoinsPerSecond and JoinBurst bound the joins that a member accepts.
+	JoinsPerSecond float64
+	JoinBurst      int
+	// TableLimit bounds the endpoint table.
+	TableLimit int
+}
+
+// Defaults of Config.
+const (
+	DefaultFanOut          = 16
+	DefaultZoneFollowers   = 32
+	DefaultRemoteFollowers = 1
+	DefaultJoinsPerSecond  = 16
+	DefaultJoinBurst       = 16
+)
+
+// Order is a peer's place in the tree: a node follows members and nodes of lower order only.
+type Order struct {
+	Member      bool
+	Incarnation uint64
+	ID          string
+}
+
+// Before reports whether o is of lower order than other.
+func (o Order) Before(other Order) bool {
+	if o.Member != other.Member {
+		return o.Member
+	}
+	return cmp.Or(cmp.Compare(o.Incarnation, other.Incarnation), cmp.Compare(o.ID, other.ID)) < 0
+}
+
+// Source is the state of the registry of a member.
+type Source struct {
+	// Latest is the latest approval; nil before the first.
+	Latest *bundle.Approval
+	// Stopped is set when the latest approved version was stopped.
+	Stopped bool
+	// Held lists the bundles that are staged or approved. The store holds all of them.
+	Held []bundle.Digest
+}
+
+// CrashReport says which requests were in flight when an upstream crashed, or that a request was cleared.
+type CrashReport struct {
+	Upstream     string     `cbor:"1,keyasint"`
+	Incarnation  uint64     `cbor:"2,keyasint"`
+	Sequence     uint64     `cbor:"3,keyasint"`
+	Fingerprints [][16]byte `cbor:"4,keyasint,omitempty"`
+	Cleared      bool       `cbor:"5,keyasint,omitempty"`
+	// AgeMs is the time since the crash; every hop adds the time it kept the report.
+	AgeMs int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// MemberInfo names a control member.
+type MemberInfo struct {
+	ID      string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/coordination/relay/status.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"time"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Status is a peer's view of the distribution.
+type Status struct {
+	ID     string
+	Zone   string
+	Member bool
+	// Approved is the latest approval that the peer knows; nil before the first.
+	Approved *bundle.Approval
+	Stopped  bool
+	// InForce is the version in force here; 0 if there is none.
+	InForce uint64
+	// Confirmed is false if the peer was never told by a quorum. Age bounds the time since a quorum confirmed
+	// ConfirmedVersion as the latest.
+	Confirmed        bool
+	ConfirmedVersion uint64
+	Age              time.Duration
+	// Stale is set when the age exceeds the limit at which the peer looks for another parent.
+	Stale bool
+	// Parent is empty while the peer has none. Depth counts the links to the member.
+	Parent     string
+	ParentZone string
+	Depth      int
+	Children   []string
+	// Subtree counts the nodes below this peer and the peer itself; Total adds the subtrees of the other members.
+	Subtree Aggregate
+	Total   Aggregate
+	// Refused is the reason for which the approved bundle was refused; empty if it was not.
+	Refused string
+	Stats   Stats
+}
+
+// Stats counts events since the start.
+type Stats struct {
+	JoinsAccepted, JoinsRedirected, JoinsDelayed uint64
+	ParentChanges                                uint64
+	Suspected, Refuted                           uint64
+	Comparisons                                  uint64
+	PartsSent, PartsReceived, PartsDuplicate     uint64
+	Fetches                                      uint64
+	CorruptMessages                              uint64
+}
