--- /dev/null
+++ b/experiment/standin/truth.go
@@ -0,0 +1,4 @@
+package standin
+
+// Truth is the ground truth of all upstreams of one experiment.
+type Truth struct{}
--- /dev/null
+++ b/transport/shape/conn.go
@@ -0,0 +1,372 @@
+package shape
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// idleReadBytes keeps the buffer of an idle connection small, because thousands of them are open at once.
+	idleReadBytes = 1 << 10
+	busyReadBytes = 32 << 10
+)
+
+// conn shapes a connection. It has one goroutine, which stamps the arrival of incoming data; outgoing data is written
+// by short goroutines that exist only while data is due.
+type conn struct {
+	network       *Network
+	raw           net.Conn
+	local, remote Endpoint
+
+	mu   sync.Mutex
+	cond *sync.Cond
+	in   *lane
+	out  *lane
+	// flushing is set while one goroutine writes to raw.
+	flushing      bool
+	closed        bool
+	reset         bool
+	writeErr      error
+	readDeadline  deadline
+	writeDeadline deadline
+}
+
+// deadline wakes the waiters of a connection when it passes.
+type deadline struct {
+	at    time.Time
+	timer *time.Timer
+}
+
+func (d *deadline) set(at time.Time, wake func()) {
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.at = at
+	if !at.IsZero() {
+		d.timer = time.AfterFunc(time.Until(at), wake)
+	}
+}
+
+func (d *deadline) passed() bool { return !d.at.IsZero() && !time.Now().Before(d.at) }
+
+func newConn(n *Network, raw net.Conn, local, remote Endpoint) *conn {
+	c := &conn{network: n, raw: raw, local: local, remote: remote}
+	c.cond = sync.NewCond(&c.mu)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		switch {
+		case c.closed:
+			return 0, net.ErrClosed
+		case c.readDeadline.passed():
+			return 0, os.ErrDeadlineExceeded
+		case c.arrived(c.in):
+			return c.take(p)
+		}
+		c.cond.Wait()
+	}
+}
+
+// arrived reports whether the head of the lane has passed the link.
+func (c *conn) arrived(l *lane) bool {
+	if len(l.queue) == 0 || time.Now().Before(l.queue[0].due) {
+		return false
+	}
+	switch c.network.settings.Load().cut(l.from, l.to) {
+	case CutHold:
+		return false
+	case CutDrop:
+		l.drop()
+		return false
+	default:
+		return true
+	}
+}
+
+// take copies from the head of the incoming lane. The end of the stream stays in the lane.
+func (c *conn) take(p []byte) (int, error) {
+	head := &c.in.queue[0]
+	if head.err != nil {
+		return 0, head.err
+	}
+	n := copy(p, head.data)
+	head.data = head.data[n:]
+	c.in.bytes -= n
+	if len(head.data) == 0 {
+		c.in.pop()
+	}
+	c.schedule(c.in)
+	c.cond.Broadcast()
+	return n, nil
+}
+
+// schedule wakes the lane's consumer when its head arrives.
+func (c *conn) schedule(l *lane) {
+	if len(l.queue) == 0 {
+		return
+	}
+	wake := c.wakeReader
+	if l == c.out {
+		wake = c.wakeWriter
+	}
+	if due := l.queue[0].due; due.After(time.Now()) {
+		c.network.clock.at(due, wake)
+	} else if l == c.out {
+		c.startFlush()
+	}
+}
+
+// wakeReader takes the mutex so that a reader that is about to wait does not miss the wake-up.
+func (c *conn) wakeReader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cond.Broadcast()
+}
+
+func (c *conn) wakeWriter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startFlush()
+}
+
+// startFlush writes what has arrived, on a goroutine because a full receiver blocks the write.
+func (c *conn) startFlush() {
+	if !c.flushing && c.arrived(c.out) {
+		c.flushing = true
+		go c.flush()
+	}
+}
+
+func (c *conn) flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.arrived(c.out) {
+		p := c.out.pop()
+		if p.err != nil {
+			c.shut()
+			break
+		}
+		c.mu.Unlock()
+		_, err := c.raw.Write(p.data)
+		c.mu.Lock()
+		c.fail(err)
+		c.cond.Broadcast()
+	}
+	c.flushing = false
+	c.schedule(c.out)
+}
+
+func (c *conn) fail(err error) {
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// Write implements net.Conn. It returns when the link has taken the data.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.out.bytes >= laneBytes && c.writable() == nil {
+		c.cond.Wait()
+	}
+	if err := c.writable(); err != nil {
+		return 0, err
+	}
+	c.out.count.Add(int64(len(p)))
+	if c.out.silent {
+		return len(p), nil
+	}
+	s := c.network.settings.Load()
+	due := c.out.due(time.Now(), s.link(c.local, c.remote), len(p))
+	if c.direct(s, due) {
+		return c.writeDirect(p)
+	}
+	c.out.push(packet{data: append([]byte(nil), p...), due: due})
+	if len(c.out.queue) == 1 {
+		c.schedule(c.out)
+	}
+	return len(p), nil
+}
+
+func (c *conn) writable() error {
+	switch {
+	case c.closed:
+		return net.ErrClosed
+	case c.writeErr != nil:
+		return c.writeErr
+	case c.writeDeadline.passed():
+		return os.ErrDeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// direct reports whether a write needs no queue: the link has no delay and nothing is ahead of it.
+func (c *conn) direct(s *settings, due time.Time) bool {
+	return len(c.out.queue) == 0 && !c.flushing && !due.After(time.Now()) && s.cut(c.local, c.remote) == 0
+}
+
+func (c *conn) writeDirect(p []byte) (int, error) {
+	c.flushing = true
+	c.mu.Unlock()
+	n, err := c.raw.Write(p)
+	c.mu.Lock()
+	c.flushing = false
+	c.fail(err)
+	c.schedule(c.out)
+	return n, err
+}
+
+// receive stamps incoming data with its arrival time until the connection ends.
+func (c *conn) receive() {
+	buffer := make([]byte, idleReadBytes)
+	for {
+		n, err := c.raw.Read(buffer)
+		if n > 0 {
+			c.accept(buffer[:n])
+		}
+		if err != nil {
+			c.finish(err)
+			return
+		}
+		if n == len(buffer) && n < busyReadBytes {
+			buffer = make([]byte, busyReadBytes)
+		}
+	}
+}
+
+func (c *conn) accept(data []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.in.bytes >= laneBytes && !c.closed {
+		c.cond.Wait()
+	}
+	c.in.count.Add(int64(len(data)))
+	c.arrive(packet{data: append([]byte(nil), data...)})
+}
+
+// finish passes the end of the stream through the link, so that a partition hides it too.
+func (c *conn) finish(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrive(packet{err: err})
+}
+
+func (c *conn) arrive(p packet) {
+	if c.closed || c.in.silent {
+		return
+	}
+	link := c.network.settings.Load().link(c.remote, c.local)
+	p.due = c.in.due(time.Now(), link, len(p.data))
+	c.in.push(p)
+	if len(c.in.queue) > 1 {
+		return
+	}
+	c.schedule(c.in)
+	c.cond.Broadcast()
+}
+
+// resume continues after a partition healed. Held data arrives one delay later, as if retransmitted at once.
+func (c *conn) resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.network.settings.Load()
+	for _, l := range []*lane{c.in, c.out} {
+		if s.cut(l.from, l.to) != 0 || len(l.queue) == 0 || l.queue[0].due.After(time.Now()) {
+			continue
+		}
+		l.postpone(time.Now().Add(s.link(l.from, l.to).Delay))
+		c.schedule(l)
+	}
+	c.cond.Broadcast()
+}
+
+// Close implements net.Conn. The remote end sees it after the data in flight and after any partition.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	c.in.queue = nil
+	c.in.bytes = 0
+	c.cond.Broadcast()
+	if c.out.silent {
+		return nil
+	}
+	link := c.network.settings.Load().link(c.local, c.remote)
+	c.out.push(packet{err: io.EOF, due: c.out.due(time.Now(), link, 0)})
+	if len(c.out.queue) == 1 {
+		c.schedule(c.out)
+	}
+	return nil
+}
+
+// abort closes the connection with a reset, as the kernel does for a process that died.
+func (c *conn) abort() {
+	c.mu.Lock()
+	c.reset = true
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
+// shut ends the raw connection after the last data.
+func (c *conn) shut() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && c.reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.raw.Close()
+	go c.network.forget(c)
+}
+
+// destroy closes both ends at once, regardless of delays and partitions.
+func (c *conn) destroy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.cond.Broadcast()
+	c.shut()
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return c.raw.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.raw.RemoteAddr() }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline.set(t, c.wakeReader)
+	c.writeDeadline.set(t, c.wakeReader)
+	c.cond.Broadcast()
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline.set(t, c.wakeReader)
+	c.cond.Broadcast()
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline.set(t, c.wakeReader)
+	c.cond.Broadcast()
+	return nil
+}
