Load, validate, sign and compare bundles

Load reads all JSON files below a folder with a decoder that reports every unknown field, duplicate key and wrong type with its path; encoding/json stops at the first and accepts keys in another case. Validate reports all faults with file, field, value and what is allowed. Signatures cover version, digest, operator and Replaces under a purpose prefix.

The property test of Diff and Apply found that an empty manifest had two digests: a nil list encodes as null. Digest now encodes it as an empty list. Assemble refuses a part that is not the canonical encoding of its value or is listed under another name. Store counts the uses of parts, so dropping a bundle no longer visits all others, and ignores parts that the manifest does not name.

--- a/state/bundle/canonical.go
+++ b/state/bundle/canonical.go
@@ -1,5 +1,50 @@
 package bundle
 
+import (
+	"cmp"
+	"net/textproto"
+	"slices"
+	"strings"
+)
+
 // Canonicalize sorts all lists and normalizes header and host names in place, so that equal configurations have equal
 // digests.
-func Canonicalize(b *Bundle) {}
+func Canonicalize(b *Bundle) {
+	slices.SortStableFunc(b.Services, func(x, y Service) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortStableFunc(b.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortStableFunc(b.Resources, func(x, y Resource) int { return cmp.Compare(x.Name, y.Name) })
+	for i := range b.Routes {
+		canonicalizeRoute(&b.Routes[i])
+	}
+	for i := range b.Resources {
+		b.Resources[i].Headers = canonicalHeaders(b.Resources[i].Headers)
+	}
+}
+
+func canonicalizeRoute(r *Route) {
+	r.Match.Host = strings.ToLower(r.Match.Host)
+	r.Match.Methods = sortedSet(r.Match.Methods)
+	r.Match.Headers = canonicalHeaders(r.Match.Headers)
+	r.Resources = sortedSet(r.Resources)
+}
+
+// sortedSet returns the sorted list, or nil if it is empty.
+func sortedSet(list []string) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	return slices.Sorted(slices.Values(list))
+}
+
+// canonicalHeaders returns the headers under canonical names, or nil if there is none. The names are visited in order
+// so that the result is deterministic for invalid input with one header in two spellings, too.
+func canonicalHeaders(headers map[string]string) map[string]string {
+	if len(headers) == 0 {
+		return nil
+	}
+	result := make(map[string]string, len(headers))
+	for _, name := range sortedKeys(headers) {
+		result[textproto.CanonicalMIMEHeaderKey(name)] = headers[name]
+	}
+	return result
+}
--- a/state/bundle/keyring.go
+++ b/state/bundle/keyring.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/sha256"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,31 +16,102 @@
 	ErrBadSignature = errors.New("bundle: signature does not verify")
 )
 
+// purposeApproval separates signatures of approvals from signatures of other messages.
+const purposeApproval = "sapphiregate approval 1"
+
 // Keyring maps operator names to the public keys whose signatures are accepted. It is immutable.
 type Keyring struct {
 	keys map[string][]ed25519.PublicKey
 }
 
 // NewKeyring returns a keyring with a copy of the given keys.
-func NewKeyring(keys map[string][]ed25519.PublicKey) *Keyring { return &Keyring{keys: keys} }
+func NewKeyring(keys map[string][]ed25519.PublicKey) *Keyring {
+	k := &Keyring{keys: make(map[string][]ed25519.PublicKey, len(keys))}
+	for operator, list := range keys {
+		for _, key := range list {
+			k.keys[operator] = append(k.keys[operator], slices.Clone(key))
+		}
+	}
+	return k
+}
+
+// Operators lists the operators with a key, sorted.
+func (k *Keyring) Operators() []string { return sortedKeys(k.keys) }
 
-// LoadKeyring reads a keyring file.
-func LoadKeyring(file string) (*Keyring, error) { return nil, nil }
+// Has reports whether the operator has a key.
+func (k *Keyring) Has(operator string) bool {
+	_, ok := k.keys[operator]
+	return ok
+}
+
+// Sign returns the approval with the signature of the key over version, digest, operator and Replaces. Replaces is
+// covered so that nobody can strip the condition from a replacement.
+func Sign(key ed25519.PrivateKey, a Approval) Approval {
+	a.Signature = SignMessage(key, purposeApproval, a.signed())
+	return a
+}
 
-// Sign returns the approval with the signature of the key over version, digest, operator and Replaces.
-func Sign(key ed25519.PrivateKey, a Approval) Approval { return a }
+// signed returns the encoding that the signature covers.
+func (a Approval) signed() []byte {
+	a.Signature = nil
+	data, err := canonical.Marshal(a)
+	if err != nil {
+		// The type holds only strings, integers and byte arrays, which always encode.
+		panic(err)
+	}
+	return data
+}
 
 // Verify returns ErrUnknownOperator or ErrBadSignature unless a key of the approval's operator signed it.
-func (k *Keyring) Verify(a Approval) error { return nil }
+func (k *Keyring) Verify(a Approval) error {
+	return k.VerifyMessage(a.Operator, purposeApproval, a.signed(), a.Signature)
+}
 
 // SignMessage signs a message under a purpose, so that a signature for one purpose never verifies for another.
-func SignMessage(key ed25519.PrivateKey, purpose string, message []byte) []byte { return nil }
+func SignMessage(key ed25519.PrivateKey, purpose string, message []byte) []byte {
+	return ed25519.Sign(key, withPurpose(purpose, message))
+}
 
 // VerifyMessage checks a signature that SignMessage made with a key of the operator.
 func (k *Keyring) VerifyMessage(operator, purpose string, message, signature []byte) error {
-	return nil
+	keys, ok := k.keys[operator]
+	if !ok {
+		return errors.Wrapf(ErrUnknownOperator, "%q", operator)
+	}
+	full := withPurpose(purpose, message)
+	for _, key := range keys {
+		if len(key) == ed25519.PublicKeySize && ed25519.Verify(key, full, signature) {
+			return nil
+		}
+	}
+	return errors.Wrapf(ErrBadSignature, "operator %q", operator)
+}
+
+// withPurpose joins purpose and message; purposes contain no zero byte.
+func withPurpose(purpose string, message []byte) []byte {
+	return slices.Concat([]byte(purpose), []byte{0}, message)
 }
 
 // Digest identifies the content of the keyring. Members of one control group must have equal keyrings, because each
 // member verifies signatures when it applies the log.
-func (k *Keyring) Digest() Digest { return Digest{} }
+func (k *Keyring) Digest() Digest {
+	type operatorKeys struct {
+		Operator string   `cbor:"1,keyasint"`
+		Keys     [][]byte `cbor:"2,keyasint"`
+	}
+	var list []operatorKeys
+	for _, operator := range k.Operators() {
+		entry := operatorKeys{Operator: operator}
+		for _, key := range k.keys[operator] {
+			entry.Keys = append(entry.Keys, key)
+		}
+		slices.SortFunc(entry.Keys, slices.Compare[[]byte])
+		list = append(list, entry)
+	}
+	data, err := canonical.Marshal(list)
+	if err != nil {
+		// The type holds only strings and byte slices, which always encode.
+		panic(err)
+	}
+	return sha256.Sum256(data)
+}
--- /dev/null
+++ b/state/bundle/limits.go
@@ -0,0 +1,33 @@
+package bundle
+
+// Bounds of a bundle. They keep a bundle that an operator mistyped, or that a faulty client sends, from exhausting the
+// memory of every node.
+const (
+	MaxServices  = 4096
+	MaxRoutes    = 16384
+	MaxResources = 4096
+	// MaxRoutesPerPath bounds the routes with the same host and path prefix. The check for ambiguous matches compares
+	// all pairs of them.
+	MaxRoutesPerPath     = 64
+	MaxResourcesPerRoute = 16
+
+	MaxNameLength        = 63
+	MaxHostLength        = 253
+	MaxPathLength        = 512
+	MaxHeaders           = 32
+	MaxHeaderNameLength  = 256
+	MaxHeaderValueLength = 4096
+
+	MaxConcurrency    = 10_000
+	MaxQueueLimit     = 100_000
+	MaxSlowStartMs    = 600_000
+	MaxDeadlineMs     = 600_000
+	MaxAttempts       = 5
+	MaxBudgetPercent  = 100
+	MaxBodyBytes      = 64 << 20
+	MaxCallsPerSecond = 1_000_000
+	MaxBurst          = 1_000_000
+
+	// MaxFileBytes bounds one bundle file.
+	MaxFileBytes = 16 << 20
+)
--- /dev/null
+++ b/state/bundle/load_test.go
@@ -0,0 +1,205 @@
+package bundle_test
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"os"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+func write(folder, name, content string) {
+	path := filepath.Join(folder, name)
+	Expect(os.MkdirAll(filepath.Dir(path), 0o755)).To(Succeed())
+	Expect(os.WriteFile(path, []byte(content), 0o644)).To(Succeed())
+}
+
+var _ = Describe("Load", func() {
+	It("gives equal digests for equal content in other files, orders and spellings", func() {
+		one, two := GinkgoT().TempDir(), GinkgoT().TempDir()
+		write(one, "a.json", `{"services":[{"name":"rank"},{"name":"ledger"}],"routes":[
+			{"name":"r","service":"rank","class":"lookup","deadline_ms":5,
+			 "match":{"host":"Rank.Example","path_prefix":"/rank","methods":["HEAD","GET"],"headers":{"x-a":"1"}}}]}`)
+		write(two, "z/routes.json", `{"routes":[{"match":{"headers":{"X-A":"1"},"methods":["GET","HEAD"],
+			"path_prefix":"/rank","host":"rank.example"},"deadline_ms":5,"class":"lookup","service":"rank","name":"r"}]}`)
+		write(two, "b.json", `{"services":[{"name":"ledger"}]}`)
+		write(two, "c.json", `{"services":[{"name":"rank"}],"resources":[]}`)
+		write(two, "notes.txt", `not JSON`)
+		first, err := bundle.Load(one)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := bundle.Load(two)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(split(second).Target).To(Equal(split(first).Target))
+	})
+
+	It("reports all faults of all files at once, with file, field, value and what is allowed", func() {
+		folder := GinkgoT().TempDir()
+		write(folder, "a.json", `{"services":[{"name":"rank","slots":3},{"name":"rank"}],"extra":1,"extra":2}`)
+		write(folder, "b/c.json", `{"routes":[
+			{"name":"ok","service":"rank","class":"lookup","deadline_ms":10,"match":{"path_prefix":"/"}},
+			{"name":"r","service":"rang","class":"fast","deadline_ms":0,"match":{"path_prefix":"rank"},
+			 "resources":["limit"],"retry":{"max_attempts":9},"max_body_bytes":"1"}]}`)
+		write(folder, "d.json", "{\n \"routes\": [,]}")
+		_, err := bundle.Load(folder)
+		Expect(err).To(BeAssignableToTypeOf(bundle.Problems{}))
+		lines := strings.Split(err.Error(), "\n")
+		Expect(lines).To(Equal([]string{
+			"bundle: 12 problems",
+			`a.json: extra: got duplicate key, allowed: each key once`,
+			`a.json: services[0].slots: got unknown field, allowed: one of name, max_concurrency, queue_limit, slow_start_ms`,
+			`a.json: extra: got unknown field, allowed: one of services, routes, resources`,
+			`b/c.json: routes[1].max_body_bytes: got "1", allowed: an integer of 64 bits`,
+			`d.json: line 2, column 13: got invalid character ',' looking for beginning of value, allowed: valid JSON`,
+			`a.json: services[1].name: got "rank", allowed: a name that no other entry of the list has`,
+			`b/c.json: routes[1].match.path_prefix: got "rank", allowed: / or a path of at most 512 characters such as ` +
+				`/a/b, without a / at its end, empty or dot segments, %, ? or #`,
+			`b/c.json: routes[1].service: got "rang", allowed: a declared service (rank)`,
+			`b/c.json: routes[1].class: got "fast", allowed: one of "irreversible", "lookup", "report"`,
+			`b/c.json: routes[1].deadline_ms: got 0, allowed: 1 to 600000`,
+			`b/c.json: routes[1].retry.max_attempts: got 9, allowed: 0 to 5`,
+			`b/c.json: routes[1].resources[0]: got "limit", allowed: a declared resource (there is none)`,
+		}))
+	})
+
+	It("refuses a folder without services, so that a mistyped path never becomes an empty bundle", func() {
+		_, err := bundle.Load(GinkgoT().TempDir())
+		Expect(err).To(MatchError(ContainSubstring("at least one service")))
+	})
+})
+
+var _ = Describe("Validate", func() {
+	route := func(name string, match bundle.Match) bundle.Route {
+		return bundle.Route{Name: name, Service: "rank", Class: bundle.ClassLookup, DeadlineMs: 10, Match: match}
+	}
+	fields := func(b bundle.Bundle) []string {
+		b.Services = append(b.Services, bundle.Service{Name: "rank"})
+		var list []string
+		for _, problem := range bundle.Validate(&b) {
+			list = append(list, problem.Field)
+		}
+		return list
+	}
+
+	DescribeTable("finds matches of which neither is more specific, and only those",
+		func(a, b bundle.Match, ambiguous bool) {
+			found := fields(bundle.Bundle{Routes: []bundle.Route{route("a", a), route("b", b)}})
+			if ambiguous {
+				Expect(found).To(Equal([]string{"routes[1].match"}))
+			} else {
+				Expect(found).To(BeEmpty())
+			}
+		},
+		Entry("equal", bundle.Match{PathPrefix: "/a"}, bundle.Match{PathPrefix: "/a"}, true),
+		Entry("equal hosts in another case", bundle.Match{Host: "A.example", PathPrefix: "/a"},
+			bundle.Match{Host: "a.example", PathPrefix: "/a"}, true),
+		Entry("common method", bundle.Match{PathPrefix: "/a", Methods: []string{"GET", "PUT"}},
+			bundle.Match{PathPrefix: "/a", Methods: []string{"PUT"}}, true),
+		Entry("different headers", bundle.Match{PathPrefix: "/a", Headers: map[string]string{"X": "1"}},
+			bundle.Match{PathPrefix: "/a", Headers: map[string]string{"Y": "1"}}, true),
+		Entry("other method", bundle.Match{PathPrefix: "/a", Methods: []string{"GET"}},
+			bundle.Match{PathPrefix: "/a", Methods: []string{"PUT"}}, false),
+		Entry("other value of one header", bundle.Match{PathPrefix: "/a", Headers: map[string]string{"X": "1"}},
+			bundle.Match{PathPrefix: "/a", Headers: map[string]string{"x": "2"}}, false),
+		Entry("longer path", bundle.Match{PathPrefix: "/a"}, bundle.Match{PathPrefix: "/a/b"}, false),
+		Entry("one with a host", bundle.Match{PathPrefix: "/a"}, bundle.Match{Host: "h", PathPrefix: "/a"}, false),
+	)
+
+	It("refuses numbers outside their bounds and resources that contradict each other", func() {
+		b := bundle.Bundle{
+			Services: []bundle.Service{{Name: "s", MaxConcurrency: -1, QueueLimit: 1 << 40, SlowStartMs: -1}},
+			Resources: []bundle.Resource{
+				{Name: "h1", Kind: bundle.ResourceHeaders, Headers: map[string]string{"X-A": "1", "Sapphire-Depth": "1"}},
+				{Name: "h2", Kind: bundle.ResourceHeaders, Headers: map[string]string{"x-a": "2\n"}},
+				{Name: "l1", Kind: bundle.ResourceCallLimit, CallLimit: &bundle.CallLimit{CallsPerSecond: 0, Burst: 1}},
+				{Name: "l2", Kind: bundle.ResourceCallLimit},
+			},
+			Routes: []bundle.Route{{Name: "r", Service: "rank", Class: bundle.ClassReport, DeadlineMs: 1 << 40,
+				MaxBodyBytes: -1, Zone: "far", Retry: bundle.Retry{BudgetPercent: 101},
+				Match: bundle.Match{PathPrefix: "/a/", Methods: []string{"get"}}, Resources: []string{"h1", "h2", "l1", "l2"}}},
+		}
+		Expect(fields(b)).To(Equal([]string{
+			"services[0].max_concurrency", "services[0].queue_limit", "services[0].slow_start_ms",
+			"resources[0].headers.Sapphire-Depth", "resources[1].headers.x-a", "resources[2].call_limit.calls_per_second",
+			"resources[3].call_limit", "routes[0].match.path_prefix", "routes[0].match.methods[0]", "routes[0].zone",
+			"routes[0].deadline_ms", "routes[0].retry.budget_percent", "routes[0].max_body_bytes",
+			"routes[0].resources[1]", "routes[0].resources[3]",
+		}))
+	})
+})
+
+var _ = Describe("Match", func() {
+	It("matches whole path segments, so that one route never takes the calls of a longer name", func() {
+		match := bundle.Match{PathPrefix: "/rank", Host: "a.example", Headers: map[string]string{"X": "1"}}
+		header := func(string) string { return "1" }
+		Expect(match.Matches("A.example", "GET", "/rank/7", header)).To(BeTrue())
+		Expect(match.Matches("a.example", "GET", "/ranking", header)).To(BeFalse())
+		Expect(match.Matches("b.example", "GET", "/rank", header)).To(BeFalse())
+		Expect(match.Matches("a.example", "GET", "/rank", func(string) string { return "" })).To(BeFalse())
+	})
+})
+
+var _ = Describe("Changes", func() {
+	It("shows what an operator is about to approve, field by field", func() {
+		from, to := exampleBundle(100), exampleBundle(200)
+		to.Services = to.Services[1:]
+		to.Resources = []bundle.Resource{{Name: "h", Kind: bundle.ResourceHeaders, Headers: map[string]string{"X": "1"}}}
+		var lines []string
+		for _, change := range bundle.Changes(from, to) {
+			lines = append(lines, change.String())
+		}
+		Expect(lines).To(Equal([]string{
+			"- service promotion",
+			"~ route lookup\n    deadline_ms: 100 -> 200",
+			"+ resource h\n    headers.X: \"1\"\n    kind: \"headers\"",
+		}))
+	})
+})
+
+var _ = Describe("Keyring", func() {
+	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	public := key.Public().(ed25519.PublicKey)
+	other := ed25519.NewKeyFromSeed(bytes.Repeat([]byte{1}, ed25519.SeedSize)).Public().(ed25519.PublicKey)
+	ring := bundle.NewKeyring(map[string][]ed25519.PublicKey{"ana": {other, public}, "ben": {other}})
+	signed := bundle.Sign(key, bundle.Approval{Version: 3, Digest: bundle.Digest{1}, Operator: "ana", Replaces: 2})
+
+	DescribeTable("refuses an approval that was altered after it was signed",
+		func(alter func(a *bundle.Approval), want error) {
+			altered := signed
+			alter(&altered)
+			Expect(ring.Verify(signed)).To(Succeed())
+			Expect(ring.Verify(altered)).To(MatchError(want))
+		},
+		Entry("version", func(a *bundle.Approval) { a.Version++ }, bundle.ErrBadSignature),
+		Entry("digest", func(a *bundle.Approval) { a.Digest[0]++ }, bundle.ErrBadSignature),
+		Entry("condition", func(a *bundle.Approval) { a.Replaces = 0 }, bundle.ErrBadSignature),
+		Entry("operator", func(a *bundle.Approval) { a.Operator = "ben" }, bundle.ErrBadSignature),
+		Entry("unknown operator", func(a *bundle.Approval) { a.Operator = "eve" }, bundle.ErrUnknownOperator),
+		Entry("no signature", func(a *bundle.Approval) { a.Signature = nil }, bundle.ErrBadSignature),
+	)
+
+	It("accepts a signature only for its own purpose", func() {
+		signature := bundle.SignMessage(key, "one", []byte("m"))
+		Expect(ring.VerifyMessage("ana", "one", []byte("m"), signature)).To(Succeed())
+		Expect(ring.VerifyMessage("ana", "two", []byte("m"), signature)).To(MatchError(bundle.ErrBadSignature))
+	})
+
+	It("loads what was generated, and refuses a private key that others can read", func() {
+		private := filepath.Join(GinkgoT().TempDir(), "ana.key")
+		generated := bundle.PrivateKey{Operator: "ana", Key: key}
+		Expect(generated.Save(private)).To(Succeed())
+		Expect(generated.Save(private)).To(MatchError(os.ErrExist))
+		Expect(generated.SavePublic(private + ".pub")).To(Succeed())
+		Expect(bundle.LoadKey(private)).To(Equal(generated))
+		loaded, err := bundle.LoadKeyring(private + ".pub")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Verify(signed)).To(Succeed())
+		Expect(os.Chmod(private, 0o640)).To(Succeed())
+		_, err = bundle.LoadKey(private)
+		Expect(err).To(MatchError(bundle.ErrKeyFile))
+	})
+})
--- a/state/bundle/manifest.go
+++ b/state/bundle/manifest.go
@@ -20,6 +20,10 @@
 
 // Digest returns the bundle digest: the SHA-256 of the canonical encoding of the sorted entries.
 func (m Manifest) Digest() Digest {
+	if m.Entries == nil {
+		// A nil list encodes as null, an empty one as an empty list.
+		m.Entries = []Entry{}
+	}
 	data, err := canonical.Marshal(m)
 	if err != nil {
 		// The type holds only strings, integers and byte arrays, which always encode.
--- a/state/bundle/part.go
+++ b/state/bundle/part.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
@@ -20,6 +21,9 @@
 	ErrUnknownKind = errors.New("bundle: unknown part kind")
 	// ErrDigestMismatch reports a manifest that does not have the expected bundle digest.
 	ErrDigestMismatch = errors.New("bundle: manifest does not match the bundle digest")
+	// ErrNotCanonical reports a part that does not have the one encoding of its value, or not the name under which
+	// its manifest lists it.
+	ErrNotCanonical = errors.New("bundle: part is not in canonical form")
 )
 
 // Digest is the SHA-256 of a canonical encoding.
@@ -84,10 +88,16 @@
 
 var canonical = mustEncMode(cbor.CoreDetEncOptions())
 
-// strict rejects duplicate map keys and unknown fields, so that one value has one encoding.
+// maxPartDepth bounds the nesting of a part: a map of the part, one of a field and one of headers.
+const maxPartDepth = 4
+
+// strict rejects duplicate map keys, unknown fields, tags and indefinite lengths, so that one value has one encoding.
 var strict = mustDecMode(cbor.DecOptions{
 	DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 	ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	IndefLength:       cbor.IndefLengthForbidden,
+	TagsMd:            cbor.TagsForbidden,
+	MaxNestedLevels:   maxPartDepth,
 })
 
 func mustEncMode(options cbor.EncOptions) cbor.EncMode {
@@ -161,24 +171,35 @@
 	return b, nil
 }
 
+// decodePart appends the value of a part to the list of its kind.
 func (b *Bundle) decodePart(id PartID, data []byte) error {
 	switch id.Kind {
 	case KindService:
-		return appendDecoded(&b.Services, data)
+		return appendDecoded(&b.Services, id, data, func(s *Service) string { return s.Name })
 	case KindRoute:
-		return appendDecoded(&b.Routes, data)
+		return appendDecoded(&b.Routes, id, data, func(r *Route) string { return r.Name })
 	case KindResource:
-		return appendDecoded(&b.Resources, data)
+		return appendDecoded(&b.Resources, id, data, func(r *Resource) string { return r.Name })
 	default:
 		return errors.Wrapf(ErrUnknownKind, "%d", id.Kind)
 	}
 }
 
-func appendDecoded[T any](list *[]T, data []byte) error {
+func appendDecoded[T any](list *[]T, id PartID, data []byte, name func(*T) string) error {
 	var value T
 	if err := strict.Unmarshal(data, &value); err != nil {
 		return errors.Wrap(err, "bundle: decode part")
 	}
+	if name(&value) != id.Name {
+		return errors.Wrapf(ErrNotCanonical, "%q is listed as %q", name(&value), id.Name)
+	}
+	again, err := canonical.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "bundle: encode part")
+	}
+	if !bytes.Equal(again, data) {
+		return errors.Wrapf(ErrNotCanonical, "%s", id.Name)
+	}
 	*list = append(*list, value)
 	return nil
 }
--- /dev/null
+++ b/state/bundle/property_test.go
@@ -0,0 +1,98 @@
+package bundle_test
+
+import (
+	"crypto/sha256"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// drawManifest draws from few names and digests, so that two manifests share entries.
+func drawManifest(t *rapid.T, label string) bundle.Manifest {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 0, 5, rapid.ID).
+		Draw(t, label)
+	b := &bundle.Bundle{}
+	for _, name := range names {
+		b.Services = append(b.Services, bundle.Service{Name: name, QueueLimit: rapid.IntRange(0, 2).Draw(t, "limit")})
+	}
+	_, manifest, err := bundle.Split(b)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return manifest
+}
+
+// Guards against a delta that leads elsewhere, and against one that is accepted on the wrong base.
+func TestDiffApplyProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		from, to, other := drawManifest(t, "from"), drawManifest(t, "to"), drawManifest(t, "other")
+		delta := bundle.Diff(from, to)
+		applied, err := from.Apply(delta, to.Digest())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(applied.Digest()).To(Equal(to.Digest()))
+		if applied, err := other.Apply(delta, to.Digest()); err == nil {
+			g.Expect(applied.Digest()).To(Equal(to.Digest()))
+		} else {
+			g.Expect(err).To(MatchError(bundle.ErrDigestMismatch))
+		}
+	})
+}
+
+// Guards against files that are accepted in one form and cannot be distributed in it: an accepted bundle keeps its
+// digest through canonical form, parts and JSON.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"services":[{"name":"a"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, problems := bundle.Parse("fuzz.json", data)
+		if len(problems)+len(bundle.Validate(b)) > 0 {
+			return
+		}
+		bundle.Canonicalize(b)
+		parts, manifest, err := bundle.Split(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store := bundle.NewStore()
+		delta := bundle.Diff(bundle.Manifest{}, manifest)
+		if err := store.Add(bundle.Update{Target: manifest.Digest(), Delta: delta, Parts: parts}); err != nil {
+			t.Fatal(err)
+		}
+		assembled, err := store.Bundle(manifest.Digest())
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := bundle.Format(assembled)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, problems := bundle.Parse("again.json", text)
+		if len(problems)+len(bundle.Validate(again)) > 0 {
+			t.Fatalf("%s: %v %v", text, problems, bundle.Validate(again))
+		}
+		if _, second, _ := bundle.Split(again); second.Digest() != manifest.Digest() {
+			t.Fatalf("digest changed through JSON: %s", text)
+		}
+	})
+}
+
+// Guards against a part that decodes although it is not the one encoding of its value, and against decoder panics.
+func FuzzPart(f *testing.F) {
+	f.Add(byte(bundle.KindService), "a", []byte{0xa1, 0x01, 0x61, 'a'})
+	f.Fuzz(func(t *testing.T, kind byte, name string, data []byte) {
+		digest := bundle.Digest(sha256.Sum256(data))
+		manifest := bundle.Manifest{Entries: []bundle.Entry{
+			{ID: bundle.PartID{Kind: bundle.Kind(kind), Name: name}, Digest: digest},
+		}}
+		b, err := bundle.Assemble(manifest, func(bundle.Digest) ([]byte, bool) { return data, true })
+		if err != nil {
+			return
+		}
+		bundle.Validate(b)
+		parts, _, err := bundle.Split(b)
+		if err != nil || len(parts) != 1 || parts[0].Digest != digest {
+			t.Fatalf("part %x decodes but encodes to %v (%v)", data, parts, err)
+		}
+	})
+}
--- a/state/bundle/store.go
+++ b/state/bundle/store.go
@@ -15,17 +15,24 @@
 
 // Store holds the parts and manifests of a few bundles. It is not safe for concurrent use.
 type Store struct {
-	parts     map[Digest][]byte
+	parts     map[Digest]*storedPart
 	manifests map[Digest]Manifest
 }
 
+// storedPart counts the manifest entries that name a part, so that dropping a bundle costs time in the size of that
+// bundle only.
+type storedPart struct {
+	data []byte
+	uses int
+}
+
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{parts: make(map[Digest][]byte), manifests: make(map[Digest]Manifest)}
+	return &Store{parts: make(map[Digest]*storedPart), manifests: make(map[Digest]Manifest)}
 }
 
 // Add applies an update. It is idempotent. Nothing is kept if a part is corrupt, the base is not held,
-// a part is missing, or the result does not have the target's digest.
+// a part is missing, or the result does not have the target's digest. Parts that the target does not name are ignored.
 func (s *Store) Add(update Update) error {
 	if s.Holds(update.Target) {
 		return nil
@@ -53,8 +60,13 @@
 			return errors.Wrapf(ErrMissingPart, "%s", entry.ID.Name)
 		}
 	}
-	for digest, data := range added {
-		s.parts[digest] = data
+	for _, entry := range manifest.Entries {
+		part, ok := s.parts[entry.Digest]
+		if !ok {
+			part = &storedPart{data: added[entry.Digest]}
+			s.parts[entry.Digest] = part
+		}
+		part.uses++
 	}
 	s.manifests[update.Target] = manifest
 	return nil
@@ -77,6 +89,12 @@
 	return ok
 }
 
+// HoldsPart reports whether any held bundle contains the part with this digest.
+func (s *Store) HoldsPart(digest Digest) bool {
+	_, ok := s.parts[digest]
+	return ok
+}
+
 // Manifest returns the manifest of a held bundle.
 func (s *Store) Manifest(digest Digest) (Manifest, bool) {
 	manifest, ok := s.manifests[digest]
@@ -93,8 +111,11 @@
 }
 
 func (s *Store) part(digest Digest) ([]byte, bool) {
-	data, ok := s.parts[digest]
-	return data, ok
+	part, ok := s.parts[digest]
+	if !ok {
+		return nil, false
+	}
+	return part.data, true
 }
 
 // Update returns the change from base to target with the parts that base lacks. An unknown base yields an update
@@ -118,25 +139,32 @@
 			continue
 		}
 		held[entry.Digest] = true
-		update.Parts = append(update.Parts, Part{Digest: entry.Digest, Data: s.parts[entry.Digest]})
+		update.Parts = append(update.Parts, Part{Digest: entry.Digest, Data: s.parts[entry.Digest].data})
 	}
 	return update, nil
 }
 
 // Retain drops all bundles but the named ones, and the parts that only the dropped ones use.
 func (s *Store) Retain(digests ...Digest) {
-	manifests := make(map[Digest]Manifest, len(digests))
-	parts := make(map[Digest][]byte)
+	kept := make(map[Digest]bool, len(digests))
 	for _, digest := range digests {
-		manifest, ok := s.manifests[digest]
-		if !ok {
+		kept[digest] = true
+	}
+	for digest, manifest := range s.manifests {
+		if kept[digest] {
 			continue
 		}
-		manifests[digest] = manifest
-		for _, entry := range manifest.Entries {
-			parts[entry.Digest] = s.parts[entry.Digest]
+		delete(s.manifests, digest)
+		s.release(manifest)
+	}
+}
+
+func (s *Store) release(manifest Manifest) {
+	for _, entry := range manifest.Entries {
+		part := s.parts[entry.Digest]
+		part.uses--
+		if part.uses == 0 {
+			delete(s.parts, entry.Digest)
 		}
 	}
-	s.manifests = manifests
-	s.parts = parts
 }
