--- a/state/disk/fake.go
+++ b/state/disk/fake.go
@@ -1,27 +1,317 @@
 package disk
 
-import "math/rand"
+import (
+	"io"
+	"maps"
+	"math/rand"
+	"slices"
 
-// Fake is an FS in memory with faults.
-type Fake struct{}
+	"github.com/cockroachdb/errors"
+)
+
+// sectorBytes is the unit in which a torn write reaches the fake disk.
+const sectorBytes = 512
+
+// Fake is an FS in memory with faults. It is not safe for concurrent use.
+type Fake struct {
+	rng        *rand.Rand
+	names      map[string]*fakeFile
+	pending    []folderChange
+	durable    map[string]*fakeFile
+	generation int
+	tear       bool
+	failWrites int
+	failSyncs  int
+	stats      FakeStats
+}
+
+// FakeStats counts operations since the creation of a Fake.
+type FakeStats struct {
+	Writes, WrittenBytes, Syncs, FolderSyncs int
+}
+
+// fakeFile is the content of a file: what is durable, and the operations since the last sync.
+type fakeFile struct {
+	durable []byte
+	content []byte
+	pending []fileChange
+}
+
+// fileChange is an append of data, or a truncation to size if data is nil.
+type fileChange struct {
+	data []byte
+	size int64
+}
+
+// folderChange sets names to files at once, or removes those whose file is nil.
+type folderChange struct {
+	changes map[string]*fakeFile
+}
 
 // NewFake returns an empty fake. rng selects which unsynced changes survive a crash.
-func NewFake(rng *rand.Rand) *Fake { return &Fake{} }
+func NewFake(rng *rand.Rand) *Fake {
+	return &Fake{rng: rng, names: map[string]*fakeFile{}, durable: map[string]*fakeFile{}}
+}
+
+// SetTear selects what Crash keeps of unsynced changes: nothing, or a random prefix of the changes of each file and of
+// the folder. The last kept write is torn: a prefix of it remains, in which sectors may be zero.
+func (f *Fake) SetTear(on bool) { f.tear = on }
+
+// FailWrites makes the next writes fail. A failed write may leave a prefix of its data.
+func (f *Fake) FailWrites(count int) { f.failWrites = count }
+
+// FailSyncs makes the next syncs of files and of the folder fail. A failed sync makes nothing durable.
+func (f *Fake) FailSyncs(count int) { f.failSyncs = count }
+
+// Stats returns the operations so far.
+func (f *Fake) Stats() FakeStats { return f.stats }
+
+// FlipBit inverts one bit of a file, in the current and in the durable content.
+func (f *Fake) FlipBit(name string, offset int64, bit uint) error {
+	file, ok := f.names[name]
+	if !ok {
+		return errors.Wrapf(ErrNotFound, "%q", name)
+	}
+	if offset < 0 || offset >= int64(len(file.content)) {
+		return errors.Newf("disk: offset %d is outside of %q", offset, name)
+	}
+	mask := byte(1) << (bit % 8)
+	file.content[offset] ^= mask
+	if offset < int64(len(file.durable)) {
+		file.durable[offset] ^= mask
+	}
+	return nil
+}
+
+// Crash loses unsynced writes and unsynced folder changes, except for what SetTear keeps. Files that are open become
+// unusable.
+func (f *Fake) Crash() {
+	f.generation++
+	f.failWrites, f.failSyncs = 0, 0
+	kept := 0
+	if f.tear {
+		kept = f.rng.Intn(len(f.pending) + 1)
+	}
+	for _, change := range f.pending[:kept] {
+		change.apply(f.durable)
+	}
+	f.pending = nil
+	// Sorted order makes the use of rng, and so the outcome, repeatable.
+	for _, name := range slices.Sorted(maps.Keys(f.durable)) {
+		f.crashFile(f.durable[name])
+	}
+	f.names = maps.Clone(f.durable)
+}
+
+func (f *Fake) crashFile(file *fakeFile) {
+	if f.tear && len(file.pending) > 0 {
+		kept := f.rng.Intn(len(file.pending) + 1)
+		for i, change := range file.pending[:kept] {
+			if i == kept-1 {
+				change = f.torn(change)
+			}
+			file.durable = change.apply(file.durable)
+		}
+	}
+	file.pending = nil
+	file.content = slices.Clone(file.durable)
+}
+
+// torn returns a change of which only a part reached the disk. Sectors may reach it in any order, so that one sector
+// inside of the kept prefix may still be zero.
+func (f *Fake) torn(change fileChange) fileChange {
+	if change.data == nil {
+		return change
+	}
+	data := slices.Clone(change.data[:f.rng.Intn(len(change.data)+1)])
+	if f.rng.Intn(2) == 0 {
+		return fileChange{data: data, size: change.size}
+	}
+	sectors := int64(len(data)) / sectorBytes
+	if sectors == 0 {
+		return fileChange{data: data, size: change.size}
+	}
+	// change.size is the offset of the write in the file; sectors are aligned within the file.
+	start := (change.size+sectorBytes-1)/sectorBytes*sectorBytes + f.rng.Int63n(sectors)*sectorBytes - change.size
+	for i := start; i < min(start+sectorBytes, int64(len(data))); i++ {
+		data[i] = 0
+	}
+	return fileChange{data: data, size: change.size}
+}
+
+func (c fileChange) apply(content []byte) []byte {
+	if c.data != nil {
+		return append(content, c.data...)
+	}
+	return content[:c.size]
+}
+
+func (c folderChange) apply(names map[string]*fakeFile) {
+	for name, file := range c.changes {
+		if file == nil {
+			delete(names, name)
+		} else {
+			names[name] = file
+		}
+	}
+}
+
+func (f *Fake) change(changes map[string]*fakeFile) {
+	change := folderChange{changes: changes}
+	change.apply(f.names)
+	f.pending = append(f.pending, change)
+}
 
 // Open implements FS.
-func (f *Fake) Open(name string) (File, error) { return nil, ErrNotFound }
+func (f *Fake) Open(name string) (File, error) {
+	if err := checkName(name); err != nil {
+		return nil, err
+	}
+	file, ok := f.names[name]
+	if !ok {
+		file = &fakeFile{}
+		f.change(map[string]*fakeFile{name: file})
+	}
+	return &fakeHandle{fs: f, file: file, generation: f.generation}, nil
+}
 
 // Rename implements FS.
-func (f *Fake) Rename(from, to string) error { return nil }
+func (f *Fake) Rename(from, to string) error {
+	if err := errors.CombineErrors(checkName(from), checkName(to)); err != nil {
+		return err
+	}
+	file, ok := f.names[from]
+	if !ok {
+		return errors.Wrapf(ErrNotFound, "%q", from)
+	}
+	if from != to {
+		f.change(map[string]*fakeFile{from: nil, to: file})
+	}
+	return nil
+}
 
 // Remove implements FS.
-func (f *Fake) Remove(name string) error { return nil }
+func (f *Fake) Remove(name string) error {
+	if _, ok := f.names[name]; !ok {
+		return errors.Wrapf(ErrNotFound, "%q", name)
+	}
+	f.change(map[string]*fakeFile{name: nil})
+	return nil
+}
 
 // List implements FS.
-func (f *Fake) List() ([]string, error) { return nil, nil }
+func (f *Fake) List() ([]string, error) { return slices.Sorted(maps.Keys(f.names)), nil }
 
 // SyncFolder implements FS.
-func (f *Fake) SyncFolder() error { return nil }
+func (f *Fake) SyncFolder() error {
+	f.stats.FolderSyncs++
+	if f.syncFails() {
+		return errors.Wrap(ErrInjected, "sync folder")
+	}
+	for _, change := range f.pending {
+		change.apply(f.durable)
+	}
+	f.pending = nil
+	return nil
+}
+
+func (f *Fake) syncFails() bool {
+	if f.failSyncs == 0 {
+		return false
+	}
+	f.failSyncs--
+	return true
+}
+
+// fakeHandle is an open file of a Fake.
+type fakeHandle struct {
+	fs         *Fake
+	file       *fakeFile
+	generation int
+}
+
+func (h *fakeHandle) check() error {
+	if h.generation != h.fs.generation {
+		return ErrCrashed
+	}
+	return nil
+}
+
+// ReadAt implements io.ReaderAt.
+func (h *fakeHandle) ReadAt(p []byte, offset int64) (int, error) {
+	if err := h.check(); err != nil {
+		return 0, err
+	}
+	if offset < 0 {
+		return 0, errors.Newf("disk: negative offset %d", offset)
+	}
+	if offset >= int64(len(h.file.content)) {
+		return 0, io.EOF
+	}
+	n := copy(p, h.file.content[offset:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Write implements io.Writer.
+func (h *fakeHandle) Write(p []byte) (int, error) {
+	if err := h.check(); err != nil {
+		return 0, err
+	}
+	if h.fs.failWrites > 0 {
+		h.fs.failWrites--
+		kept := h.fs.rng.Intn(len(p) + 1)
+		h.append(p[:kept])
+		return kept, errors.Wrap(ErrInjected, "write")
+	}
+	h.append(p)
+	return len(p), nil
+}
+
+func (h *fakeHandle) append(p []byte) {
+	h.fs.stats.Writes++
+	h.fs.stats.WrittenBytes += len(p)
+	if len(p) == 0 {
+		return
+	}
+	h.record(fileChange{data: slices.Clone(p), size: int64(len(h.file.content))})
+}
+
+func (h *fakeHandle) record(change fileChange) {
+	h.file.content = change.apply(h.file.content)
+	h.file.pending = append(h.file.pending, change)
+}
+
+// Sync implements File.
+func (h *fakeHandle) Sync() error {
+	if err := h.check(); err != nil {
+		return err
+	}
+	h.fs.stats.Syncs++
+	if h.fs.syncFails() {
+		return errors.Wrap(ErrInjected, "sync")
+	}
+	h.file.durable = slices.Clone(h.file.content)
+	h.file.pending = nil
+	return nil
+}
+
+// Truncate implements File. It cannot extend a file.
+func (h *fakeHandle) Truncate(size int64) error {
+	if err := h.check(); err != nil {
+		return err
+	}
+	if size < 0 || size > int64(len(h.file.content)) {
+		return errors.Newf("disk: cannot truncate %d bytes to %d", len(h.file.content), size)
+	}
+	h.record(fileChange{size: size})
+	return nil
+}
+
+// Size implements File.
+func (h *fakeHandle) Size() (int64, error) { return int64(len(h.file.content)), h.check() }
 
-// Crash loses unsynced writes and unsynced folder changes. Files that are open become unusable.
-func (f *Fake) Crash() {}
+// Close implements io.Closer.
+func (h *fakeHandle) Close() error { return h.check() }
