Select upstreams by choice of two, round robin or least outstanding

Calls need an upstream that is near, has free slots and is up, at a cost that does not grow with the fleet. Calls of other nodes are the reported load less our own calls, and decay to the average of the service instead of to zero, so that an endpoint without a report does not look idle. Latency is bounded below by a quarter of the average, failures count as slow, and calls that fail together eject an endpoint once.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -3,7 +3,9 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +77,33 @@
 	SlowStart time.Duration
 }
 
+// The defaults of Config.
+const (
+	// DefaultSpillLoad offers calls to other zones once the slots of the better local candidate are taken.
+	DefaultSpillLoad = 1.0
+	// DefaultReportLifetime is a few times the interval of calls to one upstream, and short enough that a load peak
+	// does not keep an upstream idle.
+	DefaultReportLifetime = 2 * time.Second
+	// DefaultEjectBase is in the order of a reconnect.
+	DefaultEjectBase = 100 * time.Millisecond
+	// DefaultEjectMax is longer than the 3 s after which a silent node is published as suspect.
+	DefaultEjectMax = 10 * time.Second
+	// DefaultSlowStart is the time over which the share of a new upstream grows.
+	DefaultSlowStart = 5 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	c.SpillLoad = cmp.Or(c.SpillLoad, DefaultSpillLoad)
+	c.ReportLifetime = cmp.Or(c.ReportLifetime, DefaultReportLifetime)
+	c.EjectBase = cmp.Or(c.EjectBase, DefaultEjectBase)
+	c.EjectMax = cmp.Or(c.EjectMax, DefaultEjectMax)
+	c.SlowStart = cmp.Or(c.SlowStart, DefaultSlowStart)
+	if c.ZoneDelay == nil {
+		c.ZoneDelay = func(string) time.Duration { return 0 }
+	}
+	return c
+}
+
 // Load is the load of one upstream.
 type Load struct {
 	InFlight      int   `cbor:"1,keyasint,omitempty"`
@@ -134,20 +163,61 @@
 
 // Balancer selects upstreams.
 type Balancer struct {
-	config Config
+	config   Config
+	snapshot atomic.Pointer[snapshot]
+	// draws replaces Request.Rand where a caller sets none.
+	draws atomic.Uint64
 }
 
-type endpoint struct{}
-
 // New returns a Balancer without endpoints.
-func New(c Config) *Balancer { return &Balancer{config: c} }
+func New(c Config) *Balancer { return &Balancer{config: c.withDefaults()} }
 
 // Update replaces the endpoints and the service settings. The counters of endpoints that remain in the same
-// incarnation are kept.
-func (b *Balancer) Update(now time.Time, table []Endpoint, services map[string]bundle.Service) {}
+// incarnation are kept. It must be called from one goroutine, and again when zone delays change.
+func (b *Balancer) Update(now time.Time, table []Endpoint, services map[string]bundle.Service) {
+	b.snapshot.Store(newSnapshot(now, b.config, b.snapshot.Load(), table, services))
+}
 
-// Pick selects an upstream and counts the call as in flight until Done.
-func (b *Balancer) Pick(now time.Time, r Request) (Target, error) { return Target{}, ErrNoUpstream }
+// Pick selects an upstream and counts the call as in flight until Done. Its cost does not depend on the number of
+// endpoints.
+func (b *Balancer) Pick(now time.Time, r Request) (Target, error) {
+	s := b.snapshot.Load()
+	if s == nil {
+		return Target{}, ErrNoUpstream
+	}
+	service, ok := s.services[r.Service]
+	if !ok {
+		return Target{}, ErrNoUpstream
+	}
+	if r.Rand == nil {
+		r.Rand = (*counterSource)(&b.draws)
+	}
+	p := picker{config: &b.config, service: service, request: &r, at: now.Sub(s.epoch)}
+	chosen := p.pick()
+	if chosen == nil {
+		return Target{}, ErrNoUpstream
+	}
+	chosen.own.Add(1)
+	return chosen.target(), nil
+}
 
 // Done reports the end of a call.
-func (b *Balancer) Done(now time.Time, t Target, r Report) {}
+func (b *Balancer) Done(now time.Time, t Target, r Report) {
+	if t.endpoint == nil {
+		return
+	}
+	t.endpoint.own.Add(-1)
+	t.endpoint.observe(&b.config, now.Sub(t.endpoint.epoch), r)
+}
+
+// counterSource is a random source over an atomic counter (SplitMix64), safe for concurrent use.
+type counterSource atomic.Uint64
+
+// Uint64 returns the next value.
+func (s *counterSource) Uint64() uint64 {
+	const increment = 0x9e3779b97f4a7c15
+	z := (*atomic.Uint64)(s).Add(increment)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
--- /dev/null
+++ b/coordination/balance/balance_suite_test.go
@@ -0,0 +1,13 @@
+package balance_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
