Serve and call the operators' HTTP API

A change carries a request identifier that is fixed before the first attempt; the client sends it again after a lost answer and reports ErrOutcomeUnknown, never ErrUnreachable or ErrNoQuorum, once an attempt may have taken effect. Answers that name a leader are followed at most three times per round, as members can name each other during an election. Requests and answers are bounded.

--- /dev/null
+++ b/protocol/operator/attempt.go
@@ -0,0 +1,220 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// exchange is one request with its resends.
+type exchange struct {
+	client  *Client
+	method  string
+	path    string
+	body    []byte
+	timeout time.Duration
+	// uncertain is set once a change may have taken effect without a definite answer.
+	uncertain bool
+	// last is the latest error that is worth another attempt.
+	last error
+}
+
+func change[A any](ctx context.Context, c *Client, path string, request any, timeout time.Duration) (A, error) {
+	var answer A
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, errors.Wrap(err, "operator: encode request")
+	}
+	e := exchange{client: c, method: http.MethodPost, path: path, body: body, timeout: timeout}
+	return answer, e.run(ctx, &answer)
+}
+
+func read[A any](ctx context.Context, c *Client, path string) (A, error) {
+	var answer A
+	e := exchange{client: c, method: http.MethodGet, path: path, timeout: c.config.AttemptTimeout}
+	return answer, e.run(ctx, &answer)
+}
+
+// run tries all addresses, round by round, until one gives a definite answer.
+func (e *exchange) run(ctx context.Context, answer any) error {
+	wait := e.client.config.RetryWait
+	for round := range e.client.config.Rounds {
+		if round > 0 && !e.client.pause(ctx, wait) {
+			break
+		}
+		if round > 0 {
+			wait *= 2
+		}
+		if done, err := e.round(ctx, answer); done {
+			return err
+		}
+	}
+	return e.failure(ctx)
+}
+
+// round tries each address once, and the leaders that answers name.
+func (e *exchange) round(ctx context.Context, answer any) (done bool, err error) {
+	queue := e.client.order()
+	follows := 0
+	for len(queue) > 0 && ctx.Err() == nil {
+		address := queue[0]
+		queue = queue[1:]
+		err := e.attempt(ctx, address, answer)
+		if err == nil || !retryable(err) {
+			e.client.prefer(address)
+			return true, err
+		}
+		e.note(address, err)
+		if leader := leaderOf(err); leader != "" && leader != address && follows < maxFollows {
+			follows++
+			queue = slices.DeleteFunc(queue, func(other string) bool { return other == leader })
+			queue = slices.Insert(queue, 0, leader)
+		}
+	}
+	return false, nil
+}
+
+// retryable reports whether another attempt can give another answer.
+func retryable(err error) bool {
+	return errors.IsAny(err, ErrNotLeader, ErrNoQuorum, ErrOutcomeUnknown, ErrUnreachable, ErrInternal)
+}
+
+func leaderOf(err error) string {
+	var detailed *Error
+	if !errors.As(err, &detailed) {
+		return ""
+	}
+	if _, _, err := net.SplitHostPort(detailed.Leader); err != nil {
+		return ""
+	}
+	return detailed.Leader
+}
+
+func (e *exchange) note(address string, err error) {
+	if e.method == http.MethodPost && errors.IsAny(err, ErrOutcomeUnknown, ErrInternal) {
+		e.uncertain = true
+	}
+	// An answer says more than a failure to connect to another address.
+	if e.last == nil || !errors.Is(err, ErrUnreachable) || errors.Is(e.last, ErrUnreachable) {
+		e.last = errors.Wrapf(err, "%s", address)
+	}
+}
+
+// failure returns the error after the last attempt.
+func (e *exchange) failure(ctx context.Context) error {
+	message := "no attempt was made"
+	if e.last != nil {
+		message = e.last.Error()
+	}
+	if ctx.Err() != nil {
+		message = fmt.Sprintf("%v; last attempt: %s", ctx.Err(), message)
+	}
+	switch {
+	case e.uncertain:
+		return &Error{Kind: ErrOutcomeUnknown, Message: message}
+	case errors.Is(e.last, ErrInternal):
+		return &Error{Kind: ErrInternal, Message: message}
+	case errors.IsAny(e.last, ErrNoQuorum, ErrNotLeader):
+		return &Error{Kind: ErrNoQuorum, Message: message}
+	default:
+		return &Error{Kind: ErrUnreachable, Message: message}
+	}
+}
+
+// attempt sends the request to one address.
+func (e *exchange) attempt(ctx context.Context, address string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	url := e.client.scheme + "://" + address + e.path
+	request, err := http.NewRequestWithContext(ctx, e.method, url, bytes.NewReader(e.body))
+	if err != nil {
+		return &Error{Kind: ErrUnreachable, Message: err.Error()}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := e.client.config.HTTP.Do(request)
+	if err != nil {
+		return e.transportError(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil || len(data) > maxAnswerBytes {
+		return e.lost(fmt.Sprintf("answer of %d bytes is incomplete: %v", len(data), err))
+	}
+	if response.StatusCode != http.StatusOK {
+		return answerError(response.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return e.lost(fmt.Sprintf("answer cannot be decoded: %v", err))
+	}
+	return nil
+}
+
+// transportError tells a request that never left from one that may have arrived.
+func (e *exchange) transportError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return &Error{Kind: ErrUnreachable, Message: err.Error()}
+	}
+	return e.lost(err.Error())
+}
+
+// lost returns the error for a lost answer. Only a change can have taken effect.
+func (e *exchange) lost(message string) error {
+	if e.method == http.MethodPost {
+		return &Error{Kind: ErrOutcomeUnknown, Message: message}
+	}
+	return &Error{Kind: ErrUnreachable, Message: message}
+}
+
+func answerError(status int, data []byte) error {
+	var body errorBody
+	kind, ok := ErrInternal, false
+	if json.Unmarshal(data, &body) == nil {
+		kind, ok = kindOf(body.Code)
+	}
+	if !ok {
+		return &Error{Kind: ErrInternal, Message: fmt.Sprintf("status %d without a known error code", status)}
+	}
+	return &Error{Kind: kind, Message: body.Message, Leader: body.Leader, Winner: body.Winner, Problems: body.Problems}
+}
+
+// order returns the addresses, the one that answered last first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Clone(c.config.Addresses)
+	if c.preferred == "" {
+		return list
+	}
+	list = slices.DeleteFunc(list, func(address string) bool { return address == c.preferred })
+	return slices.Insert(list, 0, c.preferred)
+}
+
+func (c *Client) prefer(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.preferred = address
+}
+
+// pause waits for half to all of the duration. It returns false if the context ended.
+func (c *Client) pause(ctx context.Context, wait time.Duration) bool {
+	c.mu.Lock()
+	jittered := wait/2 + time.Duration(c.random.Int63n(int64(wait/2)+1))
+	c.mu.Unlock()
+	timer := time.NewTimer(jittered)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -2,95 +2,202 @@
 
 import (
 	"context"
-	"math/rand"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"math/big"
+	mathrand "math/rand"
+	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of a client.
+const (
+	// DefaultAttemptTimeout bounds one attempt. It covers an election, which takes about 1 s.
+	DefaultAttemptTimeout = 5 * time.Second
+	// membershipAttemptTimeout bounds one attempt of a membership change, during which a learner catches up.
+	membershipAttemptTimeout = 2 * time.Minute
+	// DefaultRounds is the number of times that all addresses are tried.
+	DefaultRounds = 4
+	// DefaultRetryWait is the wait after the first round. It doubles after each further round.
+	DefaultRetryWait = 200 * time.Millisecond
+	// maxFollows bounds the answers that name a leader which are followed in one round, as members that disagree
+	// during an election can name each other.
+	maxFollows = 3
 )
 
 // ClientConfig configures a client.
 type ClientConfig struct {
 	// Addresses are host:port pairs of operator APIs. They are tried in turn.
 	Addresses []string
-	// Scheme is "https" by default; "http" for members with insecure settings.
-	Scheme string
-	// HTTP sends the requests; nil takes a client with default settings.
+	// TLS secures the connections; nil means plain HTTP, for members with insecure settings.
+	TLS *tls.Config
+	// HTTP sends the requests; nil takes a client with default settings and TLS.
 	HTTP *http.Client
-	// AttemptTimeout bounds one request; 0 takes DefaultAttemptTimeout.
+	// AttemptTimeout bounds one attempt; 0 takes DefaultAttemptTimeout.
 	AttemptTimeout time.Duration
-	// Rand jitters the waits between attempts; nil takes a random seed.
-	Rand *rand.Rand
+	// Rounds is the number of times that all addresses are tried; 0 takes DefaultRounds.
+	Rounds int
+	// RetryWait is the wait after the first round; 0 takes DefaultRetryWait.
+	RetryWait time.Duration
+	// Rand jitters the waits between rounds; nil takes a random seed.
+	Rand *mathrand.Rand
 }
 
 // Client sends requests to the control members. It is safe for concurrent use.
+//
+// A request whose answer is lost is sent again with the same RequestID, so that it takes effect once. When the client
+// gives up after such a loss, it returns ErrOutcomeUnknown.
 type Client struct {
 	config ClientConfig
+	scheme string
+
+	mu sync.Mutex
+	// preferred is the address that answered last.
+	preferred string
+	random    *mathrand.Rand
 }
 
 var _ Backend = (*Client)(nil)
 
 // NewClient returns a client.
-func NewClient(c ClientConfig) (*Client, error) { return &Client{config: c}, nil }
+func NewClient(c ClientConfig) (*Client, error) {
+	if len(c.Addresses) == 0 {
+		return nil, errors.New("operator: no address of a control member is given")
+	}
+	for _, address := range c.Addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, errors.Newf("operator: address %q: allowed: host:port", address)
+		}
+	}
+	if c.AttemptTimeout == 0 {
+		c.AttemptTimeout = DefaultAttemptTimeout
+	}
+	if c.Rounds == 0 {
+		c.Rounds = DefaultRounds
+	}
+	if c.RetryWait == 0 {
+		c.RetryWait = DefaultRetryWait
+	}
+	client := &Client{config: c, scheme: "http", random: c.Rand}
+	if c.TLS != nil {
+		client.scheme = "https"
+	}
+	if client.random == nil {
+		client.random = mathrand.New(mathrand.NewSource(randomSeed()))
+	}
+	if c.HTTP == nil {
+		client.config.HTTP = &http.Client{
+			Transport:     &http.Transport{TLSClientConfig: c.TLS, ForceAttemptHTTP2: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	return client, nil
+}
+
+func randomSeed() int64 {
+	n, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		// crypto/rand never fails on supported systems.
+		panic(err)
+	}
+	return n.Int64()
+}
+
+// requestIDBytes is the length of a random request identifier; identifiers of all clients never collide.
+const requestIDBytes = 16
 
 // NewRequestID returns a random request identifier.
-func NewRequestID() string { return "" }
+func NewRequestID() string {
+	id := make([]byte, requestIDBytes)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+// orNew returns the identifier, or a new one if it is empty. The identifier is fixed before the first attempt.
+func orNew(requestID string) string {
+	if requestID == "" {
+		return NewRequestID()
+	}
+	return requestID
+}
 
 // Stage implements Backend.
 func (c *Client) Stage(ctx context.Context, r StageRequest) (Decision, error) {
-	return Decision{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[Decision](ctx, c, PathStage, r, c.config.AttemptTimeout)
 }
 
 // Approve implements Backend.
 func (c *Client) Approve(ctx context.Context, r ApproveRequest) (Decision, error) {
-	return Decision{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[Decision](ctx, c, PathApprove, r, c.config.AttemptTimeout)
 }
 
 // Stop implements Backend.
 func (c *Client) Stop(ctx context.Context, r StopRequest) (Decision, error) {
-	return Decision{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[Decision](ctx, c, PathStop, r, c.config.AttemptTimeout)
 }
 
 // Replace implements Backend.
 func (c *Client) Replace(ctx context.Context, r ReplaceRequest) (Decision, error) {
-	return Decision{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[Decision](ctx, c, PathReplace, r, c.config.AttemptTimeout)
 }
 
 // Status implements Backend.
-func (c *Client) Status(ctx context.Context) (Status, error) { return Status{}, ErrUnreachable }
+func (c *Client) Status(ctx context.Context) (Status, error) { return read[Status](ctx, c, PathStatus) }
 
 // History implements Backend.
 func (c *Client) History(ctx context.Context, r HistoryRequest) (HistoryAnswer, error) {
-	return HistoryAnswer{}, ErrUnreachable
+	limit := r.Limit
+	if limit == 0 {
+		limit = DefaultHistoryLimit
+	}
+	return read[HistoryAnswer](ctx, c, PathHistory+"?limit="+strconv.Itoa(limit))
 }
 
 // Members implements Backend.
 func (c *Client) Members(ctx context.Context) (MembersAnswer, error) {
-	return MembersAnswer{}, ErrUnreachable
+	return read[MembersAnswer](ctx, c, PathMembers)
 }
 
 // AddMember implements Backend.
 func (c *Client) AddMember(ctx context.Context, r AddMemberRequest) (MembersAnswer, error) {
-	return MembersAnswer{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[MembersAnswer](ctx, c, PathMemberAdd, r, membershipAttemptTimeout)
 }
 
 // RemoveMember implements Backend.
 func (c *Client) RemoveMember(ctx context.Context, r RemoveMemberRequest) (MembersAnswer, error) {
-	return MembersAnswer{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[MembersAnswer](ctx, c, PathMemberRemove, r, membershipAttemptTimeout)
 }
 
 // ReplaceMember implements Backend.
 func (c *Client) ReplaceMember(ctx context.Context, r ReplaceMemberRequest) (MembersAnswer, error) {
-	return MembersAnswer{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[MembersAnswer](ctx, c, PathMemberReplace, r, membershipAttemptTimeout)
 }
 
 // Quarantine implements Backend.
 func (c *Client) Quarantine(ctx context.Context) (QuarantineAnswer, error) {
-	return QuarantineAnswer{}, ErrUnreachable
+	return read[QuarantineAnswer](ctx, c, PathQuarantine)
 }
 
 // ClearQuarantine implements Backend.
 func (c *Client) ClearQuarantine(ctx context.Context, r ClearQuarantineRequest) (ClearQuarantineAnswer, error) {
-	return ClearQuarantineAnswer{}, ErrUnreachable
+	r.RequestID = orNew(r.RequestID)
+	return change[ClearQuarantineAnswer](ctx, c, PathQuarantineClear, r, c.config.AttemptTimeout)
 }
 
 // Dump implements Backend.
-func (c *Client) Dump(ctx context.Context) (DumpAnswer, error) { return DumpAnswer{}, ErrUnreachable }
+func (c *Client) Dump(ctx context.Context) (DumpAnswer, error) {
+	return read[DumpAnswer](ctx, c, PathDump)
+}
--- a/protocol/operator/errors.go
+++ b/protocol/operator/errors.go
@@ -67,7 +67,27 @@
 // Unwrap returns the kind.
 func (e *Error) Unwrap() error { return e.Kind }
 
+// resultKinds maps the registry's refusals to the errors of this package.
+var resultKinds = map[registry.Code]error{
+	registry.CodeVersionTaken:   ErrVersionTaken,
+	registry.CodeVersionOld:     ErrVersionOld,
+	registry.CodeWithdrawn:      ErrWithdrawn,
+	registry.CodeNotLatest:      ErrNotLatest,
+	registry.CodeUnknownVersion: ErrUnknownVersion,
+	registry.CodeNotHeld:        ErrNotStaged,
+	registry.CodeInvalid:        ErrInvalidBundle,
+	registry.CodeUnauthorized:   ErrUnauthorized,
+	registry.CodeMalformed:      ErrBadRequest,
+}
+
 // FromResult converts a registry result into the answer of a backend.
 func FromResult(r registry.Result) (Decision, error) {
-	return Decision{Effect: r.Effect, Index: r.Index, Approval: r.Approval}, nil
+	if r.Code == registry.CodeOK {
+		return Decision{Effect: r.Effect, Index: r.Index, Approval: r.Approval}, nil
+	}
+	kind, ok := resultKinds[r.Code]
+	if !ok {
+		kind = ErrInternal
+	}
+	return Decision{}, &Error{Kind: kind, Message: r.Message, Winner: r.Winner, Problems: r.Problems}
 }
--- /dev/null
+++ b/protocol/operator/operator_test.go
@@ -0,0 +1,246 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"math/rand"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// seed makes every run draw the same order and waits.
+const seed = 20261204
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = seed
+	RunSpecs(t, "operator", suite, reporter)
+}
+
+var key = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+// member is a stand-in for a control member over a registry. Methods that a test does not need panic.
+type member struct {
+	operator.Backend
+	mu       sync.Mutex
+	registry *registry.Registry
+	index    uint64
+	err      error
+}
+
+func newMember() *member {
+	keys := map[string][]ed25519.PublicKey{"ana": {key.Public().(ed25519.PublicKey)}}
+	return &member{registry: registry.New(bundle.NewKeyring(keys))}
+}
+
+func (m *member) apply(c registry.Command) (operator.Decision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.err != nil {
+		return operator.Decision{}, m.err
+	}
+	m.index++
+	return operator.FromResult(m.registry.Apply(m.index, c))
+}
+
+func (m *member) Stage(_ context.Context, r operator.StageRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Stage: &registry.Stage{
+		Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update}})
+}
+
+func (m *member) Approve(_ context.Context, r operator.ApproveRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
+}
+
+func (m *member) Stop(_ context.Context, r operator.StopRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Stop: &r.Stop})
+}
+
+func (m *member) Status(context.Context) (operator.Status, error) {
+	return operator.Status{Member: "m1", Zones: []operator.ZoneStatus{{Zone: "a", Proxies: 3, AgeMs: operator.AgeUnknown,
+		Lagging: []operator.LaggingProxy{{ID: "n1", Version: 4, Reason: "parts missing"}}}}}, m.err
+}
+
+func (m *member) History(_ context.Context, r operator.HistoryRequest) (operator.HistoryAnswer, error) {
+	return operator.HistoryAnswer{Records: make([]registry.HistoryRecord, r.Limit)}, nil
+}
+
+// losing drops the connection after the first n requests were handled, as a crash after the commit does.
+func losing(n int, inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n > 0 {
+			n--
+			inner.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		inner.ServeHTTP(w, r)
+	})
+}
+
+func serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func clientOf(addresses ...string) *operator.Client {
+	client, err := operator.NewClient(operator.ClientConfig{
+		Addresses: addresses, RetryWait: time.Millisecond, Rounds: 2, Rand: rand.New(rand.NewSource(seed)),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return client
+}
+
+func stageRequest() operator.StageRequest {
+	parts, manifest, err := bundle.Split(&bundle.Bundle{Services: []bundle.Service{{Name: "rank"}}})
+	Expect(err).NotTo(HaveOccurred())
+	data, err := registry.EncodeUpdate(bundle.Update{
+		Target: manifest.Digest(), Delta: bundle.Diff(bundle.Manifest{}, manifest), Parts: parts})
+	Expect(err).NotTo(HaveOccurred())
+	return operator.StageRequest{Operator: "ana", Version: 1, Digest: manifest.Digest(), Update: data}
+}
+
+func approveRequest(version uint64) operator.ApproveRequest {
+	return operator.ApproveRequest{Approval: bundle.Sign(key, bundle.Approval{
+		Version: version, Digest: stageRequest().Digest, Operator: "ana"})}
+}
+
+// closedAddress refuses connections.
+func closedAddress() string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+var _ = Describe("Client", func() {
+	ctx := context.Background()
+
+	It("takes effect once when each first answer is lost", func() {
+		m := newMember()
+		handler := operator.NewHandler(m)
+		for _, call := range []func(c *operator.Client) (operator.Decision, error){
+			func(c *operator.Client) (operator.Decision, error) { return c.Stage(ctx, stageRequest()) },
+			func(c *operator.Client) (operator.Decision, error) { return c.Approve(ctx, approveRequest(1)) },
+			func(c *operator.Client) (operator.Decision, error) {
+				return c.Stop(ctx, operator.StopRequest{
+					Stop: registry.SignStop(key, registry.Stop{Version: 1, Operator: "ana"})})
+			},
+		} {
+			before := m.index
+			decision, err := call(clientOf(serve(losing(1, handler))))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decision.Index).To(Equal(before+1), "the answer is that of the request whose answer was lost")
+			Expect(m.index).To(Equal(before + 2))
+		}
+		Expect(m.registry.History()).To(HaveLen(2))
+	})
+
+	It("follows the answer that names the leader, past addresses that refuse connections", func() {
+		leader := serve(operator.NewHandler(newMember()))
+		follower := newMember()
+		follower.err = &operator.Error{Kind: operator.ErrNotLeader, Leader: leader}
+		client := clientOf(closedAddress(), serve(operator.NewHandler(follower)))
+		decision, err := client.Stage(ctx, stageRequest())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decision.Effect).To(Equal(registry.EffectStaged))
+	})
+
+	It("ends when two members name each other as leader", func() {
+		one, two := newMember(), newMember()
+		first, second := serve(operator.NewHandler(one)), serve(operator.NewHandler(two))
+		one.err = &operator.Error{Kind: operator.ErrNotLeader, Leader: second}
+		two.err = &operator.Error{Kind: operator.ErrNotLeader, Leader: first}
+		_, err := clientOf(first, second).Stage(ctx, stageRequest())
+		Expect(err).To(MatchError(operator.ErrNoQuorum))
+	})
+
+	It("never reports a change as not accepted when it may have taken effect", func() {
+		m := newMember()
+		address := serve(losing(100, operator.NewHandler(m)))
+		_, err := clientOf(address).Stage(ctx, stageRequest())
+		Expect(err).To(MatchError(operator.ErrOutcomeUnknown))
+		_, err = clientOf(address).Status(ctx)
+		Expect(err).To(MatchError(operator.ErrUnreachable))
+		_, err = clientOf(closedAddress()).Stage(ctx, stageRequest())
+		Expect(err).To(MatchError(operator.ErrUnreachable))
+	})
+
+	It("gives all errors with their details to the caller", func() {
+		winner := approveRequest(3).Approval
+		for _, kind := range []error{operator.ErrVersionTaken, operator.ErrVersionOld, operator.ErrWithdrawn,
+			operator.ErrNotLatest, operator.ErrUnknownVersion, operator.ErrNotStaged, operator.ErrInvalidBundle,
+			operator.ErrUnauthorized, operator.ErrBadRequest, operator.ErrNotFound, operator.ErrMembershipBusy,
+			operator.ErrNoQuorum} {
+			m := newMember()
+			m.err = &operator.Error{Kind: kind, Message: "why", Winner: &winner,
+				Problems: bundle.Problems{{Field: "f", Value: "v", Allowed: "a"}}}
+			_, err := clientOf(serve(operator.NewHandler(m))).Approve(ctx, approveRequest(1))
+			Expect(err).To(MatchError(kind))
+			var detailed *operator.Error
+			Expect(errors.As(err, &detailed)).To(BeTrue())
+			if kind != operator.ErrNoQuorum {
+				Expect(detailed.Winner).To(Equal(&winner))
+				Expect(detailed.Problems).To(HaveLen(1))
+			}
+		}
+		m := newMember()
+		m.err = errors.New("disk on fire")
+		_, err := clientOf(serve(operator.NewHandler(m))).Status(ctx)
+		Expect(err).To(MatchError(operator.ErrInternal))
+	})
+
+	It("reads status and history", func() {
+		client := clientOf(serve(operator.NewHandler(newMember())))
+		status, err := client.Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Zones[0].Lagging[0].Reason).To(Equal("parts missing"))
+		Expect(status.Zones[0].AgeMs).To(Equal(operator.AgeUnknown))
+		history, err := client.History(ctx, operator.HistoryRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history.Records).To(HaveLen(operator.DefaultHistoryLimit))
+		_, err = client.History(ctx, operator.HistoryRequest{Limit: operator.MaxHistoryLimit + 1})
+		Expect(err).To(MatchError(operator.ErrBadRequest))
+	})
+})
+
+var _ = Describe("Handler", func() {
+	post := func(path string, body []byte) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		operator.NewHandler(newMember()).ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
+		return recorder
+	}
+
+	DescribeTable("refuses malformed requests before they reach the backend",
+		func(path, body string) { Expect(post(path, []byte(body)).Code).To(Equal(http.StatusBadRequest)) },
+		Entry("no JSON", operator.PathStop, `{`),
+		Entry("unknown field", operator.PathMemberRemove, `{"request_id":"r","id":"m","force":true}`),
+		Entry("no request identifier", operator.PathMemberRemove, `{"id":"m"}`),
+		Entry("no member", operator.PathMemberRemove, `{"request_id":"r"}`),
+		Entry("no version", operator.PathStop, `{"request_id":"r","stop":{"operator":"ana","signature":"AA=="}}`),
+		Entry("too large", operator.PathMemberRemove, `{"id":"`+strings.Repeat("x", 1<<17)+`"}`),
+	)
+
+	It("refuses a replacement on the path of approvals, so that its condition is never overlooked", func() {
+		request := approveRequest(2)
+		request.RequestID = "r"
+		request.Approval.Replaces = 1
+		body, err := json.Marshal(request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(post(operator.PathApprove, body).Code).To(Equal(http.StatusBadRequest))
+	})
+})
--- /dev/null
+++ b/protocol/operator/wire.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// Bounds of the API.
+const (
+	// maxRequestBytes bounds a request: a complete update in base64 with some room for the other fields.
+	maxRequestBytes = registry.MaxUpdateBytes/3*4 + 64<<10
+	// maxSmallRequestBytes bounds all requests but stage.
+	maxSmallRequestBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that a client reads. The history and the dump are the largest.
+	maxAnswerBytes = 64 << 20
+	// DefaultHistoryLimit is the number of history records if the request sets no limit.
+	DefaultHistoryLimit = 100
+	// MaxHistoryLimit bounds the number of history records in one answer.
+	MaxHistoryLimit = 2000
+	// maxRequestID bounds the length of a request identifier; the registry has the same bound.
+	maxRequestID = 64
+)
+
+// errorBody is the JSON form of an error answer.
+type errorBody struct {
+	Code     string           `json:"code"`
+	Message  string           `json:"message,omitempty"`
+	Leader   string           `json:"leader,omitempty"`
+	Winner   *bundle.Approval `json:"winner,omitempty"`
+	Problems bundle.Problems  `json:"problems,omitempty"`
+}
+
+// wireError is the form in which an error crosses the wire.
+type wireError struct {
+	kind   error
+	code   string
+	status int
+}
+
+// wireErrors lists all errors that a member answers with.
+var wireErrors = []wireError{
+	{ErrVersionTaken, "version-taken", http.StatusConflict},
+	{ErrVersionOld, "version-old", http.StatusConflict},
+	{ErrWithdrawn, "withdrawn", http.StatusConflict},
+	{ErrNotLatest, "not-latest", http.StatusConflict},
+	{ErrUnknownVersion, "unknown-version", http.StatusNotFound},
+	{ErrNotStaged, "not-staged", http.StatusConflict},
+	{ErrInvalidBundle, "invalid-bundle", http.StatusUnprocessableEntity},
+	{ErrUnauthorized, "unauthorized", http.StatusForbidden},
+	{ErrBadRequest, "bad-request", http.StatusBadRequest},
+	{ErrNotFound, "not-found", http.StatusNotFound},
+	{ErrMembershipBusy, "membership-busy", http.StatusConflict},
+	{ErrNotLeader, "not-leader", http.StatusMisdirectedRequest},
+	{ErrNoQuorum, "no-quorum", http.StatusServiceUnavailable},
+	{ErrOutcomeUnknown, "outcome-unknown", http.StatusGatewayTimeout},
+	{ErrInternal, "internal", http.StatusInternalServerError},
+}
+
+// CodeOf returns the code of an error in answers and in the JSON output of sapphirectl.
+func CodeOf(err error) string {
+	if errors.Is(err, ErrUnreachable) {
+		return "unreachable"
+	}
+	return wireErrorOf(err).code
+}
+
+// wireErrorOf returns the form of an error; an error that is not part of the API is an internal fault.
+func wireErrorOf(err error) wireError {
+	for _, candidate := range wireErrors {
+		if errors.Is(err, candidate.kind) {
+			return candidate
+		}
+	}
+	return wireErrors[len(wireErrors)-1]
+}
+
+// kindOf returns the error that a code stands for.
+func kindOf(code string) (error, bool) {
+	for _, candidate := range wireErrors {
+		if candidate.code == code {
+			return candidate.kind, true
+		}
+	}
+	return nil, false
+}
