--- /dev/null
+++ b/control/admin.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/invariant"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// Paths on the administration address, beside those of the operator API.
+const (
+	PathDump = "/debug/dump"
+	PathVars = "/debug/vars"
+)
+
+func (m *Member) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathDump, m.serveDump)
+	mux.HandleFunc("GET "+PathVars, m.serveVars)
+	mux.Handle("/v1/", operator.NewHandler(backend{member: m}))
+	return mux
+}
+
+// Dump is the state of a control member.
+type Dump struct {
+	ID             string                   `json:"id"`
+	Instance       string                   `json:"instance"`
+	Zone           string                   `json:"zone"`
+	Formed         bool                     `json:"formed"`
+	Raft           raft.Status              `json:"raft"`
+	ConfirmedAgeMs int64                    `json:"confirmed_age_ms"`
+	Latest         *bundle.Approval         `json:"latest,omitempty"`
+	Stopped        bool                     `json:"stopped,omitempty"`
+	Staged         []registry.Staged        `json:"staged,omitempty"`
+	LedgerKeys     int                      `json:"ledger_keys"`
+	Proposals      int                      `json:"open_proposals"`
+	Relay          relay.Status             `json:"relay"`
+	Endpoints      []endpoints.Record       `json:"endpoints,omitempty"`
+	Quarantine     []quarantine.Entry       `json:"quarantine,omitempty"`
+	Violations     map[invariant.Name]int64 `json:"violations"`
+}
+
+func (m *Member) dump(ctx context.Context) (Dump, error) {
+	dump := Dump{
+		ID: string(m.id), Instance: m.options.Instance, Zone: m.options.Zone, Formed: m.isFormed.Load(),
+		ConfirmedAgeMs: operator.AgeUnknown, Violations: invariant.Counts(),
+	}
+	select {
+	case <-m.ready:
+	default:
+		// The group is still being formed; there is no state yet.
+		return dump, nil
+	}
+	err := m.host.Query(ctx, func(now time.Time) {
+		dump.Raft = m.raft.Status()
+		if age, ok := m.raft.ConfirmedAge(now); ok {
+			dump.ConfirmedAgeMs = age.Milliseconds()
+		}
+		dump.Latest = m.latestApproval()
+		dump.Stopped = m.machines.registry.State().Stopped
+		dump.Staged = m.machines.registry.Staged()
+		dump.LedgerKeys = m.machines.ledger.Len()
+		dump.Proposals = len(m.proposals)
+		dump.Relay = m.peer.Status()
+		dump.Endpoints = m.peer.Table().All()
+		dump.Quarantine = m.quarantine.Entries(now)
+	})
+	return dump, err
+}
+
+func (m *Member) serveDump(w http.ResponseWriter, r *http.Request) {
+	dump, err := m.dump(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(dump)
+}
+
+func (m *Member) serveVars(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	vars := new(expvar.Map).Init()
+	if dump, err := m.dump(r.Context()); err == nil {
+		vars.Set("control", expvar.Func(func() any { return metricsOf(dump) }))
+	}
+	expvar.Do(func(item expvar.KeyValue) { vars.Set(item.Key, item.Value) })
+	_, _ = io.WriteString(w, vars.String())
+}
+
+// memberMetrics are the figures of a member that a monitoring system follows.
+type memberMetrics struct {
+	Term           uint64      `json:"term"`
+	Commit         uint64      `json:"commit"`
+	Applied        uint64      `json:"applied"`
+	Leader         bool        `json:"leader"`
+	QuorumLost     bool        `json:"quorum_lost"`
+	ConfirmedAgeMs int64       `json:"confirmed_age_ms"`
+	LedgerKeys     int         `json:"ledger_keys"`
+	Proposals      int         `json:"open_proposals"`
+	Followers      int         `json:"direct_followers"`
+	Relay          relay.Stats `json:"relay"`
+}
+
+func metricsOf(dump Dump) memberMetrics {
+	return memberMetrics{
+		Term: dump.Raft.Term, Commit: dump.Raft.Commit, Applied: dump.Raft.Applied,
+		Leader: dump.Raft.Role == raft.RoleLeader, QuorumLost: dump.Raft.QuorumLost,
+		ConfirmedAgeMs: dump.ConfirmedAgeMs, LedgerKeys: dump.LedgerKeys, Proposals: dump.Proposals,
+		Followers: len(dump.Relay.Children), Relay: dump.Relay.Stats,
+	}
+}
+
+func (m *Member) observeReports(now time.Time, reports []relay.CrashReport) {
+	for _, encoded := range reports {
+		report, err := protocol.DecodeCrashReport(encoded)
+		if err != nil {
+			m.logger.Warn().Err(err).Msg("dropped a malformed crash report")
+			continue
+		}
+		m.quarantine.Observe(now, report)
+	}
+}
+
+func (m *Member) publishReport(report quarantine.Report) {
+	encoded, err := protocol.EncodeCrashReport(report)
+	if err != nil {
+		m.logger.Error().Err(err).Msg("cannot encode a clearance")
+		return
+	}
+	m.host.Post(func(now time.Time) { m.peer.PublishCrash(now, []relay.CrashReport{encoded}) })
+}
--- /dev/null
+++ b/control/errors.go
@@ -0,0 +1,17 @@
+package control
+
+import "github.com/cockroachdb/errors"
+
+// Errors of this package.
+var (
+	// ErrNotLeader means that this member does not lead; nothing was proposed.
+	ErrNotLeader = errors.New("control: this member is not the leader")
+	// ErrUncertain means that the command may be committed later.
+	ErrUncertain = errors.New("control: outcome of the command is unknown")
+	// ErrStopped means that the member has stopped.
+	ErrStopped = errors.New("control: member has stopped")
+	// ErrStorage means that the member's disk failed; the member stops, since it can no longer keep its promises.
+	ErrStorage = errors.New("control: storage failed")
+	// ErrBootstrap means that the group could not be formed.
+	ErrBootstrap = errors.New("control: group is not formed")
+)
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,364 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// backend serves operators' requests on one member.
+type backend struct{ member *Member }
+
+var _ operator.Backend = backend{}
+
+// Stage brings a bundle's parts into the registry.
+func (b backend) Stage(ctx context.Context, r operator.StageRequest) (operator.Decision, error) {
+	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &registry.Stage{
+		Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update,
+	}})
+}
+
+// Approve brings a staged bundle into force.
+func (b backend) Approve(ctx context.Context, r operator.ApproveRequest) (operator.Decision, error) {
+	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
+}
+
+// Replace approves a bundle if the version that it replaces is still the latest.
+func (b backend) Replace(ctx context.Context, r operator.ReplaceRequest) (operator.Decision, error) {
+	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
+}
+
+// Stop withdraws a staged version or stops a rollout.
+func (b backend) Stop(ctx context.Context, r operator.StopRequest) (operator.Decision, error) {
+	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stop: &r.Stop})
+}
+
+// decide commits a registry command.
+func (b backend) decide(ctx context.Context, command registry.Command) (operator.Decision, error) {
+	data, err := registry.EncodeCommand(command)
+	if err != nil {
+		return operator.Decision{}, &operator.Error{Kind: operator.ErrBadRequest, Message: err.Error()}
+	}
+	reply, err := b.member.Propose(ctx, &protocol.ProposeRequest{Target: protocol.TargetRegistry, Command: data})
+	if err != nil {
+		return operator.Decision{}, err
+	}
+	switch reply.Status {
+	case protocol.ProposeApplied:
+		var result registry.Result
+		if err := protocol.Unmarshal(reply.Result, &result); err != nil {
+			return operator.Decision{}, err
+		}
+		return operator.FromResult(result)
+	case protocol.ProposeNotLeader:
+		return operator.Decision{}, b.notLeader(ctx, reply.Leader)
+	case protocol.ProposeUncertain:
+		return operator.Decision{}, &operator.Error{Kind: operator.ErrOutcomeUnknown, Message: reply.Detail}
+	default:
+		return operator.Decision{}, &operator.Error{Kind: operator.ErrBadRequest, Message: reply.Detail}
+	}
+}
+
+// notLeader names the operator API of the leader, which only the leader itself knows.
+func (b backend) notLeader(ctx context.Context, mesh string) error {
+	if mesh == "" {
+		return &operator.Error{Kind: operator.ErrNoQuorum, Message: "no leader is known"}
+	}
+	reply, err := b.member.identify(ctx, mesh)
+	if err != nil {
+		return &operator.Error{Kind: operator.ErrNotLeader, Message: "the leader does not answer"}
+	}
+	return &operator.Error{Kind: operator.ErrNotLeader, Leader: reply.Admin}
+}
+
+// query runs a read on the control goroutine.
+func (b backend) query(ctx context.Context, read func(now time.Time)) error {
+	if err := b.member.running(ctx); err != nil {
+		return &operator.Error{Kind: operator.ErrNoQuorum, Message: err.Error()}
+	}
+	return b.member.host.Query(ctx, read)
+}
+
+// Status describes the group and the rollout.
+func (b backend) Status(ctx context.Context) (operator.Status, error) {
+	m := b.member
+	status := operator.Status{Member: string(m.id), ConfirmedAgeMs: operator.AgeUnknown, Keyring: m.options.Keys.Digest()}
+	err := b.query(ctx, func(now time.Time) {
+		status.Leader = string(m.raft.Status().Leader)
+		if age, ok := m.raft.ConfirmedAge(now); ok {
+			status.ConfirmedAgeMs = age.Milliseconds()
+		}
+		state := m.machines.registry.State()
+		status.Latest = state.Latest
+		status.Staged = m.machines.registry.Staged()
+		status.Zones = zoneStatuses(m.peer.Status(), state)
+		status.Rollout = rolloutOf(status, state)
+	})
+	return status, err
+}
+
+// zoneStatuses describes the proxies of each zone.
+func zoneStatuses(status relay.Status, state registry.State) []operator.ZoneStatus {
+	var zones []operator.ZoneStatus
+	for _, counted := range status.Zones {
+		zone := operator.ZoneStatus{
+			Zone: counted.Zone, Proxies: counted.Counts.Nodes, LowestVersion: counted.Counts.Lowest,
+			AgeMs: counted.Age.Milliseconds(),
+		}
+		for _, version := range counted.Counts.Versions {
+			zone.Versions = append(zone.Versions, operator.VersionCount{Version: version.Version, Proxies: version.Nodes})
+		}
+		for _, lag := range counted.Counts.Lagging {
+			zone.Lagging = append(zone.Lagging,
+				operator.LaggingProxy{ID: lag.ID, Version: lag.Version, Reason: lag.Reason})
+		}
+		zone.Rollout = rollout(state, zone.Proxies, zone.LowestVersion)
+		zones = append(zones, zone)
+	}
+	slices.SortFunc(zones, func(a, b operator.ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
+	return zones
+}
+
+func rollout(state registry.State, proxies int, lowest uint64) operator.RolloutState {
+	switch {
+	case state.Latest == nil:
+		return operator.RolloutNone
+	case state.Stopped:
+		return operator.RolloutStopped
+	case proxies == 0:
+		return operator.RolloutUnknown
+	case lowest >= state.Latest.Version:
+		return operator.RolloutInForce
+	default:
+		return operator.RolloutInProgress
+	}
+}
+
+// staleFigures is the age from which the counts of proxies say nothing about the present.
+const staleFigures = 5 * time.Second
+
+func rolloutOf(status operator.Status, state registry.State) operator.RolloutState {
+	if status.ConfirmedAgeMs == operator.AgeUnknown || status.ConfirmedAgeMs > staleFigures.Milliseconds() {
+		return operator.RolloutUnknown
+	}
+	proxies, lowest := 0, ^uint64(0)
+	for _, zone := range status.Zones {
+		proxies += zone.Proxies
+		if zone.Proxies > 0 {
+			lowest = min(lowest, zone.LowestVersion)
+		}
+	}
+	return rollout(state, proxies, lowest)
+}
+
+// History lists the decisions, newest first.
+func (b backend) History(ctx context.Context, r operator.HistoryRequest) (operator.HistoryAnswer, error) {
+	var answer operator.HistoryAnswer
+	err := b.query(ctx, func(time.Time) { answer.Records = slices.Clone(b.member.machines.registry.History()) })
+	slices.Reverse(answer.Records)
+	limit := r.Limit
+	if limit <= 0 {
+		limit = operator.DefaultHistoryLimit
+	}
+	answer.Records = answer.Records[:min(limit, len(answer.Records))]
+	return answer, err
+}
+
+// Members lists the control members.
+func (b backend) Members(ctx context.Context) (operator.MembersAnswer, error) {
+	var status raft.Status
+	if err := b.query(ctx, func(time.Time) { status = b.member.raft.Status() }); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	answer := operator.MembersAnswer{Term: status.Term, Commit: status.Commit}
+	for _, member := range status.Membership.Members {
+		described := operator.Member{
+			ID: string(member.ID), Address: member.Address, Zone: member.Zone, Learner: member.Learner,
+			Leader: member.ID == status.Leader, LastContactMs: operator.AgeUnknown,
+		}
+		if progress, ok := status.Progress[member.ID]; ok {
+			described.Match = progress.Match
+			if progress.SinceContact >= 0 {
+				described.LastContactMs = progress.SinceContact.Milliseconds()
+			}
+		}
+		if member.ID == status.ID {
+			described.Match, described.LastContactMs, described.Admin = status.LastIndex, 0, b.member.options.AdvertiseAdmin
+		}
+		answer.Members = append(answer.Members, described)
+	}
+	return answer, nil
+}
+
+// AddMember adds a learner and promotes it once it has caught up.
+func (b backend) AddMember(ctx context.Context, r operator.AddMemberRequest) (operator.MembersAnswer, error) {
+	member := raft.Member{ID: raft.MemberID(r.ID), Address: r.Address, Zone: r.Zone, Learner: true}
+	if err := b.addMember(ctx, member, r.Learner); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	return b.Members(ctx)
+}
+
+// RemoveMember removes a member.
+func (b backend) RemoveMember(ctx context.Context, r operator.RemoveMemberRequest) (operator.MembersAnswer, error) {
+	if err := b.change(ctx, raft.MembershipChange{Kind: raft.ChangeRemove, Member: raft.Member{ID: raft.MemberID(r.ID)}}); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	return b.Members(ctx)
+}
+
+// ReplaceMember adds a member, waits until it holds and has synced everything that is committed, and only then removes
+// the old one: a second failure right after the repair loses nothing.
+func (b backend) ReplaceMember(ctx context.Context, r operator.ReplaceMemberRequest) (operator.MembersAnswer, error) {
+	member := raft.Member{ID: raft.MemberID(r.New), Address: r.Address, Zone: r.Zone, Learner: true}
+	if err := b.addMember(ctx, member, false); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	return b.RemoveMember(ctx, operator.RemoveMemberRequest{RequestID: r.RequestID, ID: r.Old})
+}
+
+func (b backend) addMember(ctx context.Context, member raft.Member, learner bool) error {
+	if err := b.change(ctx, raft.MembershipChange{Kind: raft.ChangeAddLearner, Member: member}); err != nil {
+		return err
+	}
+	if learner {
+		return nil
+	}
+	return b.change(ctx, raft.MembershipChange{Kind: raft.ChangePromote, Member: raft.Member{ID: member.ID}})
+}
+
+// changePause is the wait before a change that must wait is tried again.
+const changePause = 50 * time.Millisecond
+
+// change commits one membership change. A change that is already in effect succeeds, so that requests can be sent again.
+func (b backend) change(ctx context.Context, change raft.MembershipChange) error {
+	for {
+		done, err := b.tryChange(ctx, change)
+		if done || err != nil {
+			return err
+		}
+		pause(ctx, changePause)
+		if ctx.Err() != nil {
+			return &operator.Error{Kind: operator.ErrMembershipBusy, Message: "the change was not committed in time"}
+		}
+	}
+}
+
+func (b backend) tryChange(ctx context.Context, change raft.MembershipChange) (done bool, err error) {
+	var leader string
+	var proposeErr error
+	m := b.member
+	queryErr := b.query(ctx, func(now time.Time) {
+		status := m.raft.Status()
+		if status.Role != raft.RoleLeader {
+			proposeErr, leader = raft.ErrNotLeader, m.leaderAddress()
+			return
+		}
+		if !status.MembershipPending && inEffect(status.Membership, change) {
+			done = true
+			return
+		}
+		_, _, proposeErr = m.raft.ProposeMembership(now, change)
+	})
+	switch {
+	case queryErr != nil:
+		return false, queryErr
+	case errors.Is(proposeErr, raft.ErrNotLeader):
+		return false, b.notLeader(ctx, leader)
+	case errors.Is(proposeErr, raft.ErrUnknownMember):
+		return false, &operator.Error{Kind: operator.ErrNotFound, Message: proposeErr.Error()}
+	case errors.Is(proposeErr, raft.ErrInvalidChange):
+		return false, &operator.Error{Kind: operator.ErrBadRequest, Message: proposeErr.Error()}
+	}
+	// Any other error means that the change must wait for a pending one or for the learner.
+	return done, nil
+}
+
+// inEffect reports whether a membership already shows a change.
+func inEffect(membership raft.Membership, change raft.MembershipChange) bool {
+	member, ok := membership.Find(change.Member.ID)
+	switch change.Kind {
+	case raft.ChangeAddLearner:
+		return ok
+	case raft.ChangePromote:
+		return ok && !member.Learner
+	case raft.ChangeRemove:
+		return !ok
+	case raft.ChangeUpdate:
+		return ok && member.Address == change.Member.Address && member.Zone == change.Member.Zone
+	default:
+		return false
+	}
+}
+
+var verdictNames = map[quarantine.Verdict]string{
+	quarantine.Allowed: "allowed", quarantine.Alone: "isolated", quarantine.Refused: "quarantined",
+}
+
+// Quarantine lists suspect and quarantined requests.
+func (b backend) Quarantine(ctx context.Context) (operator.QuarantineAnswer, error) {
+	if err := b.member.running(ctx); err != nil {
+		return operator.QuarantineAnswer{}, &operator.Error{Kind: operator.ErrNoQuorum, Message: err.Error()}
+	}
+	now := time.Now()
+	answer := operator.QuarantineAnswer{Entries: []operator.QuarantineEntry{}}
+	for _, entry := range b.member.quarantine.Entries(now) {
+		answer.Entries = append(answer.Entries, operator.QuarantineEntry{
+			Fingerprint: hex.EncodeToString(entry.Fingerprint[:]), Verdict: verdictNames[entry.Verdict],
+			Crashes: len(entry.Upstreams), Upstreams: entry.Upstreams, ExpiresInMs: entry.Until.Sub(now).Milliseconds(),
+		})
+	}
+	return answer, nil
+}
+
+// ClearQuarantine lifts the quarantine of fingerprints, or of all.
+func (b backend) ClearQuarantine(
+	ctx context.Context, r operator.ClearQuarantineRequest,
+) (operator.ClearQuarantineAnswer, error) {
+	if err := b.member.running(ctx); err != nil {
+		return operator.ClearQuarantineAnswer{}, &operator.Error{Kind: operator.ErrNoQuorum, Message: err.Error()}
+	}
+	var fingerprints []quarantine.Fingerprint
+	for _, text := range r.Fingerprints {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != len(quarantine.Fingerprint{}) {
+			return operator.ClearQuarantineAnswer{}, &operator.Error{
+				Kind: operator.ErrBadRequest, Message: "a fingerprint has 32 hexadecimal digits",
+			}
+		}
+		fingerprints = append(fingerprints, quarantine.Fingerprint(raw))
+	}
+	now := time.Now()
+	before := len(b.member.quarantine.Entries(now))
+	report, changed := b.member.quarantine.Clear(now, fingerprints...)
+	if changed {
+		b.member.publishReport(report)
+	}
+	return operator.ClearQuarantineAnswer{Cleared: before - len(b.member.quarantine.Entries(now))}, nil
+}
+
+// Dump returns the member's whole state.
+func (b backend) Dump(ctx context.Context) (operator.DumpAnswer, error) {
+	dump, err := b.member.dump(ctx)
+	if err != nil {
+		return operator.DumpAnswer{}, err
+	}
+	state, err := json.Marshal(dump)
+	return operator.DumpAnswer{Member: string(b.member.id), State: state}, err
+}
+
+// latestApproval is used by tests and the dump.
+func (m *Member) latestApproval() *bundle.Approval { return m.machines.registry.State().Latest }
--- /dev/null
+++ b/control/peers.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+const (
+	// peerQueueLength bounds the messages that wait for one member. The log repeats what is dropped.
+	peerQueueLength = 4096
+	// peerRetryDelay is the wait before a broken stream is opened again.
+	peerRetryDelay = 50 * time.Millisecond
+	// peerBatch bounds the messages of one frame.
+	peerBatch = 64
+)
+
+// peers sends log messages to the other members. The control goroutine uses it; one goroutine per member sends.
+type peers struct {
+	self    raft.MemberID
+	pool    *rpc.Pool
+	ctx     context.Context
+	senders map[raft.MemberID]*sender
+	running sync.WaitGroup
+}
+
+// sender carries messages to one address.
+type sender struct {
+	address string
+	queue   chan raft.Message
+	cancel  context.CancelFunc
+}
+
+func newPeers(ctx context.Context, self raft.MemberID, pool *rpc.Pool) *peers {
+	return &peers{self: self, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
+}
+
+// update starts and stops senders for a membership.
+func (p *peers) update(membership raft.Membership) {
+	for id, current := range p.senders {
+		member, ok := membership.Find(id)
+		if !ok || member.Address != current.address {
+			current.cancel()
+			delete(p.senders, id)
+		}
+	}
+	for _, member := range membership.Members {
+		if member.ID == p.self || p.senders[member.ID] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(p.ctx)
+		s := &sender{address: member.Address, queue: make(chan raft.Message, peerQueueLength), cancel: cancel}
+		p.senders[member.ID] = s
+		p.running.Go(func() { p.run(ctx, s) })
+	}
+}
+
+// send queues messages; it drops those of a member that does not keep up.
+func (p *peers) send(messages []raft.Message) {
+	for _, message := range messages {
+		s := p.senders[message.To]
+		if s == nil {
+			continue
+		}
+		select {
+		case s.queue <- message:
+		default:
+		}
+	}
+}
+
+func (p *peers) run(ctx context.Context, s *sender) {
+	defer s.cancel()
+	for ctx.Err() == nil {
+		p.stream(ctx, s)
+		select {
+		case <-ctx.Done():
+		case <-time.After(peerRetryDelay):
+		}
+	}
+}
+
+// stream sends until the stream breaks.
+func (p *peers) stream(ctx context.Context, s *sender) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := p.pool.Step(ctx, s.address)
+	if err != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-stream.Context().Done():
+			return
+		case message := <-s.queue:
+			if err := stream.Send(s.frame(message)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// frame gathers the messages that are already waiting.
+func (s *sender) frame(first raft.Message) *protocol.StepFrame {
+	frame := &protocol.StepFrame{Messages: []raft.Message{first}}
+	for len(frame.Messages) < peerBatch {
+		select {
+		case next := <-s.queue:
+			frame.Messages = append(frame.Messages, next)
+			continue
+		default:
+		}
+		break
+	}
+	return frame
+}
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -80,11 +80,11 @@
 
 // CrashReport says which requests were in flight when an upstream crashed, or that a request was cleared.
 type CrashReport struct {
-	Upstream     string     `cbor:"1,keyasint"`
-	Incarnation  uint64     `cbor:"2,keyasint"`
-	Sequence     uint64     `cbor:"3,keyasint"`
-	Fingerprints [][16]byte `cbor:"4,keyasint,omitempty"`
-	Cleared      bool       `cbor:"5,keyasint,omitempty"`
+	Upstream    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Sequence    uint64 `cbor:"3,keyasint"`
+	// Payload is opaque to this package.
+	Payload []byte `cbor:"4,keyasint,omitempty"`
 	// AgeMs is the time since the crash; every hop adds the time it kept the report.
 	AgeMs int64 `cbor:"6,keyasint,omitempty"`
 }
--- /dev/null
+++ b/daemon/root.go
@@ -0,0 +1,78 @@
+// Package daemon is the command tree of sapphiregate.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/logging"
+)
+
+// Exit codes.
+const (
+	exitOK = 0
+	// exitFailure: the command failed, or dev --check saw a fault.
+	exitFailure = 1
+	// exitUsage: the arguments or settings are at fault; nothing was started.
+	exitUsage = 2
+)
+
+// errUsage marks faults of arguments and settings.
+var errUsage = errors.New("daemon: invalid arguments or settings")
+
+// logFlags are the flags that every long-running command has.
+type logFlags struct {
+	format string
+	level  string
+}
+
+func (f *logFlags) register(command *cobra.Command) {
+	command.Flags().StringVar(&f.format, "log-format", "json", "log format: json or text")
+	command.Flags().StringVar(&f.level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+}
+
+// logger also reports violated invariants.
+func (f *logFlags) logger() (zerolog.Logger, error) {
+	logger, err := logging.New(os.Stderr, f.format, f.level)
+	if err != nil {
+		return logger, errors.Mark(err, errUsage)
+	}
+	logging.ReportViolations(logger)
+	return logger, nil
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "sapphiregate:", err)
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "sapphiregate",
+		Short:         "Configuration distribution and proxies of a service mesh",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	root.AddCommand(newNodeCommand(), newControlCommand(), newDevCommand(), newSettingsCommand())
+	return root
+}
--- /dev/null
+++ b/local/processes.go
@@ -0,0 +1,301 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/control"
+	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/node"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/transport/shape"
+)
+
+// memberSlotOf returns a member's slot. The lock is held.
+func (d *Deployment) memberSlotOf(id string, running bool) (*memberSlot, error) {
+	slot := d.members[id]
+	switch {
+	case slot == nil:
+		return nil, errors.Wrapf(ErrUnknownProcess, "%s", id)
+	case running && slot.running == nil:
+		return nil, errors.Wrapf(ErrDown, "%s", id)
+	case !running && slot.running != nil:
+		return nil, errors.Wrapf(ErrRunning, "%s", id)
+	}
+	return slot, nil
+}
+
+// StartMember starts a member on its data folder.
+func (d *Deployment) StartMember(ctx context.Context, id string) error {
+	d.mu.Lock()
+	slot, err := d.memberSlotOf(id, false)
+	founders := d.founders()
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if slot.added {
+		founders = nil
+	}
+	folder, err := openFolder(slot.folder)
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(ctx, slot.ip, portMesh, portAdmin)
+	if err != nil {
+		return err
+	}
+	member, err := control.New(control.Options{
+		Instance: id, Zone: slot.spec.Zone, Mesh: listeners[0], Admin: listeners[1], Founders: founders, FS: folder,
+		Keys: d.keyring, Dialer: d.dialer(slot.spec.Zone, id, shape.KindControl),
+		Logger: d.options.Logger.With().Str("process", id).Logger(), Relay: d.options.Relay,
+	})
+	if err != nil {
+		return err
+	}
+	member.Start()
+	d.mu.Lock()
+	slot.running = member
+	d.mu.Unlock()
+	return nil
+}
+
+// founders lists the members of the first group. The lock is held.
+func (d *Deployment) founders() []control.Founder {
+	var founders []control.Founder
+	for _, spec := range d.spec.Members {
+		slot := d.members[spec.ID]
+		founders = append(founders, control.Founder{Address: slot.mesh(), Zone: spec.Zone})
+	}
+	return founders
+}
+
+// takeMember marks a member as down and returns its process.
+func (d *Deployment) takeMember(id string) (*control.Member, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slot, err := d.memberSlotOf(id, true)
+	if err != nil {
+		return nil, err
+	}
+	member := slot.running
+	slot.running = nil
+	return member, nil
+}
+
+// StopMember stops a member gracefully.
+func (d *Deployment) StopMember(ctx context.Context, id string) error {
+	member, err := d.takeMember(id)
+	if err != nil {
+		return err
+	}
+	return member.Stop(ctx)
+}
+
+// KillMember ends a member at once.
+func (d *Deployment) KillMember(id string) error {
+	member, err := d.takeMember(id)
+	if err != nil {
+		return err
+	}
+	member.Kill()
+	d.spec.Network.Abort(id)
+	return nil
+}
+
+// WipeMember erases the data folder of a member that is down.
+func (d *Deployment) WipeMember(id string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slot, err := d.memberSlotOf(id, false)
+	if err != nil {
+		return err
+	}
+	return wipe(slot.folder)
+}
+
+// ReplaceMember puts a new member into the place of an old one.
+func (d *Deployment) ReplaceMember(ctx context.Context, id string) (string, error) {
+	d.mu.Lock()
+	old := d.members[id]
+	if old == nil {
+		d.mu.Unlock()
+		return "", errors.Wrapf(ErrUnknownProcess, "%s", id)
+	}
+	d.spares++
+	spec := experiment.MemberSpec{ID: fmt.Sprintf("%s-r%d", id, d.spares), Zone: old.spec.Zone}
+	added := d.addMember(spec)
+	added.added = true
+	oldAddress := old.mesh()
+	d.mu.Unlock()
+	if err := d.StartMember(ctx, spec.ID); err != nil {
+		return "", err
+	}
+	if err := d.replace(ctx, oldAddress, added); err != nil {
+		return "", err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, other := range d.order {
+		if other == id {
+			d.order = append(d.order[:i:i], d.order[i+1:]...)
+			break
+		}
+	}
+	return spec.ID, nil
+}
+
+// replace runs the operators' replacement until it is committed; the request is idempotent.
+func (d *Deployment) replace(ctx context.Context, oldAddress string, added *memberSlot) error {
+	for {
+		err := d.tryReplace(ctx, oldAddress, added)
+		if err == nil {
+			return nil
+		}
+		if pauseErr := pause(ctx); pauseErr != nil {
+			return err
+		}
+	}
+}
+
+func (d *Deployment) tryReplace(ctx context.Context, oldAddress string, added *memberSlot) error {
+	leader, ok := d.Leader()
+	if !ok {
+		return errors.New("local: no leader")
+	}
+	client, err := d.operatorClient(leader)
+	if err != nil {
+		return err
+	}
+	members, err := client.Members(ctx)
+	if err != nil {
+		return err
+	}
+	for _, member := range members.Members {
+		if member.Address != oldAddress {
+			continue
+		}
+		_, err := client.ReplaceMember(ctx, operator.ReplaceMemberRequest{
+			RequestID: operator.NewRequestID(), Old: member.ID, New: added.running.ID(),
+			Address: added.mesh(), Zone: added.spec.Zone,
+		})
+		return err
+	}
+	return nil
+}
+
+// Leader returns the member that leads.
+func (d *Deployment) Leader() (string, bool) {
+	d.mu.Lock()
+	running := make(map[string]*control.Member, len(d.members))
+	for id, slot := range d.members {
+		if slot.running != nil {
+			running[id] = slot.running
+		}
+	}
+	d.mu.Unlock()
+	// A member that was cut off may still take itself for the leader for a moment; the greatest term is right.
+	leader, greatest := "", uint64(0)
+	for id, member := range running {
+		if term, leads := member.Leads(); leads && term >= greatest {
+			leader, greatest = id, term
+		}
+	}
+	return leader, leader != ""
+}
+
+func (d *Deployment) nodeSlotOf(id string, running bool) (*nodeSlot, error) {
+	slot := d.nodes[id]
+	switch {
+	case slot == nil:
+		return nil, errors.Wrapf(ErrUnknownProcess, "%s", id)
+	case running && slot.running == nil:
+		return nil, errors.Wrapf(ErrDown, "%s", id)
+	case !running && slot.running != nil:
+		return nil, errors.Wrapf(ErrRunning, "%s", id)
+	}
+	return slot, nil
+}
+
+// StartNode starts a node with empty memory.
+func (d *Deployment) StartNode(ctx context.Context, id string) error {
+	d.mu.Lock()
+	slot, err := d.nodeSlotOf(id, false)
+	var members []string
+	if err == nil {
+		members = d.meshAddresses(slot.spec.Zone)
+		slot.applied = experiment.Applied{}
+	}
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(ctx, slot.ip, portCallers, portMesh, portAdmin)
+	if err != nil {
+		return err
+	}
+	process := node.New(node.Options{
+		ID: id, Zone: slot.spec.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
+		Members: members, Keys: d.keyring,
+		ControlDialer: d.dialer(slot.spec.Zone, id, shape.KindControl),
+		CallDialer:    d.dialer(slot.spec.Zone, id, shape.KindCall),
+		ZoneDelay:     func(string) time.Duration { return d.spec.Profile.ZoneDelay },
+		Policy:        d.options.Policy,
+		Logger:        d.options.Logger.With().Str("process", id).Logger(),
+		OnApplied:     func(a bundle.Approval, b *bundle.Bundle, at time.Time) { d.applied(slot, a, b, at) },
+		Relay:         d.options.Relay,
+	})
+	process.Start()
+	d.mu.Lock()
+	slot.running = process
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *Deployment) applied(slot *nodeSlot, approval bundle.Approval, b *bundle.Bundle, at time.Time) {
+	applied := experiment.Applied{
+		Node: slot.spec.ID, Version: approval.Version, Digest: approval.Digest, Bundle: b, At: at,
+	}
+	d.mu.Lock()
+	slot.applied = applied
+	d.mu.Unlock()
+	if d.spec.OnApplied != nil {
+		d.spec.OnApplied(applied)
+	}
+}
+
+func (d *Deployment) takeNode(id string) (*node.Node, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slot, err := d.nodeSlotOf(id, true)
+	if err != nil {
+		return nil, err
+	}
+	process := slot.running
+	slot.running = nil
+	return process, nil
+}
+
+// StopNode stops a node gracefully.
+func (d *Deployment) StopNode(ctx context.Context, id string) error {
+	process, err := d.takeNode(id)
+	if err != nil {
+		return err
+	}
+	return process.Stop(ctx)
+}
+
+// KillNode ends a node at once.
+func (d *Deployment) KillNode(id string) error {
+	process, err := d.takeNode(id)
+	if err != nil {
+		return err
+	}
+	process.Kill()
+	d.spec.Network.Abort(id)
+	return nil
+}
--- /dev/null
+++ b/mesh/host.go
@@ -0,0 +1,180 @@
+// Package mesh drives a relay.Peer: it owns the control goroutine of a process and the Follow streams to its parent,
+// its children and other members.
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+const (
+	// tickInterval is how often time passes for the peer.
+	tickInterval = 50 * time.Millisecond
+	// helloTimeout bounds the opening of a link, a new connection included.
+	helloTimeout = 3 * time.Second
+	// inboxLength lets a herd of children deliver their polls while one message is handled.
+	inboxLength = 1024
+	// linkQueueLength bounds the messages that wait for a slow peer; the link is closed beyond it.
+	linkQueueLength = 256
+	// batchLength bounds the inputs between two runs of AfterBatch.
+	batchLength = 256
+)
+
+// Options sets up a Host. The callbacks run on the control goroutine.
+type Options struct {
+	Peer   *relay.Peer
+	Pool   *rpc.Pool
+	Logger zerolog.Logger
+	// Output receives the outputs that do not concern links.
+	Output func(now time.Time, output relay.Output)
+	// Tick runs at each tick before the peer's own.
+	Tick func(now time.Time)
+	// AfterBatch runs after each batch of inputs; it may be nil.
+	AfterBatch func(now time.Time)
+}
+
+// Host owns the control goroutine of one process. Its exported methods are safe for concurrent use.
+type Host struct {
+	options Options
+	inbox   chan func(now time.Time)
+	stopped chan struct{}
+
+	// The fields below belong to the control goroutine.
+	links       map[relay.LinkID]*link
+	nextInbound relay.LinkID
+	ctx         context.Context
+}
+
+// NewHost returns a host that does not run yet.
+func NewHost(options Options) *Host {
+	return &Host{
+		options: options,
+		inbox:   make(chan func(now time.Time), inboxLength),
+		stopped: make(chan struct{}),
+		links:   make(map[relay.LinkID]*link),
+	}
+}
+
+// Run is the control goroutine. It returns when the context ends.
+func (h *Host) Run(ctx context.Context) {
+	defer close(h.stopped)
+	h.ctx = ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	defer h.closeLinks()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.tick(time.Now())
+		case input := <-h.inbox:
+			h.batch(input)
+		}
+	}
+}
+
+func (h *Host) tick(now time.Time) {
+	if h.options.Tick != nil {
+		h.options.Tick(now)
+	}
+	h.options.Peer.Tick(now)
+	h.settle(now)
+}
+
+// batch runs the inputs that are already waiting, so that costs per batch, such as a synced write, are shared.
+func (h *Host) batch(input func(now time.Time)) {
+	now := time.Now()
+	input(now)
+	for range batchLength {
+		select {
+		case next := <-h.inbox:
+			next(now)
+			continue
+		default:
+		}
+		break
+	}
+	h.settle(now)
+}
+
+// settle carries out the outputs of the peer.
+func (h *Host) settle(now time.Time) {
+	if h.options.AfterBatch != nil {
+		h.options.AfterBatch(now)
+	}
+	for outputs := h.options.Peer.Outputs(); len(outputs) > 0; outputs = h.options.Peer.Outputs() {
+		for _, output := range outputs {
+			h.carryOut(now, output)
+		}
+	}
+}
+
+func (h *Host) carryOut(now time.Time, output relay.Output) {
+	switch output := output.(type) {
+	case relay.Send:
+		h.send(now, output.Link, output.Message)
+	case relay.Dial:
+		h.dial(output.Link, output.Address)
+	case relay.Close:
+		if l := h.links[output.Link]; l != nil {
+			delete(h.links, output.Link)
+			l.finish()
+		}
+	default:
+		h.options.Output(now, output)
+	}
+}
+
+func (h *Host) send(now time.Time, id relay.LinkID, message relay.Message) {
+	l := h.links[id]
+	if l == nil {
+		return
+	}
+	if !l.enqueue(&protocol.FollowFrame{Message: &message}) {
+		h.options.Logger.Warn().Uint64("link", uint64(id)).Msg("closed a link to a peer that does not keep up")
+		delete(h.links, id)
+		l.abort()
+		h.options.Peer.LinkDown(now, id, errSlowPeer)
+	}
+}
+
+// Post runs a function on the control goroutine. It returns false if the host has stopped; the function then does
+// not run.
+func (h *Host) Post(input func(now time.Time)) bool {
+	select {
+	case h.inbox <- input:
+		return true
+	case <-h.stopped:
+		return false
+	}
+}
+
+// Query runs a function on the control goroutine and waits for it.
+func (h *Host) Query(ctx context.Context, query func(now time.Time)) error {
+	done := make(chan struct{})
+	if !h.Post(func(now time.Time) { query(now); close(done) }) {
+		return ErrStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-h.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *Host) closeLinks() {
+	for id, l := range h.links {
+		delete(h.links, id)
+		l.abort()
+	}
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/invariant"
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// Paths on the administration address.
+const (
+	// PathUpstream takes announcements: PUT announces the upstream, DELETE tells that it is leaving.
+	PathUpstream   = "/v1/upstream"
+	PathDump       = "/debug/dump"
+	PathVars       = "/debug/vars"
+	PathReady      = "/ready"
+	PathQuarantine = "/v1/quarantine"
+)
+
+const maxAnnouncementBytes = 16 << 10
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+PathUpstream, n.serveAnnounce)
+	mux.HandleFunc("DELETE "+PathUpstream, n.serveLeave)
+	mux.HandleFunc("GET "+PathDump, n.serveDump)
+	mux.HandleFunc("GET "+PathReady, n.serveReady)
+	mux.HandleFunc("DELETE "+PathQuarantine, n.serveClear)
+	mux.HandleFunc("GET "+PathVars, n.serveVars)
+	return mux
+}
+
+func (n *Node) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var announcement Announcement
+	if err := decodeStrict(w, r, &announcement); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := n.executor.accept(announcement); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeStrict(w http.ResponseWriter, r *http.Request, value any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return errors.Wrapf(ErrAnnouncement, "%v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrAnnouncement, "more than one JSON value")
+	}
+	return nil
+}
+
+func (n *Node) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	n.executor.drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.snapshot.Load() == nil {
+		http.Error(w, "no configuration is in force", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveClear lifts the quarantine of the fingerprints given as query parameters, or of all.
+func (n *Node) serveClear(w http.ResponseWriter, r *http.Request) {
+	var fingerprints []quarantine.Fingerprint
+	for _, text := range r.URL.Query()["fingerprint"] {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != len(quarantine.Fingerprint{}) {
+			http.Error(w, "fingerprint must have 32 hexadecimal digits", http.StatusBadRequest)
+			return
+		}
+		fingerprints = append(fingerprints, quarantine.Fingerprint(raw))
+	}
+	report, changed := n.quarantine.Clear(time.Now(), fingerprints...)
+	if changed {
+		n.publishReport(report)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *Node) serveVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	vars := new(expvar.Map).Init()
+	vars.Set("node", n.metrics.vars())
+	expvar.Do(func(item expvar.KeyValue) { vars.Set(item.Key, item.Value) })
+	_, _ = io.WriteString(w, vars.String())
+}
+
+// Dump is the state of a node.
+type Dump struct {
+	ID          string                   `json:"id"`
+	Zone        string                   `json:"zone"`
+	Incarnation uint64                   `json:"incarnation"`
+	Version     uint64                   `json:"version"`
+	Digest      string                   `json:"digest,omitempty"`
+	InForceMs   int64                    `json:"in_force_ms,omitempty"`
+	Routes      int                      `json:"routes"`
+	Relay       relay.Status             `json:"relay"`
+	Endpoints   []endpoints.Record       `json:"endpoints"`
+	Upstream    UpstreamDump             `json:"upstream"`
+	Quarantine  []quarantine.Entry       `json:"quarantine,omitempty"`
+	Added       addedQuantiles           `json:"added_latency"`
+	Violations  map[invariant.Name]int64 `json:"violations"`
+}
+
+// UpstreamDump is the state of the upstream beside a node.
+type UpstreamDump struct {
+	State        string              `json:"state"`
+	Announcement *Announcement       `json:"announcement,omitempty"`
+	Load         protocol.LoadReport `json:"load"`
+	// SelfReport is what the upstream's load page says; it is shown for comparison only.
+	SelfReport json.RawMessage `json:"self_report,omitempty"`
+}
+
+func (n *Node) serveDump(w http.ResponseWriter, r *http.Request) {
+	dump := Dump{
+		ID: n.id, Zone: n.options.Zone, Incarnation: n.incarnation, Version: n.Version(),
+		Quarantine: n.quarantine.Entries(time.Now()), Added: n.metrics.quantiles(), Violations: invariant.Counts(),
+		Upstream: n.executor.dump(r),
+	}
+	if current := n.snapshot.Load(); current != nil {
+		dump.Digest = current.digest.String()
+		dump.InForceMs = time.Since(current.since).Milliseconds()
+		dump.Routes = current.routes.Len()
+	}
+	err := n.control.Query(r.Context(), func(time.Time) {
+		dump.Relay = n.peer.Status()
+		dump.Endpoints = n.peer.Table().All()
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(dump)
+}
+
+func (e *executor) dump(r *http.Request) UpstreamDump {
+	e.mu.Lock()
+	current := e.upstream
+	dump := UpstreamDump{State: e.state.String(), Load: loadReport(e.queue.Load())}
+	e.mu.Unlock()
+	if current == nil {
+		return dump
+	}
+	dump.Announcement = &current.announcement
+	dump.SelfReport = current.selfReport(r.Context())
+	return dump
+}
--- /dev/null
+++ b/node/announce.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/admission"
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
+)
+
+// idleCheckInterval is the time between two looks whether calls in flight have ended.
+const idleCheckInterval = 10 * time.Millisecond
+
+// accept takes an announcement of the upstream beside this node. A repeated announcement changes nothing, apart from
+// ending a drain.
+func (e *executor) accept(announcement Announcement) error {
+	if err := announcement.Validate(); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream == nil || e.upstream.announcement != announcement {
+		if e.upstream != nil {
+			e.upstream.client.Close()
+		}
+		e.upstream = newUpstream(announcement)
+	} else if e.state == upstreamServing {
+		return nil
+	}
+	if e.state == upstreamDraining || e.state == upstreamAbsent {
+		// A queue that drains refuses calls for good.
+		e.queue = admission.New(e.queueConfig())
+		e.waiting = make(map[uint64]chan admission.Verdict)
+	} else {
+		e.queue.Resize(e.slots())
+	}
+	e.state = upstreamServing
+	e.announceState(endpoints.Serving)
+	e.decide(e.queue.Expire(time.Now()))
+	e.logger.Info().Str("service", announcement.Service).Str("address", announcement.Address).
+		Int("slots", announcement.Slots).Msg("upstream announced itself")
+	return nil
+}
+
+// slots returns the calls that may be in flight. The lock is held.
+func (e *executor) slots() int {
+	slots := e.upstream.announcement.Slots
+	if service, ok := e.service(e.upstream.announcement.Service); ok && service.MaxConcurrency > 0 {
+		slots = min(slots, service.MaxConcurrency)
+	}
+	return slots
+}
+
+func (e *executor) queueConfig() admission.Config {
+	config := admission.Config{Slots: 1}
+	if e.upstream == nil {
+		return config
+	}
+	config.Slots = e.slots()
+	if service, ok := e.service(e.upstream.announcement.Service); ok {
+		config.QueueLimit = service.QueueLimit
+	}
+	return config
+}
+
+// reconfigure applies the service settings of a new version.
+func (e *executor) reconfigure() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream == nil {
+		return
+	}
+	e.queue.Resize(e.slots())
+	e.decide(e.queue.Expire(time.Now()))
+}
+
+// drain announces that the upstream is leaving and refuses further calls. Calls in flight finish.
+func (e *executor) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream == nil || e.state == upstreamDraining {
+		return
+	}
+	e.state = upstreamDraining
+	e.drained = time.Now()
+	e.queue.Drain()
+	e.decide(e.queue.Expire(time.Now()))
+	e.announceState(endpoints.Draining)
+	e.logger.Info().Int("in_flight", len(e.running)).Msg("upstream is leaving; calls in flight finish")
+	e.background.Go(e.announceGone)
+}
+
+// announceGone publishes the end of a drain, unless the upstream announces itself again first.
+func (e *executor) announceGone() {
+	if err := e.idle(e.ctx); err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == upstreamDraining {
+		e.announceState(endpoints.Gone)
+	}
+}
+
+// idle waits until no call is in flight.
+func (e *executor) idle(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		count := len(e.running)
+		e.mu.Unlock()
+		if count == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, idleCheckInterval)
+	}
+}
--- /dev/null
+++ b/node/answer.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/ledger"
+)
+
+// PathOutcome is where callers ask again for the outcome of an irreversible request, with the query parameter "key".
+const PathOutcome = "/.sapphire/outcome"
+
+// outcomeTimeout bounds a question for an outcome.
+const outcomeTimeout = 2 * time.Second
+
+// refusalStatus maps reasons of requests that were not run to HTTP status codes; others get 503.
+var refusalStatus = map[protocol.Reason]int{
+	protocol.ReasonNoRoute:    http.StatusNotFound,
+	protocol.ReasonShed:       http.StatusTooManyRequests,
+	protocol.ReasonCallLimit:  http.StatusTooManyRequests,
+	protocol.ReasonKeyMissing: http.StatusBadRequest,
+	protocol.ReasonKeyExpired: http.StatusBadRequest,
+	protocol.ReasonKeyReused:  http.StatusUnprocessableEntity,
+	protocol.ReasonTooLarge:   http.StatusRequestEntityTooLarge,
+	protocol.ReasonTooDeep:    http.StatusLoopDetected,
+}
+
+// advice tells a caller what to do.
+var advice = map[protocol.Reason]string{
+	protocol.ReasonNoRoute:     "no route of the configuration in force matches this request",
+	protocol.ReasonNotReady:    "this node has no configuration yet; try another node",
+	protocol.ReasonNoUpstream:  "no upstream of the service takes calls; try again later",
+	protocol.ReasonShed:        "the upstreams are full; try again later",
+	protocol.ReasonCallLimit:   "the route's call limit is reached; try again later",
+	protocol.ReasonDeadline:    "the deadline passed",
+	protocol.ReasonQuarantined: "this request crashed upstreams; ask the operators to clear it",
+	protocol.ReasonKeyMissing:  "this route needs an Idempotency-Key of 1 to 256 bytes; a UUIDv7 is best",
+	protocol.ReasonKeyReused:   "the Idempotency-Key belongs to a different request; use a new key",
+	protocol.ReasonKeyExpired:  "the Idempotency-Key is too old to prove that the request was not run; use a new key",
+	protocol.ReasonInProgress:  "an earlier request with this key has no recorded answer; ask again at the outcome URL",
+	protocol.ReasonLedger:      "the control members cannot be reached; try again later with the same key",
+	protocol.ReasonTooLarge:    "the request body is larger than the route allows",
+	protocol.ReasonTooDeep:     "the chain of calls is too deep",
+}
+
+// refuse answers a request that was not run.
+func (n *Node) refuse(w http.ResponseWriter, reason protocol.Reason) {
+	n.metrics.refusals.Add(string(reason), 1)
+	writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
+}
+
+func refusalCode(reason protocol.Reason) int {
+	if status, ok := refusalStatus[reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeVerdict(w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int) {
+	header := w.Header()
+	header.Set(protocol.HeaderOutcome, string(outcome))
+	header.Set(protocol.HeaderReason, string(reason))
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests {
+		header.Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+	text := advice[reason]
+	if text == "" {
+		text = string(reason)
+	}
+	fmt.Fprintf(w, "%s: %s\n", outcome, text)
+}
+
+// write passes the reply on to the caller.
+func (c *ingressCall) write(w http.ResponseWriter, answer *reply) {
+	header := w.Header()
+	header.Set(protocol.HeaderVersion, strconv.FormatUint(c.snapshot.version, 10))
+	switch answer.head.Outcome {
+	case protocol.OutcomeDone:
+		c.writeAnswer(w, answer)
+	case protocol.OutcomeNotRun:
+		writeVerdict(w, protocol.OutcomeNotRun, answer.head.Reason, refusalCode(answer.head.Reason))
+	default:
+		c.writeUnknown(w, answer)
+	}
+}
+
+func (c *ingressCall) writeUnknown(w http.ResponseWriter, answer *reply) {
+	if c.route.Class == bundle.ClassIrreversible {
+		target := url.URL{Path: PathOutcome, RawQuery: url.Values{"key": {c.head.Key}}.Encode()}
+		w.Header().Set(protocol.HeaderOutcomeURL, target.String())
+	}
+	status := http.StatusBadGateway
+	if answer.head.Reason == protocol.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, status)
+}
+
+// writeAnswer passes on a whole answer. The caller's connection is aborted if a streamed answer is cut, so that no
+// caller takes a part for the whole.
+func (c *ingressCall) writeAnswer(w http.ResponseWriter, answer *reply) {
+	header := w.Header()
+	for name, values := range answer.head.Header {
+		header[name] = values
+	}
+	header.Set(protocol.HeaderOutcome, string(protocol.OutcomeDone))
+	if answer.head.Reason != protocol.ReasonNone {
+		header.Set(protocol.HeaderReason, string(answer.head.Reason))
+	}
+	added := max(time.Since(c.started)-c.elsewhere, 0)
+	c.node.metrics.observeAdded(added)
+	header.Set(protocol.HeaderAdded, strconv.FormatInt(added.Microseconds(), 10))
+	if answer.head.ContentLength >= 0 && len(answer.trailer) == 0 && bodyAllowed(c.head.Method, answer.head.Status) {
+		header.Set("Content-Length", strconv.FormatInt(answer.head.ContentLength, 10))
+	}
+	w.WriteHeader(answer.head.Status)
+	if !bodyAllowed(c.head.Method, answer.head.Status) {
+		return
+	}
+	if _, err := w.Write(answer.body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.writeStream(w, answer)
+	for name, values := range answer.trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+func (c *ingressCall) writeStream(w http.ResponseWriter, answer *reply) {
+	controller := http.NewResponseController(w)
+	for answer.stream != nil {
+		frame, err := answer.stream.Next()
+		if err != nil {
+			c.node.metrics.cutAnswers.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(frame.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if frame.Last {
+			answer.trailer = frame.Trailer
+			return
+		}
+		_ = controller.Flush()
+	}
+}
+
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status >= http.StatusOK &&
+		status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// setCallHeaders sets what an upstream needs to make calls of its own under this one.
+func setCallHeaders(header http.Header, head *protocol.CallHead, remaining time.Duration) {
+	header.Set(protocol.HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	header.Set(protocol.HeaderDepth, strconv.Itoa(head.Depth+1))
+	if head.Retry {
+		header.Set(protocol.HeaderRetry, "1")
+	}
+	if head.Key != "" {
+		header.Set(protocol.HeaderKey, head.Key)
+	}
+}
+
+// serveOutcome answers a caller that asks again for the outcome of an irreversible request.
+func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	if key == "" || len(key) > maxKeyBytes {
+		n.refuse(w, protocol.ReasonKeyMissing)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), outcomeTimeout)
+	defer cancel()
+	result, err := n.executor.ledger.do(ctx, key, ledger.Command{Query: &ledger.Query{Key: key}})
+	switch {
+	case err != nil:
+		writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable)
+	case result.Status == ledger.Done:
+		n.writeRecorded(w, result.Answer)
+	case result.Status == ledger.Released:
+		writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict)
+	default:
+		// An absent key may belong to a request that is still on its way to its executor.
+		writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted)
+	}
+}
+
+func (n *Node) writeRecorded(w http.ResponseWriter, answer *ledger.Answer) {
+	recorded := answerReply(answer)
+	for name, values := range recorded.head.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(protocol.HeaderOutcome, string(protocol.OutcomeDone))
+	if recorded.head.Reason != protocol.ReasonNone {
+		w.Header().Set(protocol.HeaderReason, string(recorded.head.Reason))
+	}
+	w.WriteHeader(recorded.head.Status)
+	_, _ = w.Write(recorded.body)
+}
--- /dev/null
+++ b/node/call_stream.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+// errCut means that a Call stream ended before its last frame.
+var errCut = errors.New("node: call stream ended early")
+
+// Call serves calls that other nodes send to the upstream beside this one.
+func (n *Node) Call(stream rpc.CallServerStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.Head == nil {
+		return errors.Wrap(protocol.ErrMalformed, "call without a head")
+	}
+	body := &requestBody{start: first.Body, trailer: first.Trailer}
+	if !first.Last {
+		body.trailer = declaredTrailer(first.Head.TrailerNames)
+		body.rest = &frameReader{recv: stream.Recv, trailer: body.trailer}
+	}
+	answer := n.executor.run(stream.Context(), first.Head, body)
+	defer answer.finish()
+	return sendReply(stream, answer)
+}
+
+func sendReply(stream rpc.CallServerStream, answer *reply) error {
+	frame := &protocol.ReplyFrame{Head: &answer.head, Body: answer.body}
+	if answer.stream == nil {
+		frame.Last = true
+		frame.Trailer = answer.trailer
+	}
+	if err := stream.Send(frame); err != nil {
+		return err
+	}
+	for answer.stream != nil {
+		frame, err := answer.stream.Next()
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(frame); err != nil {
+			return err
+		}
+		if frame.Last {
+			return nil
+		}
+	}
+	return nil
+}
+
+// frameReader reads the rest of a request's body from its stream.
+type frameReader struct {
+	recv    func() (*protocol.CallFrame, error)
+	pending []byte
+	ended   bool
+	// trailer receives the values of the declared fields with the last frame.
+	trailer http.Header
+}
+
+// declaredTrailer returns the fields that net/http announces before the body.
+func declaredTrailer(names []string) http.Header {
+	if len(names) == 0 {
+		return nil
+	}
+	trailer := make(http.Header, len(names))
+	for _, name := range names {
+		trailer[name] = nil
+	}
+	return trailer
+}
+
+// Read implements io.Reader. A stream that ends without a last frame is an error, so that the upstream does not take
+// a cut request for a whole one.
+func (r *frameReader) Read(data []byte) (int, error) {
+	for len(r.pending) == 0 {
+		if r.ended {
+			return 0, io.EOF
+		}
+		frame, err := r.recv()
+		if err != nil {
+			return 0, errors.Wrap(errCut, "request body")
+		}
+		r.pending, r.ended = frame.Body, frame.Last
+		for name := range r.trailer {
+			r.trailer[name] = frame.Trailer[name]
+		}
+	}
+	n := copy(data, r.pending)
+	r.pending = r.pending[n:]
+	return n, nil
+}
+
+// callRemote sends a call to the node beside the target.
+func (n *Node) callRemote(
+	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody,
+) *reply {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := n.calls.Call(ctx, target.Address)
+	if err != nil {
+		cancel()
+		// No frame was sent, so the call cannot have run.
+		return refusal(protocol.ReasonNodeFailed)
+	}
+	if err := sendCall(stream, head, body); err != nil {
+		cancel()
+		return uncertain(protocol.ReasonNodeFailed)
+	}
+	first, err := stream.Recv()
+	if err != nil || first.Head == nil {
+		cancel()
+		return n.brokenCall(ctx, err)
+	}
+	answer := &reply{head: *first.Head, body: first.Body, trailer: first.Trailer, done: cancel}
+	if first.Last {
+		return answer
+	}
+	answer.stream = &remoteStream{stream: stream, cancel: cancel}
+	return answer
+}
+
+func (n *Node) brokenCall(ctx context.Context, err error) *reply {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, rpc.ErrTimeout) {
+		return uncertain(protocol.ReasonDeadline)
+	}
+	return uncertain(protocol.ReasonNodeFailed)
+}
+
+// sendCall sends the head with the start of the body, then the rest.
+func sendCall(stream rpc.CallClientStream, head *protocol.CallHead, body *requestBody) error {
+	first := &protocol.CallFrame{Head: head, Body: body.start, Last: body.whole()}
+	if body.whole() {
+		first.Trailer = body.trailer
+		return stream.Send(first)
+	}
+	if err := stream.Send(first); err != nil {
+		return err
+	}
+	for {
+		buffer := make([]byte, protocol.ChunkBytes)
+		n, ended, err := readChunk(body.rest, buffer)
+		if err != nil {
+			return err
+		}
+		frame := &protocol.CallFrame{Body: buffer[:n], Last: ended}
+		if ended {
+			frame.Trailer = body.trailer
+		}
+		if err := stream.Send(frame); err != nil {
+			return err
+		}
+		if ended {
+			return nil
+		}
+	}
+}
+
+// remoteStream passes on the frames of a long answer.
+type remoteStream struct {
+	stream rpc.CallClientStream
+	cancel context.CancelFunc
+}
+
+// Next returns the next frame.
+func (s *remoteStream) Next() (*protocol.ReplyFrame, error) {
+	frame, err := s.stream.Recv()
+	if err != nil {
+		return nil, errors.Wrapf(errCut, "%v", err)
+	}
+	return frame, nil
+}
+
+// Close ends the stream.
+func (s *remoteStream) Close() { s.cancel() }
--- /dev/null
+++ b/node/crash.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+)
+
+// crashCheck explains a broken connection: either the upstream died, or only that exchange was cut.
+type crashCheck struct {
+	done    chan struct{}
+	crashed bool
+}
+
+// explainBreak reports whether the upstream died. All calls in flight at that time share one check, and wait for it, so
+// that none is sent again before the suspects are known.
+func (e *executor) explainBreak(ctx context.Context, slot *place) bool {
+	check := e.startCrashCheck(slot)
+	if check == nil {
+		return false
+	}
+	select {
+	case <-check.done:
+		return check.crashed
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// startCrashCheck probes the upstream with the requests that are in flight now. It returns nil if the upstream has been
+// replaced by another announcement.
+func (e *executor) startCrashCheck(slot *place) *crashCheck {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream != slot.upstream || e.state == upstreamAbsent {
+		return nil
+	}
+	if e.crashCheck != nil {
+		return e.crashCheck
+	}
+	check := &crashCheck{done: make(chan struct{})}
+	e.crashCheck = check
+	suspects, isolated := e.inFlight()
+	e.background.Go(func() { e.probeCrash(check, slot.upstream, suspects, isolated) })
+	return check
+}
+
+// inFlight returns the requests that hold a slot, and whether the only one runs alone. The lock is held.
+func (e *executor) inFlight() ([]quarantine.Fingerprint, bool) {
+	var fingerprints []quarantine.Fingerprint
+	alone := false
+	for _, call := range e.running {
+		if call.started.IsZero() {
+			continue
+		}
+		fingerprints = append(fingerprints, call.fingerprint)
+		alone = call.alone
+	}
+	return fingerprints, alone && len(fingerprints) == 1
+}
+
+func (e *executor) probeCrash(
+	check *crashCheck, probed *upstream, suspects []quarantine.Fingerprint, isolated bool,
+) {
+	alive := probed.accepts(e.ctx)
+	if !alive && e.ctx.Err() == nil {
+		check.crashed = true
+		e.upstreamDied(probed, suspects, isolated)
+	}
+	e.mu.Lock()
+	e.crashCheck = nil
+	e.mu.Unlock()
+	close(check.done)
+}
+
+// upstreamDied publishes the suspects, takes the upstream out of service and watches for its return.
+func (e *executor) upstreamDied(died *upstream, suspects []quarantine.Fingerprint, isolated bool) {
+	if len(suspects) > 0 {
+		e.publish(e.quarantine.Crashed(time.Now(), suspects, isolated))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream != died || e.state != upstreamServing {
+		return
+	}
+	e.metrics.upstreamCrashes.Add(1)
+	e.logger.Warn().Str("address", died.announcement.Address).Int("in_flight", len(suspects)).
+		Msg("upstream refuses connections; it gets no calls until it accepts them again")
+	e.state = upstreamDown
+	e.announceState(endpoints.Gone)
+}
+
+// watch follows the upstream until the executor stops: it finds a crash while there are no calls, and the return of an
+// upstream that died.
+func (e *executor) watch() {
+	failures := 0
+	for e.ctx.Err() == nil {
+		e.mu.Lock()
+		current, state := e.upstream, e.state
+		e.mu.Unlock()
+		switch state {
+		case upstreamServing:
+			failures = e.watchServing(current, failures)
+			sleep(e.ctx, watchInterval)
+		case upstreamDown:
+			failures = 0
+			e.watchDown(current)
+			sleep(e.ctx, probeInterval)
+		default:
+			failures = 0
+			sleep(e.ctx, probeInterval)
+		}
+	}
+}
+
+func (e *executor) watchServing(current *upstream, failures int) int {
+	if current.accepts(e.ctx) {
+		return 0
+	}
+	if failures++; failures >= watchFailures {
+		e.mu.Lock()
+		suspects, isolated := e.inFlight()
+		e.mu.Unlock()
+		e.upstreamDied(current, suspects, isolated)
+		return 0
+	}
+	return failures
+}
+
+func (e *executor) watchDown(current *upstream) {
+	if !current.accepts(e.ctx) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.upstream != current || e.state != upstreamDown {
+		return
+	}
+	e.state = upstreamServing
+	e.logger.Info().Msg("upstream accepts connections again")
+	e.announceState(endpoints.Serving)
+}
+
+// announceState publishes the upstream. The lock is held.
+func (e *executor) announceState(state endpoints.State) {
+	e.announce(endpoints.Record{
+		Service: e.upstream.announcement.Service, State: state, Slots: e.upstream.announcement.Slots,
+	})
+}
--- /dev/null
+++ b/node/exchange.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"io"
+	"net/http"
+
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// requestBody is the body of a call: buffered whole, or a buffered start with more to stream.
+type requestBody struct {
+	// start holds the whole body unless rest is set.
+	start []byte
+	// rest yields what follows start; nil for a body that is buffered whole.
+	rest io.Reader
+	// trailer is complete once rest is read to its end.
+	trailer http.Header
+}
+
+// whole reports whether the body is buffered, so that the call can be sent again.
+func (b *requestBody) whole() bool { return b.rest == nil }
+
+// frames yields the body in frames; the last one is marked.
+type replyStream interface {
+	// Next returns the next frame. An error other than io.EOF means that the answer was cut; io.EOF never precedes a
+	// frame that is marked as the last.
+	Next() (*protocol.ReplyFrame, error)
+	// Close gives up the rest of the answer.
+	Close()
+}
+
+// reply is an executor's answer to one call.
+type reply struct {
+	head protocol.ReplyHead
+	// body is the whole body, or its start if stream is set.
+	body    []byte
+	trailer http.Header
+	stream  replyStream
+	// done is called once the answer has been passed on or given up.
+	done func()
+}
+
+func (r *reply) finish() {
+	if r.stream != nil {
+		r.stream.Close()
+	}
+	if r.done != nil {
+		r.done()
+	}
+}
+
+// refusal is the reply to a call that was not run.
+func refusal(reason protocol.Reason) *reply {
+	return &reply{head: protocol.ReplyHead{Outcome: protocol.OutcomeNotRun, Reason: reason}}
+}
+
+// uncertain is the reply to a call that may have run.
+func uncertain(reason protocol.Reason) *reply {
+	return &reply{head: protocol.ReplyHead{Outcome: protocol.OutcomeUnknown, Reason: reason}}
+}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,349 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/retry"
+	"sapphiregate.example/sapphiregate/coordination/routing"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/transport/web"
+)
+
+const (
+	// bufferedBytes is the largest body of a repeatable request that is held for a retry; longer ones are streamed.
+	bufferedBytes = 64 << 10
+	// defaultMaxBody bounds request bodies of routes that set no bound.
+	defaultMaxBody = 1 << 20
+	// maxKeyBytes bounds the idempotency key, which the ledger keeps for days.
+	maxKeyBytes = 256
+	// attemptShare is the part of the remaining time that one attempt of a repeatable call may take while another
+	// attempt is allowed, so that a silent partition costs one attempt and not the whole deadline.
+	attemptShare = 2
+)
+
+// ingressCall is one caller's request on its way through this node.
+type ingressCall struct {
+	node     *Node
+	started  time.Time
+	snapshot *snapshot
+	route    *routing.Route
+	policy   *routePolicy
+	head     protocol.CallHead
+	body     requestBody
+	deadline time.Time
+	alone    bool
+	// elsewhere is the time of the last attempt outside our processes: the upstream's time and the zone links' delay.
+	elsewhere time.Duration
+}
+
+// ServeHTTP takes callers' requests.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	done, open := n.gate.enter()
+	if !open {
+		n.refuse(w, protocol.ReasonDraining)
+		return
+	}
+	defer done()
+	if r.URL.Path == PathOutcome {
+		n.serveOutcome(w, r)
+		return
+	}
+	call, reason := n.prepare(started, r)
+	if reason != protocol.ReasonNone {
+		n.refuse(w, reason)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
+	defer cancel()
+	answer := call.forward(ctx)
+	defer answer.finish()
+	n.metrics.count(call.route.Class, answer.head.Outcome)
+	call.write(w, answer)
+}
+
+// prepare matches the request and reads what a retry needs.
+func (n *Node) prepare(started time.Time, r *http.Request) (*ingressCall, protocol.Reason) {
+	current := n.snapshot.Load()
+	if current == nil {
+		return nil, protocol.ReasonNotReady
+	}
+	route, err := current.routes.Match(routing.Request{
+		Host: r.Host, Path: r.URL.Path, Method: r.Method, Header: r.Header.Get,
+	})
+	if err != nil {
+		return nil, protocol.ReasonNoRoute
+	}
+	call := &ingressCall{
+		node: n, started: started, snapshot: current, route: route, policy: current.policies[route.Name],
+	}
+	if call.policy.limiter != nil && !call.policy.limiter.AllowN(started, 1) {
+		return nil, protocol.ReasonCallLimit
+	}
+	if reason := call.readHead(r); reason != protocol.ReasonNone {
+		return nil, reason
+	}
+	if reason := call.readBody(r); reason != protocol.ReasonNone {
+		return nil, reason
+	}
+	return call, call.identify()
+}
+
+func (c *ingressCall) readHead(r *http.Request) protocol.Reason {
+	depth, _ := strconv.Atoi(r.Header.Get(protocol.HeaderDepth))
+	if depth < 0 || depth >= protocol.MaxDepth {
+		return protocol.ReasonTooDeep
+	}
+	remaining := time.Duration(c.route.DeadlineMs) * time.Millisecond
+	if text := r.Header.Get(protocol.HeaderDeadline); text != "" {
+		milliseconds, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || milliseconds <= 0 {
+			return protocol.ReasonDeadline
+		}
+		remaining = min(remaining, time.Duration(milliseconds)*time.Millisecond)
+	}
+	c.deadline = c.started.Add(remaining)
+	header := web.CopyHeader(r.Header)
+	for name, value := range c.policy.headers {
+		header[http.CanonicalHeaderKey(name)] = []string{value}
+	}
+	c.head = protocol.CallHead{
+		Service: c.route.Service, Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: r.URL.RequestURI(),
+		Host: r.Host, Header: header, Depth: depth, Retry: r.Header.Get(protocol.HeaderRetry) != "",
+		ContentLength: r.ContentLength, Version: c.snapshot.version,
+	}
+	if c.route.Class != bundle.ClassIrreversible {
+		return protocol.ReasonNone
+	}
+	c.head.Key = r.Header.Get(protocol.HeaderKey)
+	if c.head.Key == "" || len(c.head.Key) > maxKeyBytes {
+		return protocol.ReasonKeyMissing
+	}
+	return protocol.ReasonNone
+}
+
+// readBody buffers a short body, or all of it for an irreversible call, whose claim covers the body's digest.
+func (c *ingressCall) readBody(r *http.Request) protocol.Reason {
+	limit := c.route.MaxBodyBytes
+	if limit == 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return protocol.ReasonTooLarge
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return protocol.ReasonNone
+	}
+	held := min(limit, bufferedBytes)
+	if c.route.Class == bundle.ClassIrreversible {
+		held = limit
+	}
+	var buffer bytes.Buffer
+	if _, err := buffer.ReadFrom(io.LimitReader(r.Body, held+1)); err != nil {
+		return protocol.ReasonCallerGone
+	}
+	c.body.start = buffer.Bytes()
+	c.body.trailer = r.Trailer
+	if int64(buffer.Len()) <= held {
+		return protocol.ReasonNone
+	}
+	if held == limit {
+		return protocol.ReasonTooLarge
+	}
+	c.body.rest = &boundedReader{reader: r.Body, left: limit - int64(buffer.Len())}
+	for name := range r.Trailer {
+		c.head.TrailerNames = append(c.head.TrailerNames, name)
+	}
+	slices.Sort(c.head.TrailerNames)
+	return protocol.ReasonNone
+}
+
+// boundedReader fails once a body of unknown length turns out to be longer than the route allows.
+type boundedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(data []byte) (int, error) {
+	n, err := b.reader.Read(data)
+	b.left -= int64(n)
+	if b.left < 0 {
+		return 0, errors.Wrap(protocol.ErrTooLarge, "request body")
+	}
+	return n, err
+}
+
+// identify computes the request's digest and fingerprint and looks it up in the quarantine.
+func (c *ingressCall) identify() protocol.Reason {
+	body := sha256.Sum256(c.body.start)
+	if c.route.Class == bundle.ClassIrreversible {
+		c.head.RequestDigest = requestDigest(&c.head, body)
+	}
+	fingerprint := quarantine.FingerprintOf(c.route.Name, c.head.Method, c.head.URI, c.head.Key, body)
+	c.head.Fingerprint = fingerprint
+	switch c.node.quarantine.Verdict(c.started, fingerprint) {
+	case quarantine.Refused:
+		return protocol.ReasonQuarantined
+	case quarantine.Alone:
+		c.alone = true
+	}
+	return protocol.ReasonNone
+}
+
+// requestDigest covers what makes two requests under one key the same request.
+func requestDigest(head *protocol.CallHead, body [32]byte) [32]byte {
+	hash := sha256.New()
+	for _, field := range []string{head.Service, head.Method, head.URI} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		hash.Write(length[:])
+		io.WriteString(hash, field)
+	}
+	hash.Write(body[:])
+	return [32]byte(hash.Sum(nil))
+}
+
+// forward tries upstreams until one answers or another attempt is not allowed.
+func (c *ingressCall) forward(ctx context.Context) *reply {
+	if !c.head.Retry {
+		c.policy.budget.Call(c.started)
+	}
+	var tried []string
+	source := rand.NewPCG(rand.Uint64(), rand.Uint64())
+	for number := 1; ; number++ {
+		answer, target := c.attempt(ctx, number, tried, source)
+		if target != "" {
+			tried = append(tried, target)
+		}
+		delay, again := c.again(ctx, number, answer, source)
+		if !again {
+			return answer
+		}
+		answer.finish()
+		c.node.metrics.retries.Add(1)
+		c.head.Retry = true
+		sleep(ctx, delay)
+	}
+}
+
+// again decides on another attempt.
+func (c *ingressCall) again(
+	ctx context.Context, number int, answer *reply, source rand.Source,
+) (time.Duration, bool) {
+	if answer.head.Outcome == protocol.OutcomeDone || ctx.Err() != nil || !retryable(answer.head.Reason) {
+		return 0, false
+	}
+	if !c.body.whole() {
+		// Part of the body is gone.
+		return 0, false
+	}
+	attempt := retry.Attempt{
+		Class: c.route.Class, Outcome: retry.Unknown, Number: number, UnderRetry: c.head.Retry && number == 1,
+		Suspect: c.alone || answer.head.Suspect, Remaining: time.Until(c.deadline),
+	}
+	if answer.head.Outcome == protocol.OutcomeNotRun {
+		attempt.Outcome = retry.NotRun
+	}
+	return c.policy.budget.Decide(time.Now(), attempt, source)
+}
+
+// retryable reports whether another upstream may do better.
+func retryable(reason protocol.Reason) bool {
+	switch reason {
+	case protocol.ReasonQuarantined, protocol.ReasonKeyReused, protocol.ReasonKeyExpired, protocol.ReasonCallerGone,
+		protocol.ReasonTooLarge, protocol.ReasonInProgress, protocol.ReasonLedger:
+		return false
+	default:
+		return true
+	}
+}
+
+// attempt sends the call to one upstream.
+func (c *ingressCall) attempt(
+	ctx context.Context, number int, tried []string, source rand.Source,
+) (*reply, string) {
+	now := time.Now()
+	target, err := c.node.balancer.Pick(now, balance.Request{
+		Service: c.route.Service, Zone: c.route.Zone, Exclude: tried, Rand: source,
+	})
+	if err != nil {
+		return refusal(protocol.ReasonNoUpstream), ""
+	}
+	head := c.head
+	head.Remaining = c.attemptTime(now, number)
+	head.Incarnation = target.Incarnation
+	head.Alone = c.alone
+	ctx, cancel := context.WithDeadline(ctx, now.Add(head.Remaining))
+	answer := c.node.send(ctx, target, &head, &c.body)
+	previous := answer.done
+	answer.done = func() {
+		cancel()
+		if previous != nil {
+			previous()
+		}
+	}
+	took := time.Since(now)
+	c.elsewhere = answer.head.Upstream
+	if target.ID != c.node.id {
+		c.elsewhere += 2 * c.node.options.zoneDelay(target.Zone)
+	}
+	c.node.balancer.Done(time.Now(), target, c.report(ctx, target, answer, took))
+	return answer, target.ID
+}
+
+// attemptTime leaves time for another attempt where one is allowed.
+func (c *ingressCall) attemptTime(now time.Time, number int) time.Duration {
+	remaining := c.deadline.Sub(now)
+	maxAttempts := c.route.Retry.MaxAttempts
+	if c.route.Class == bundle.ClassIrreversible || c.head.Retry && number == 1 || maxAttempts == 1 || number > 1 {
+		return remaining
+	}
+	return remaining / attemptShare
+}
+
+func (c *ingressCall) report(
+	ctx context.Context, target balance.Target, answer *reply, took time.Duration,
+) balance.Report {
+	report := balance.Report{Outcome: balance.Done, Latency: took}
+	if load := answer.head.Load; load.Slots > 0 {
+		report.Load = &balance.Load{
+			InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
+		}
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		report.Outcome = balance.Canceled
+	case answer.head.Reason == protocol.ReasonNodeFailed, answer.head.Reason == protocol.ReasonUpstreamRefused:
+		report.Outcome = balance.ConnectFailed
+	case answer.head.Outcome == protocol.OutcomeNotRun:
+		report.Outcome = balance.Refused
+	case answer.head.Outcome == protocol.OutcomeUnknown:
+		report.Outcome = balance.Failed
+	}
+	return report
+}
+
+// send runs a call on the upstream beside this node, or through the node beside another one.
+func (n *Node) send(
+	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody,
+) *reply {
+	if target.ID == n.id {
+		return n.executor.run(ctx, head, body)
+	}
+	return n.callRemote(ctx, target, head, body)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,234 @@
+// Package node is the process beside an upstream. It takes callers' requests, runs calls on its upstream, and follows
+// the control members for configuration. One goroutine owns the control state; traffic reads immutable snapshots.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/logging"
+	"sapphiregate.example/sapphiregate/mesh"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+// Options sets up a node.
+type Options struct {
+	// ID names the instance and stays the same across restarts.
+	ID   string
+	Zone string
+	// Callers, Mesh and Admin are open listeners; the node closes them.
+	Callers net.Listener
+	Mesh    net.Listener
+	Admin   net.Listener
+	// Advertise is the mesh address that others dial; empty takes the listener's address.
+	Advertise string
+	// Members lists mesh addresses of control members.
+	Members []string
+	// Join lists further mesh addresses to join by.
+	Join []string
+	Keys relay.Verifier
+	// Identity secures connections between processes; nil switches TLS off.
+	Identity *rpc.Identity
+	// ControlDialer and CallDialer open connections; nil dials TCP.
+	ControlDialer rpc.Dialer
+	CallDialer    rpc.Dialer
+	// ZoneDelay returns the one-way delay to a zone; nil means no delay.
+	ZoneDelay func(zone string) time.Duration
+	Policy    balance.Policy
+	Logger    zerolog.Logger
+	// OnApplied is told of every pointer swap, on the control goroutine; it may be nil.
+	OnApplied func(approval bundle.Approval, b *bundle.Bundle, at time.Time)
+	// Relay overrides the limits of the distribution tree; zero fields take the defaults.
+	Relay relay.Config
+}
+
+func (o *Options) zoneDelay(zone string) time.Duration {
+	if o.ZoneDelay == nil || zone == o.Zone {
+		return 0
+	}
+	return o.ZoneDelay(zone)
+}
+
+const (
+	// readHeaderTimeout bounds how long a caller may hold a connection without a request.
+	readHeaderTimeout = 10 * time.Second
+	callerIdleTimeout = 2 * time.Minute
+	// departureTime lets the announcement of a leaving node spread before it closes its listener.
+	departureTime = 300 * time.Millisecond
+)
+
+// Node is one running node.
+type Node struct {
+	options     Options
+	id          string
+	incarnation uint64
+	logger      zerolog.Logger
+
+	control    *mesh.Host
+	peer       *relay.Peer
+	executor   *executor
+	balancer   *balance.Balancer
+	quarantine *quarantine.List
+	snapshot   atomic.Pointer[snapshot]
+	gate       gate
+	metrics    *metrics
+
+	controlPool *rpc.Pool
+	calls       *rpc.Pool
+	mesh        *rpc.Server
+	callers     *http.Server
+	admin       *http.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// tasks are the serving goroutines and the control goroutine.
+	tasks sync.WaitGroup
+
+	// endpointsChanged belongs to the control goroutine.
+	endpointsChanged bool
+	firstSeen        map[string]seenEndpoint
+}
+
+// New prepares a node with empty memory.
+func New(options Options) *Node {
+	now := time.Now()
+	if options.Advertise == "" {
+		options.Advertise = options.Mesh.Addr().String()
+	}
+	n := &Node{
+		options:     options,
+		id:          options.ID,
+		incarnation: uint64(now.UnixNano()),
+		logger:      logging.Part(options.Logger, "node"),
+		metrics:     newMetrics(),
+		firstSeen:   make(map[string]seenEndpoint),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.connect()
+	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
+	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
+	n.executor = n.newExecutor()
+	n.peer = relay.New(now, n.relayConfig())
+	n.control = mesh.NewHost(mesh.Options{
+		Peer: n.peer, Pool: n.controlPool, Logger: logging.Part(options.Logger, "control"),
+		Output: n.handleOutput, AfterBatch: n.refreshEndpoints,
+	})
+	n.mesh.ServeNode(n)
+	n.callers = &http.Server{
+		Handler: n, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: protocol.MaxHeaderBytes,
+	}
+	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	return n
+}
+
+func (n *Node) connect() {
+	if n.options.Identity == nil {
+		n.controlPool = rpc.NewPool(n.options.ControlDialer, nil)
+		n.calls = rpc.NewPool(n.options.CallDialer, nil)
+		n.mesh = rpc.NewServer(n.options.Mesh, nil)
+		return
+	}
+	credentials := n.options.Identity.Credentials()
+	n.controlPool = rpc.NewPool(n.options.ControlDialer, credentials)
+	n.calls = rpc.NewPool(n.options.CallDialer, credentials)
+	n.mesh = rpc.NewServer(n.options.Mesh, credentials)
+}
+
+func (n *Node) relayConfig() relay.Config {
+	config := n.options.Relay
+	config.ID = n.id
+	config.Zone = n.options.Zone
+	config.Address = n.options.Advertise
+	config.Incarnation = n.incarnation
+	config.Join = append(append([]string{}, n.options.Members...), n.options.Join...)
+	config.Keys = n.options.Keys
+	config.Validate = func(b *bundle.Bundle) error { return bundle.Validate(b).Err() }
+	config.Rand = rand.New(rand.NewSource(int64(n.incarnation)))
+	return config
+}
+
+// Start begins to serve. Callers get "not ready" answers until a version is in force.
+func (n *Node) Start() {
+	n.tasks.Go(func() { n.control.Run(n.ctx) })
+	n.tasks.Go(n.executor.watch)
+	n.serve("mesh", n.mesh.Serve)
+	n.serve("callers", func() error { return n.callers.Serve(n.options.Callers) })
+	n.serve("admin", func() error { return n.admin.Serve(n.options.Admin) })
+}
+
+func (n *Node) serve(name string, run func() error) {
+	n.tasks.Go(func() {
+		if err := run(); err != nil && n.ctx.Err() == nil && !isClosed(err) {
+			n.logger.Error().Err(err).Str("listener", name).Msg("stopped serving")
+		}
+	})
+}
+
+func isClosed(err error) bool { return err == http.ErrServerClosed }
+
+// Stop leaves gracefully: the upstream is announced as leaving, callers' requests and calls in flight finish, answers
+// of irreversible calls are recorded, and then the listeners close. It gives up when the context ends.
+func (n *Node) Stop(ctx context.Context) error {
+	n.executor.drain()
+	sleep(ctx, departureTime)
+	err := n.gate.drain(ctx)
+	if err == nil {
+		err = n.executor.idle(ctx)
+	}
+	if err == nil {
+		err = n.callers.Shutdown(ctx)
+	}
+	n.mesh.GracefulStop(shortly(ctx))
+	n.Kill()
+	if err != nil {
+		return fmt.Errorf("node: stop gave up on requests in flight: %w", err)
+	}
+	return nil
+}
+
+// shortly bounds the wait for Follow streams of children, which do not end by themselves.
+func shortly(ctx context.Context) context.Context {
+	bounded, cancel := context.WithTimeout(ctx, departureTime)
+	context.AfterFunc(bounded, cancel)
+	return bounded
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	n.cancel()
+	n.executor.close()
+	n.mesh.Stop()
+	_ = n.callers.Close()
+	_ = n.admin.Close()
+	n.controlPool.Close()
+	n.calls.Close()
+	n.tasks.Wait()
+}
+
+// Version returns the configuration version in force; 0 if there is none.
+func (n *Node) Version() uint64 {
+	if current := n.snapshot.Load(); current != nil {
+		return current.version
+	}
+	return 0
+}
+
+// AcceptUpstream takes an announcement from settings, for an upstream that does not announce itself.
+func (n *Node) AcceptUpstream(announcement Announcement) error { return n.executor.accept(announcement) }
+
+// Follow serves the children of this node in the distribution tree.
+func (n *Node) Follow(stream rpc.FollowServerStream) error { return n.control.Follow(stream) }
--- /dev/null
+++ b/node/once.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/execution"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/ledger"
+	"sapphiregate.example/sapphiregate/transport/web"
+)
+
+const (
+	// ledgerTimeout bounds one message to the ledger; the machine sends it again if that is still useful.
+	ledgerTimeout = 2 * time.Second
+	// lateAnswerTime is how long after the caller's deadline an upstream may still answer an irreversible call, so that
+	// the answer is recorded for a resend.
+	lateAnswerTime = 10 * time.Second
+	// maxOnceAnswerBytes bounds the answer of an irreversible call, which is held in memory until it is recorded.
+	maxOnceAnswerBytes = 16 << 20
+	// onceEventsLength is more than the inputs that can be outstanding for one call.
+	onceEventsLength = 16
+)
+
+// errAnswerTooLarge reports an answer beyond maxOnceAnswerBytes.
+var errAnswerTooLarge = errors.New("node: answer of an irreversible call is too large")
+
+// onceEvent is an input to the machine of an irreversible call.
+type onceEvent func(now time.Time) []execution.Output
+
+// onceCall drives the machine of one irreversible call. It outlives the caller: a claim is released or its answer
+// recorded whether or not anybody waits.
+type onceCall struct {
+	executor *executor
+	head     *protocol.CallHead
+	body     *requestBody
+	deadline time.Time
+	slot     *place
+	machine  *execution.Machine
+	events   chan onceEvent
+	finished chan struct{}
+	answered chan *reply
+	// started and service belong to the driving goroutine.
+	started time.Time
+	service time.Duration
+}
+
+// runOnce runs an irreversible call at most once.
+func (e *executor) runOnce(
+	ctx context.Context, head *protocol.CallHead, body *requestBody, deadline time.Time,
+) *reply {
+	if !body.whole() {
+		return refusal(protocol.ReasonTooLarge)
+	}
+	slot, reason := e.admit(ctx, head, deadline)
+	if slot == nil {
+		return refusal(reason)
+	}
+	call := &onceCall{
+		executor: e, head: head, body: body, deadline: deadline, slot: slot,
+		machine:  execution.New(execution.Config{Claim: e.claim(head, slot.id), Deadline: deadline}),
+		events:   make(chan onceEvent, onceEventsLength),
+		finished: make(chan struct{}),
+		answered: make(chan *reply, 1),
+	}
+	e.background.Go(call.drive)
+	select {
+	case answer := <-call.answered:
+		return answer
+	case <-ctx.Done():
+	case <-call.finished:
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		call.post(call.machine.CallerGone)
+		return uncertain(protocol.ReasonCallerGone)
+	}
+	return call.lastAnswer()
+}
+
+func (e *executor) claim(head *protocol.CallHead, attempt uint64) ledger.Claim {
+	return ledger.Claim{
+		Key: head.Key, Route: head.Route, RequestDigest: head.RequestDigest,
+		Executor: e.id, Incarnation: e.incarnation, Attempt: attempt,
+	}
+}
+
+// lastAnswer waits for the machine's reply to the passed deadline.
+func (c *onceCall) lastAnswer() *reply {
+	select {
+	case answer := <-c.answered:
+		return answer
+	case <-c.finished:
+	}
+	select {
+	case answer := <-c.answered:
+		return answer
+	default:
+		// The executor was stopped before the machine could answer.
+		return uncertain(protocol.ReasonNodeFailed)
+	}
+}
+
+// post hands an input to the driving goroutine; it is dropped once the call is finished.
+func (c *onceCall) post(event onceEvent) {
+	select {
+	case c.events <- event:
+	case <-c.finished:
+	}
+}
+
+// drive carries out what the machine asks for until it is closed.
+func (c *onceCall) drive() {
+	defer close(c.finished)
+	defer c.executor.release(c.slot, 0)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	outputs := c.machine.Admitted(time.Now())
+	for {
+		c.carryOut(outputs)
+		if c.machine.Closed() {
+			return
+		}
+		if wake, ok := c.machine.Wake(); ok {
+			timer.Reset(max(time.Until(wake), 0))
+		}
+		select {
+		case event := <-c.events:
+			outputs = event(time.Now())
+		case <-timer.C:
+			outputs = c.machine.Tick(time.Now())
+		case <-c.executor.ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *onceCall) carryOut(outputs []execution.Output) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case execution.SendClaim:
+			c.send(ledger.Command{Claim: &output.Claim}, c.machine.ClaimResult, c.machine.ClaimFailed)
+		case execution.SendQuery:
+			c.send(ledger.Command{Query: &output.Query}, c.machine.QueryResult, nil)
+		case execution.SendRecord:
+			c.send(ledger.Command{Record: &output.Record}, c.machine.RecordAck, nil)
+		case execution.SendRelease:
+			c.send(ledger.Command{Release: &output.Release}, c.machine.ReleaseAck, nil)
+		case execution.RunUpstream:
+			c.start()
+		case execution.Reply:
+			c.answered <- c.reply(output)
+		case execution.FreeSlot:
+			c.executor.release(c.slot, c.service)
+		}
+	}
+}
+
+// send commits a command in the background and delivers its result.
+func (c *onceCall) send(
+	command ledger.Command,
+	deliver func(time.Time, ledger.Result) []execution.Output, fail func(time.Time) []execution.Output,
+) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.executor.ctx, ledgerTimeout)
+		defer cancel()
+		result, err := c.executor.ledger.do(ctx, c.head.Key, command)
+		switch {
+		case err == nil:
+			c.post(func(now time.Time) []execution.Output { return deliver(now, result) })
+		case fail != nil:
+			c.post(fail)
+		}
+	}()
+}
+
+// start runs the call on the upstream, unless the machine no longer allows it.
+func (c *onceCall) start() {
+	now := time.Now()
+	if !c.machine.Written(now) {
+		c.carryOut(c.machine.UpstreamFailed(now))
+		return
+	}
+	c.started = now
+	go func() {
+		event := c.callUpstream()
+		c.post(func(now time.Time) []execution.Output {
+			c.service = now.Sub(c.started)
+			return event(now)
+		})
+	}()
+}
+
+// callUpstream sends the request once and returns the machine's input.
+func (c *onceCall) callUpstream() onceEvent {
+	ctx, cancel := context.WithDeadline(c.executor.ctx, c.deadline.Add(lateAnswerTime))
+	defer cancel()
+	answer, err := c.slot.upstream.client.Do(ctx, upstreamRequest(c.head, c.body, c.deadline, true))
+	if errors.Is(err, web.ErrNotWritten) {
+		c.executor.startCrashCheck(c.slot)
+		return c.machine.UpstreamRefused
+	}
+	if err != nil {
+		c.executor.explainBreak(ctx, c.slot)
+		return c.machine.UpstreamFailed
+	}
+	defer answer.Response.Body.Close()
+	if refusedByUpstream(answer.Response) {
+		return c.machine.UpstreamRefused
+	}
+	body, err := readWhole(answer.Response.Body)
+	if err != nil {
+		c.executor.explainBreak(ctx, c.slot)
+		return c.machine.UpstreamFailed
+	}
+	c.executor.succeeded(c.head)
+	whole := ledger.Answer{
+		Status: answer.Response.StatusCode, Header: web.CopyHeader(answer.Response.Header), Body: body,
+	}
+	return func(now time.Time) []execution.Output { return c.machine.UpstreamAnswer(now, whole) }
+}
+
+func readWhole(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxOnceAnswerBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(web.ErrCut, "%v", err)
+	}
+	if len(data) > maxOnceAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	return data, nil
+}
+
+var onceReasons = map[execution.Reason]protocol.Reason{
+	execution.ReasonNone:       protocol.ReasonNone,
+	execution.ReasonDeadline:   protocol.ReasonDeadline,
+	execution.ReasonLedger:     protocol.ReasonLedger,
+	execution.ReasonKeyReused:  protocol.ReasonKeyReused,
+	execution.ReasonKeyExpired: protocol.ReasonKeyExpired,
+	execution.ReasonLedgerFull: protocol.ReasonLedger,
+	execution.ReasonReleased:   protocol.ReasonShed,
+	execution.ReasonClaimed:    protocol.ReasonInProgress,
+	execution.ReasonUpstream:   protocol.ReasonUpstreamFailed,
+}
+
+func (c *onceCall) reply(output execution.Reply) *reply {
+	reason := onceReasons[output.Reason]
+	switch output.Outcome {
+	case execution.OutcomeNotRun:
+		return refusal(reason)
+	case execution.OutcomeUnknown:
+		return uncertain(reason)
+	default:
+		return answerReply(output.Answer)
+	}
+}
+
+// answerReply passes on a recorded answer.
+func answerReply(answer *ledger.Answer) *reply {
+	if answer.Dropped {
+		return &reply{head: protocol.ReplyHead{
+			Outcome: protocol.OutcomeDone, Reason: protocol.ReasonAnswerDropped, Status: http.StatusGone,
+		}}
+	}
+	return &reply{
+		head: protocol.ReplyHead{
+			Outcome: protocol.OutcomeDone, Status: answer.Status, Header: answer.Header,
+			ContentLength: int64(len(answer.Body)),
+		},
+		body: answer.Body,
+	}
+}
--- /dev/null
+++ b/node/upstream.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/transport/web"
+)
+
+// ErrAnnouncement reports an announcement that cannot be accepted.
+var ErrAnnouncement = errors.New("node: invalid announcement")
+
+// Bounds of an announcement.
+const (
+	maxAnnouncedSlots       = 100_000
+	maxAnnouncedConnections = 100_000
+	defaultConnections      = 100
+)
+
+// Announcement is what an upstream tells the node beside it, by PUT to PathUpstream.
+type Announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections,omitempty"`
+	HealthPath  string `json:"health_path,omitempty"`
+	LoadPath    string `json:"load_path,omitempty"`
+}
+
+// Validate returns ErrAnnouncement with all faults.
+func (a Announcement) Validate() error {
+	var err error
+	add := func(field, allowed string) {
+		err = errors.CombineErrors(err, errors.Wrapf(ErrAnnouncement, "%s must be %s", field, allowed))
+	}
+	if a.Service == "" {
+		add("service", "the name of a service")
+	}
+	if _, _, splitErr := net.SplitHostPort(a.Address); splitErr != nil {
+		add("address", "an IP address and port")
+	}
+	if a.Slots < 1 || a.Slots > maxAnnouncedSlots {
+		add("slots", "from 1 to 100000")
+	}
+	if a.Connections < 0 || a.Connections > maxAnnouncedConnections {
+		add("connections", "from 0 to 100000")
+	}
+	return err
+}
+
+// upstreamState is what the node knows about its upstream.
+type upstreamState uint8
+
+const (
+	// upstreamAbsent: no upstream has announced itself.
+	upstreamAbsent upstreamState = iota
+	upstreamServing
+	// upstreamDown: the upstream refuses connections; it is probed until it accepts them.
+	upstreamDown
+	upstreamDraining
+)
+
+// String returns the name used in dumps.
+func (s upstreamState) String() string {
+	return [...]string{"absent", "serving", "down", "draining"}[s]
+}
+
+const (
+	// probeInterval is the time between two probes of an upstream that refuses connections.
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
+	// watchInterval is the time between two probes of a serving upstream, which find a crash while there are no calls.
+	watchInterval = time.Second
+	// watchFailures tolerates a connection that is lost or slow to open on a busy instance.
+	watchFailures = 2
+)
+
+// upstream is one announced upstream.
+type upstream struct {
+	announcement Announcement
+	client       *web.UpstreamClient
+}
+
+func newUpstream(announcement Announcement) *upstream {
+	connections := announcement.Connections
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	return &upstream{
+		announcement: announcement,
+		client:       web.NewUpstreamClient(announcement.Address, connections),
+	}
+}
+
+// accepts reports whether the upstream accepts connections.
+func (u *upstream) accepts(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return u.client.Probe(ctx) == nil
+}
+
+// selfReport reads the upstream's own load page for the dump. Decisions use only what the node knows at first hand,
+// since load pages lag or mislead.
+func (u *upstream) selfReport(ctx context.Context) json.RawMessage {
+	if u.announcement.LoadPath == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	const maxReportBytes = 4 << 10
+	_, body, err := u.client.Get(ctx, u.announcement.LoadPath, maxReportBytes)
+	if err != nil || !json.Valid(body) {
+		return nil
+	}
+	return body
+}
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -28,11 +28,17 @@
 	ContentLength int64 `cbor:"12,keyasint"`
 	// Incarnation is the executor's incarnation that the ingress chose; another one refuses the call.
 	Incarnation uint64 `cbor:"13,keyasint,omitempty"`
+	// Attempt is unique among the calls of one ingress incarnation.
+	Attempt uint64 `cbor:"17,keyasint,omitempty"`
 	// Fingerprint identifies the request among those that crash upstreams.
 	Fingerprint [16]byte `cbor:"14,keyasint"`
 	// Alone asks the executor to run the call with no other call in flight.
 	Alone   bool   `cbor:"15,keyasint,omitempty"`
 	Version uint64 `cbor:"16,keyasint,omitempty"`
+	// TrailerNames declares the trailer fields that follow a streamed body.
+	TrailerNames []string `cbor:"19,keyasint,omitempty"`
+	// RequestDigest identifies the content of an irreversible request.
+	RequestDigest [32]byte `cbor:"18,keyasint"`
 }
 
 // CallFrame is one message from ingress to executor. The first frame has a head; Last ends the request.
@@ -60,6 +66,8 @@
 	// ContentLength is -1 if the length is not known in advance.
 	ContentLength int64      `cbor:"5,keyasint,omitempty"`
 	Load          LoadReport `cbor:"6,keyasint"`
+	// Suspect tells that the request was in flight when the upstream crashed; it must not be retried automatically.
+	Suspect bool `cbor:"8,keyasint,omitempty"`
 	// Upstream is the time between the request written to the upstream and its answer read, as far as known.
 	Upstream time.Duration `cbor:"7,keyasint,omitempty"`
 }
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -38,3 +38,17 @@
 	Leader string `cbor:"3,keyasint,omitempty"`
 	Detail string `cbor:"4,keyasint,omitempty"`
 }
+
+// IdentifyRequest asks a control member who it is.
+type IdentifyRequest struct{}
+
+// IdentifyReply describes a control member.
+type IdentifyReply struct {
+	// ID is the random identity of the member's data folder.
+	ID string `cbor:"1,keyasint"`
+	// Formed tells that the member belongs to a group; a member with an empty log does not.
+	Formed bool `cbor:"2,keyasint,omitempty"`
+	// Admin is the address of the member's operator API.
+	Admin string `cbor:"3,keyasint,omitempty"`
+	Zone  string `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/protocol/mesh.go
@@ -0,0 +1,21 @@
+package protocol
+
+import (
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/coordination/relay"
+)
+
+// FollowFrame is one message of a Follow stream, in either direction. The first frame of each side has a Hello.
+type FollowFrame struct {
+	Hello   *relay.Hello   `cbor:"1,keyasint,omitempty"`
+	Message *relay.Message `cbor:"2,keyasint,omitempty"`
+}
+
+// StepFrame carries messages of one replicated log between members.
+type StepFrame struct {
+	Group    uint32         `cbor:"1,keyasint,omitempty"`
+	Messages []raft.Message `cbor:"2,keyasint"`
+}
+
+// StepAck ends a stream of StepFrame.
+type StepAck struct{}
--- /dev/null
+++ b/transport/rpc/client.go
@@ -0,0 +1,169 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// Dialer opens a connection to an IP address and port.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// reconnectDelay bounds the wait before a broken connection is dialled again; peers are few hops away and the
+// callers of this package spread their own retries.
+const (
+	reconnectDelay    = 100 * time.Millisecond
+	maxReconnectDelay = time.Second
+	connectTimeout    = 2 * time.Second
+)
+
+// Pool holds one connection for each peer address. It is safe for concurrent use.
+type Pool struct {
+	dialer    Dialer
+	transport credentials.TransportCredentials
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
+}
+
+// NewPool returns an empty pool. A nil transport means no TLS; a nil dialer dials TCP.
+func NewPool(dialer Dialer, transport credentials.TransportCredentials) *Pool {
+	if transport == nil {
+		transport = insecure.NewCredentials()
+	}
+	if dialer == nil {
+		dialer = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Pool{dialer: dialer, transport: transport, conns: make(map[string]*grpc.ClientConn)}
+}
+
+func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.Wrap(ErrCanceled, "pool is closed")
+	}
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.transport),
+		grpc.WithContextDialer(p.dialer),
+		grpc.WithDefaultCallOptions(
+			grpc.ForceCodecV2(codec{}),
+			grpc.MaxCallRecvMsgSize(maxMessageBytes),
+			grpc.MaxCallSendMsgSize(maxMessageBytes),
+		),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: reconnectDelay, Multiplier: 2, Jitter: 0.5, MaxDelay: maxReconnectDelay,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithDisableServiceConfig(),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnreachable, "%s: %v", address, err)
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Forget closes the connection to an address that is no longer used.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	conn := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = make(map[string]*grpc.ClientConn)
+	p.closed = true
+	p.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+var (
+	followStream = grpc.StreamDesc{StreamName: "Follow", ServerStreams: true, ClientStreams: true}
+	callStream   = grpc.StreamDesc{StreamName: "Call", ServerStreams: true, ClientStreams: true}
+	stepStream   = grpc.StreamDesc{StreamName: "Step", ClientStreams: true}
+)
+
+func openStream[Req, Res any](
+	ctx context.Context, p *Pool, address string, desc *grpc.StreamDesc, method string,
+) (*grpc.GenericClientStream[Req, Res], error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.NewStream(ctx, desc, method)
+	if err != nil {
+		return nil, errors.Wrapf(translate(err), "open stream to %s", address)
+	}
+	return &grpc.GenericClientStream[Req, Res]{ClientStream: stream}, nil
+}
+
+// Follow opens a Follow stream. The stream ends with the context.
+func (p *Pool) Follow(ctx context.Context, address string) (FollowClientStream, error) {
+	return openStream[protocol.FollowFrame, protocol.FollowFrame](ctx, p, address, &followStream, methodFollow)
+}
+
+// Call opens a Call stream. An error means that nothing was sent. The stream ends with the context.
+func (p *Pool) Call(ctx context.Context, address string) (CallClientStream, error) {
+	return openStream[protocol.CallFrame, protocol.ReplyFrame](ctx, p, address, &callStream, methodCall)
+}
+
+// Step opens a stream of log messages.
+func (p *Pool) Step(ctx context.Context, address string) (StepClientStream, error) {
+	return openStream[protocol.StepFrame, protocol.StepAck](ctx, p, address, &stepStream, methodStep)
+}
+
+// Propose sends a proposal and waits for its reply. After ErrUnreachable, ErrTimeout or ErrCanceled the command may
+// still be committed.
+func (p *Pool) Propose(
+	ctx context.Context, address string, request *protocol.ProposeRequest,
+) (*protocol.ProposeReply, error) {
+	return invoke[protocol.ProposeReply](ctx, p, address, methodPropose, request)
+}
+
+// Identify asks a control member who it is.
+func (p *Pool) Identify(ctx context.Context, address string) (*protocol.IdentifyReply, error) {
+	return invoke[protocol.IdentifyReply](ctx, p, address, methodIdentify, &protocol.IdentifyRequest{})
+}
+
+func invoke[Reply any](ctx context.Context, p *Pool, address, method string, request any) (*Reply, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	reply := new(Reply)
+	if err := conn.Invoke(ctx, method, request, reply); err != nil {
+		return nil, errors.Wrapf(translate(err), "%s at %s", method, address)
+	}
+	return reply, nil
+}
