--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -1,52 +1,385 @@
 package raft
 
-import "time"
+import (
+	"math/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/invariant"
+)
+
+// Defaults of Config.
+const (
+	defaultElectionTimeout     = time.Second
+	defaultHeartbeatInterval   = 150 * time.Millisecond
+	defaultPollInterval        = 250 * time.Millisecond
+	defaultMaxAppendBytes      = 256 << 10
+	defaultMaxInflightAppends  = 64
+	defaultMaxUncommittedBytes = 64 << 20
+	defaultTrailingEntries     = 1024
+)
 
 // Node is one member of the group. It is not safe for concurrent use.
-type Node struct{}
+type Node struct {
+	config Config
+	rng    *rand.Rand
+	now    time.Time
+
+	term, commit, applied uint64
+	vote                  MemberID
+	// persistedTerm and persistedVote are durable. Messages that depend on a newer term or vote wait for the write.
+	persistedTerm uint64
+	persistedVote MemberID
+
+	log             memoryLog
+	snapshot        Snapshot
+	pendingSnapshot *Snapshot
+	memberships     []membershipRecord
+
+	role             Role
+	leader           MemberID
+	leaderContact    time.Time
+	electionDeadline time.Time
+	votes            map[MemberID]bool
+	quorumLost       bool
+
+	leading   leading
+	freshness freshness
+
+	early, after []Message
+	readyPending bool
+}
+
+// leading is the state of a leader.
+type leading struct {
+	progress         map[MemberID]*progress
+	termStart        uint64 // index of the first entry of this term
+	uncommittedBytes int
+	nextHeartbeat    time.Time
+	round            uint64
+	rounds           []round
+	transferee       MemberID
+	transferDeadline time.Time
+	// replicate is set while members may have to be sent entries or a commit index.
+	replicate bool
+}
+
+// withDefaults replaces unset values.
+func (c Config) withDefaults() Config {
+	setDefault(&c.ElectionTimeout, defaultElectionTimeout)
+	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
+	setDefault(&c.PollInterval, defaultPollInterval)
+	setDefault(&c.MaxAppendBytes, defaultMaxAppendBytes)
+	setDefault(&c.MaxInflightAppends, defaultMaxInflightAppends)
+	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
+	setDefault(&c.TrailingEntries, defaultTrailingEntries)
+	return c
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+func (c Config) validate() error {
+	if c.ID == "" || c.Rand == nil {
+		return errors.New("raft: the configuration needs ID and Rand")
+	}
+	if c.HeartbeatInterval < 0 || c.ElectionTimeout <= 2*c.HeartbeatInterval {
+		return errors.Newf("raft: election timeout %v must exceed two heartbeat intervals of %v",
+			c.ElectionTimeout, c.HeartbeatInterval)
+	}
+	return nil
+}
+
+// New starts a member from its durable state. The application must have restored Restored.Snapshot; entries after it
+// are handed out again by Ready as they become committed.
+func New(now time.Time, c Config, r Restored) (*Node, error) {
+	c = c.withDefaults()
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	if err := r.validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		config: c, rng: c.Rand, now: now,
+		term: r.HardState.Term, vote: r.HardState.Vote,
+		commit:   max(r.HardState.Commit, r.Snapshot.Index),
+		applied:  r.Snapshot.Index,
+		snapshot: r.Snapshot,
+	}
+	// A crash may have hit between the writes of a snapshot and of the term in which it arrived. The member has not
+	// voted in that term, since a vote is written with its term.
+	if r.Snapshot.Term > n.term {
+		n.term, n.vote = r.Snapshot.Term, ""
+	}
+	n.persistedTerm, n.persistedVote = n.term, n.vote
+	n.log.reset(r.Snapshot)
+	n.log.append(r.Entries...)
+	n.log.stable = n.log.last()
+	if err := n.restoreMemberships(r); err != nil {
+		return nil, err
+	}
+	// A random start keeps replies to polls of an earlier run of this member from matching a poll of this one.
+	n.freshness.poll = n.rng.Uint64() >> 1
+	n.resetElectionDeadline()
+	return n, nil
+}
 
-// New starts a member from its durable state.
-func New(now time.Time, c Config, r Restored) (*Node, error) { panic("not implemented") }
+func (r Restored) validate() error {
+	previous := Entry{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
+	for _, entry := range r.Entries {
+		if entry.Index != previous.Index+1 || entry.Term < previous.Term {
+			return errors.Wrapf(ErrInvalidState, "entry %d of term %d follows entry %d of term %d",
+				entry.Index, entry.Term, previous.Index, previous.Term)
+		}
+		previous = entry
+	}
+	if r.HardState.Commit > previous.Index {
+		return errors.Wrapf(ErrInvalidState, "commit index %d is after the last entry %d", r.HardState.Commit, previous.Index)
+	}
+	if len(r.Entries) > 0 && previous.Term > r.HardState.Term && previous.Term > r.Snapshot.Term {
+		return errors.Wrapf(ErrInvalidState, "entry of term %d in term %d", previous.Term, r.HardState.Term)
+	}
+	return nil
+}
+
+// setNow advances time. A clock that steps back is ignored.
+func (n *Node) setNow(now time.Time) {
+	if now.After(n.now) {
+		n.now = now
+	}
+}
 
 // Tick advances time. It is called about every 20 ms.
-func (n *Node) Tick(now time.Time) {}
+func (n *Node) Tick(now time.Time) {
+	n.setNow(now)
+	if n.role == RoleLeader {
+		n.tickLeader()
+		return
+	}
+	n.tickPoll()
+	if !n.now.Before(n.electionDeadline) {
+		n.leader = ""
+		n.startPreVote()
+	}
+}
+
+func (n *Node) tickLeader() {
+	if !n.hasQuorumContact() {
+		n.becomeFollower(n.term, "")
+		n.quorumLost = true
+		return
+	}
+	if n.leading.transferee != "" && !n.now.Before(n.leading.transferDeadline) {
+		n.leading.transferee = ""
+	}
+	if !n.now.Before(n.leading.nextHeartbeat) {
+		n.startRound()
+	}
+}
 
 // Step processes a message from another member.
-func (n *Node) Step(now time.Time, m Message) error { return nil }
+func (n *Node) Step(now time.Time, m Message) error {
+	n.setNow(now)
+	if err := n.validateMessage(m); err != nil {
+		return err
+	}
+	if m.Term > n.term && !n.stepNewerTerm(m) {
+		return nil
+	}
+	if m.Term < n.term {
+		n.stepOlderTerm(m)
+		return nil
+	}
+	return n.stepSameTerm(m)
+}
 
-// Propose appends commands on the leader and returns the index of the first one and their term.
-func (n *Node) Propose(now time.Time, data ...[]byte) (first uint64, term uint64, err error) {
-	return 0, 0, ErrNotLeader
+func (n *Node) validateMessage(m Message) error {
+	if m.To != n.config.ID || m.From == "" || m.From == n.config.ID {
+		return errors.Wrapf(ErrInvalidMessage, "from %q to %q at %q", m.From, m.To, n.config.ID)
+	}
+	if m.Type == MessageSnapshot && m.Snapshot == nil {
+		return errors.Wrap(ErrInvalidMessage, "no snapshot")
+	}
+	previous := Entry{Index: m.Index, Term: m.LogTerm}
+	for _, entry := range m.Entries {
+		if entry.Index != previous.Index+1 || entry.Term < previous.Term || entry.Term > m.Term {
+			return errors.Wrapf(ErrInvalidMessage, "entry %d of term %d follows entry %d of term %d",
+				entry.Index, entry.Term, previous.Index, previous.Term)
+		}
+		if entry.Kind == EntryMembership {
+			if _, err := DecodeMembership(entry.Data); err != nil {
+				return errors.Wrapf(ErrInvalidMessage, "entry %d: %v", entry.Index, err)
+			}
+		}
+		previous = entry
+	}
+	return nil
 }
 
-// ProposeMembership appends a single-step membership change on the leader.
-func (n *Node) ProposeMembership(now time.Time, change MembershipChange) (index, term uint64, err error) {
-	return 0, 0, ErrNotLeader
+// stepNewerTerm adopts the term of a message. It returns false if the message is done with.
+func (n *Node) stepNewerTerm(m Message) bool {
+	switch m.Type {
+	case MessagePreVote:
+		n.handlePreVote(m)
+		return false
+	case MessagePreVoteReply:
+		if !m.Reject {
+			n.handlePreVoteReply(m)
+			return false
+		}
+	case MessageVote:
+		// Otherwise a member that was removed or cut off could depose a leader that has a quorum.
+		if n.hearsLeader() && !m.Force {
+			return false
+		}
+	}
+	leader := MemberID("")
+	if m.fromLeader() {
+		leader = m.From
+	}
+	n.becomeFollower(m.Term, leader)
+	return true
 }
 
-// TransferLeadership hands the leadership to another voter.
-func (n *Node) TransferLeadership(now time.Time, to MemberID) error { return ErrNotLeader }
+// fromLeader reports whether only a leader of the message's term sends such a message.
+func (m Message) fromLeader() bool {
+	switch m.Type {
+	case MessageAppend, MessageCommit, MessageHeartbeat, MessageSnapshot, MessagePollReply, MessageTimeoutNow:
+		return true
+	}
+	return false
+}
 
-// HasReady reports whether Ready would return work.
-func (n *Node) HasReady() bool { return false }
+// stepOlderTerm answers messages whose sender must learn of the newer term. Without the answer to a leader, a member
+// with a newer term could never rejoin: pre-vote keeps it from an election, and it ignores the leader.
+func (n *Node) stepOlderTerm(m Message) {
+	switch m.Type {
+	case MessagePreVote:
+		n.send(Message{To: m.From, Type: MessagePreVoteReply, Reject: true})
+	case MessageAppend, MessageHeartbeat, MessageSnapshot:
+		n.send(Message{To: m.From, Type: MessageAppendReply, Reject: true})
+	}
+}
 
-// Ready returns the next batch of work.
-func (n *Node) Ready() Ready { return Ready{} }
+func (n *Node) stepSameTerm(m Message) error {
+	if m.fromLeader() && !n.followLeader(m.From) {
+		return errors.Wrapf(ErrInvalidMessage, "second leader %q in term %d", m.From, m.Term)
+	}
+	switch m.Type {
+	case MessagePreVote:
+		n.handlePreVote(m)
+	case MessagePreVoteReply:
+		n.handlePreVoteReply(m)
+	case MessageVote:
+		n.handleVote(m)
+	case MessageVoteReply:
+		n.handleVoteReply(m)
+	case MessageAppend:
+		n.handleAppend(m)
+	case MessageAppendReply:
+		n.handleAppendReply(m)
+	case MessageCommit:
+		n.handleCommit(m)
+	case MessageHeartbeat:
+		n.handleHeartbeat(m)
+	case MessageHeartbeatReply:
+		n.handleHeartbeatReply(m)
+	case MessageSnapshot:
+		n.handleSnapshot(m)
+	case MessagePoll:
+		n.answerPoll(m)
+	case MessagePollReply:
+		n.handlePollReply(m)
+	case MessageTimeoutNow:
+		n.handleTimeoutNow()
+	default:
+		return errors.Wrapf(ErrInvalidMessage, "type %d", m.Type)
+	}
+	return nil
+}
 
-// Advance reports that a batch was persisted, sent and applied.
-func (n *Node) Advance(r Ready) {}
+// followLeader notes contact with the leader of this term. It returns false if the term has another leader.
+func (n *Node) followLeader(id MemberID) bool {
+	unique := n.leader == "" || n.leader == id
+	if !n.check(unique, "two leaders in one term", map[string]any{"leader": n.leader, "other": id}) {
+		return false
+	}
+	if n.role != RoleFollower || n.leader == "" {
+		n.becomeFollower(n.term, id)
+	}
+	n.leaderContact = n.now
+	n.resetElectionDeadline()
+	return true
+}
 
-// NewSnapshot completes an application snapshot at an applied index with its term and membership.
-func (n *Node) NewSnapshot(index uint64, data []byte) (Snapshot, error) { return Snapshot{}, nil }
+// check reports a violated invariant of this package's state.
+func (n *Node) check(ok bool, message string, values map[string]any) bool {
+	if ok {
+		return true
+	}
+	values["member"], values["term"], values["commit"] = n.config.ID, n.term, n.commit
+	return invariant.Check(false, invariant.Internal, "raft: "+message, values)
+}
 
-// Compact drops log entries that a durable snapshot covers.
-func (n *Node) Compact(snapshot Snapshot) error { return nil }
+// send queues a message. Votes and append replies promise what is durable and wait for the write.
+func (n *Node) send(m Message) {
+	m.From = n.config.ID
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	switch m.Type {
+	case MessageVote, MessageVoteReply, MessageAppendReply:
+		n.after = append(n.after, m)
+	default:
+		n.early = append(n.early, m)
+	}
+}
 
-// Status describes the member.
-func (n *Node) Status() Status { return Status{} }
+// broadcast sends a message to each other member that the filter selects.
+func (n *Node) broadcast(selected func(Member) bool, m Message) {
+	for _, member := range n.membership().Members {
+		if member.ID != n.config.ID && selected(member) {
+			m.To = member.ID
+			n.send(m)
+		}
+	}
+}
 
-// ConfirmedAge returns an upper bound on the time since a quorum confirmed the applied state as current.
-func (n *Node) ConfirmedAge(now time.Time) (time.Duration, bool) { return 0, false }
+func isVoter(member Member) bool { return !member.Learner }
 
-// DecodeMembership decodes the data of an EntryMembership entry.
-func DecodeMembership(data []byte) (Membership, error) { return Membership{}, nil }
+// quorumValue returns the greatest value that a quorum of the voters has reached.
+func (n *Node) quorumValue(value func(MemberID) uint64) uint64 {
+	var values []uint64
+	for _, id := range n.membership().Voters() {
+		values = append(values, value(id))
+	}
+	return quorumOf(values)
+}
+
+// Status describes the member.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.config.ID, Leader: n.leader, Role: n.role,
+		Term: n.term, Commit: n.commit, Applied: n.applied,
+		FirstIndex: n.log.first(), LastIndex: n.log.last(), StableIndex: n.log.stable,
+		SnapshotIndex:     n.snapshot.Index,
+		Membership:        n.membership(),
+		MembershipPending: n.membershipPending(),
+		QuorumLost:        n.quorumLost,
+		Transferring:      n.leading.transferee,
+	}
+	if n.role != RoleLeader {
+		return s
+	}
+	s.Progress = make(map[MemberID]MemberProgress)
+	for id, p := range n.leading.progress {
+		s.Progress[id] = p.status(n.now)
+	}
+	return s
+}
--- /dev/null
+++ b/coordination/raft/random_test.go
@@ -0,0 +1,107 @@
+package raft_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
+)
+
+// Guards against lost or changed committed entries, two leaders in a term, diverging logs, ages below the true age, and
+// groups that do not recover, under any schedule of faults.
+func TestRandomSchedules(t *testing.T) {
+	lagChecks, commits, leaders, removals := 0, 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.Int64().Draw(t, "seed"), voters("a", "b", "c"), "d", "e")
+		c.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		c.duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplication")
+		c.delay = time.Duration(rapid.SampledFrom([]int{0, 20, 200}).Draw(t, "delay")) * time.Millisecond
+		c.write = time.Duration(rapid.SampledFrom([]int{0, 10, 100}).Draw(t, "write")) * time.Millisecond
+		c.run(2 * time.Second)
+		for range rapid.IntRange(10, 60).Draw(t, "actions") {
+			m := rapid.SampledFrom(c.members).Draw(t, "member")
+			removals += c.act(t, rapid.IntRange(0, 11).Draw(t, "action"), m)
+			c.run(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+		}
+		c.recoverAll(t)
+		lagChecks, commits, leaders = lagChecks+c.lagChecks, commits+len(c.states), leaders+len(c.leaders)
+	})
+	t.Logf("%d age checks of lagging members, %d entries, %d terms with a leader, %d removals", lagChecks, commits, leaders, removals)
+	if lagChecks < 1000 || commits < 1000 || removals < 10 {
+		t.Error("the schedules hardly exercise the group")
+	}
+}
+
+// act applies one fault or request. It returns 1 if a member is removed.
+func (c *cluster) act(t *rapid.T, action int, m *member) int {
+	leader := c.leader()
+	switch action {
+	case 0:
+		if m.node != nil {
+			c.crash(m)
+		}
+	case 1, 2:
+		if m.node == nil {
+			c.restart(m)
+		}
+	case 3:
+		c.isolate(m.id)
+	case 4:
+		c.isolate(m.id, rapid.SampledFrom(c.members).Draw(t, "second").id)
+	case 5:
+		other := rapid.SampledFrom(c.members).Draw(t, "receiver")
+		c.cut[[2]raft.MemberID{m.id, other.id}] = true
+	case 6:
+		c.heal()
+	case 7:
+		if leader != nil {
+			_ = leader.node.TransferLeadership(c.local(leader), m.id)
+		}
+	case 8:
+		if leader == nil {
+			return 0
+		}
+		if c.change(leader, raft.ChangeAddLearner, m.id) != nil {
+			_ = c.change(leader, raft.ChangePromote, m.id)
+		}
+	case 9:
+		if leader != nil && len(leader.node.Status().Membership.Voters()) > 2 && c.change(leader, raft.ChangeRemove, m.id) == nil {
+			return 1
+		}
+	default:
+		if leader != nil {
+			_ = c.propose(leader, rapid.IntRange(1, 40).Draw(t, "count"))
+		}
+	}
+	return 0
+}
+
+// recoverAll ends all faults and expects the group to commit and to bring all members up to date.
+func (c *cluster) recoverAll(t *rapid.T) {
+	c.heal()
+	c.loss, c.duplication, c.delay, c.write = 0, 0, 0, 2*time.Millisecond
+	for _, m := range c.members {
+		if m.node == nil {
+			c.restart(m)
+		}
+	}
+	c.run(8 * time.Second)
+	leader := c.elect()
+	if err := c.propose(leader, 1); err != nil {
+		t.Fatal(err)
+	}
+	c.run(8 * time.Second)
+	last := leader.node.Status().LastIndex
+	if leader != c.leader() || last < uint64(len(c.states)-1) {
+		t.Fatalf("leadership is not stable, or the leader lost entries: last %d of %d", last, len(c.states)-1)
+	}
+	for _, member := range leader.node.Status().Membership.Members {
+		m := c.member(member.ID)
+		age, ok := m.node.ConfirmedAge(c.local(m))
+		if m.applied != last || !ok || age > time.Second {
+			t.Fatalf("%s applied %d of %d, age %v (%v)", m.id, m.applied, last, age, ok)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/raft/ready.go
@@ -0,0 +1,79 @@
+package raft
+
+// HasReady reports whether Ready would return work. It returns false while a Ready is outstanding.
+func (n *Node) HasReady() bool {
+	if n.readyPending {
+		return false
+	}
+	return n.mustSync() || n.leading.replicate || len(n.early)+len(n.after) > 0 || n.applied < n.commit
+}
+
+// mustSync reports whether there is something to make durable. A commit index alone is not: it is learned again.
+func (n *Node) mustSync() bool {
+	return n.hardStateChanged() || n.pendingSnapshot != nil || n.log.stable < n.log.last()
+}
+
+func (n *Node) hardStateChanged() bool {
+	return n.term != n.persistedTerm || n.vote != n.persistedVote
+}
+
+// Ready returns the next batch of work. Every batch is followed by Advance; Tick, Step and Propose may be called in
+// between, so that a write does not delay them.
+func (n *Node) Ready() Ready {
+	if !n.check(!n.readyPending, "Ready before Advance", map[string]any{}) {
+		return Ready{}
+	}
+	if n.role == RoleLeader && n.leading.replicate {
+		n.replicateAll()
+	}
+	r := Ready{
+		HardState: HardState{Term: n.term, Vote: n.vote, Commit: n.commit},
+		MustSync:  n.mustSync(),
+		Entries:   n.log.unstable(),
+		Snapshot:  n.pendingSnapshot,
+		Early:     n.early,
+		Messages:  n.after,
+	}
+	if n.pendingSnapshot == nil && n.applied < n.commit {
+		r.Committed = n.log.slice(n.applied+1, n.commit, n.config.MaxAppendBytes)
+	}
+	if n.hardStateChanged() {
+		// After a crash before the write, this member could act in the same term again with other entries.
+		r.Early, r.Messages = nil, append(r.Early, r.Messages...)
+	}
+	n.early, n.after = nil, nil
+	n.readyPending = true
+	return r
+}
+
+// Advance reports that a batch was persisted, sent and applied.
+func (n *Node) Advance(r Ready) {
+	if !n.check(n.readyPending, "Advance without Ready", map[string]any{}) {
+		return
+	}
+	n.readyPending = false
+	n.persistedTerm, n.persistedVote = r.HardState.Term, r.HardState.Vote
+	if r.Snapshot != nil {
+		n.advanceApplied(r.Snapshot.Index)
+		if n.pendingSnapshot == r.Snapshot {
+			n.pendingSnapshot = nil
+		}
+	}
+	if count := len(r.Entries); count > 0 {
+		n.log.stableTo(r.Entries[count-1].Index, r.Entries[count-1].Term)
+	}
+	if count := len(r.Committed); count > 0 {
+		n.advanceApplied(r.Committed[count-1].Index)
+	}
+	n.freshness.advance(n.applied)
+	if n.role == RoleLeader {
+		n.leading.progress[n.config.ID].match = n.log.stable
+		n.advanceCommit()
+	}
+}
+
+func (n *Node) advanceApplied(index uint64) {
+	if n.check(index >= n.applied && index <= n.commit, "applied index out of order", map[string]any{"index": index}) {
+		n.applied = index
+	}
+}
