Read and check the settings of node and control

Decoding starts from the defaults, is strict and reports all faults at once; a field that cannot be decoded is not reported a second time for its zero value. The heartbeat interval is at most a third of the election timeout, as one lost message would otherwise start an election. A spec compares the reference page with the fields, and another parses its examples.

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -46,6 +46,17 @@
 	return d.problems
 }
 
+// Keys returns the top-level keys of a JSON object; it is empty if data is no object.
+func Keys(data []byte) map[string]bool {
+	var members map[string]json.RawMessage
+	_ = json.Unmarshal(data, &members)
+	keys := make(map[string]bool, len(members))
+	for key := range members {
+		keys[key] = true
+	}
+	return keys
+}
+
 // position names the line and column of a syntax error.
 func position(data []byte, err error) string {
 	offset := len(data)
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,247 @@
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sapphiregate.example/sapphiregate/internal/strictjson"
+)
+
+// Bounds of numbers and durations.
+const (
+	maxNameLength     = 63
+	maxCalls          = 1_000_000
+	minHeaderBytes    = 4 << 10
+	maxHeaderBytes    = 64 << 10
+	maxBodyBytes      = 64 << 20
+	maxDrainTimeout   = 10 * time.Minute
+	maxSlots          = 10_000
+	maxConnections    = 100_000
+	minHealthInterval = 100 * time.Millisecond
+	maxHealthInterval = time.Minute
+	maxZoneDelay      = time.Second
+
+	minElectionTimeout   = 100 * time.Millisecond
+	maxElectionTimeout   = 30 * time.Second
+	minHeartbeatInterval = 10 * time.Millisecond
+	minAppendBytes       = 64 << 10
+	maxAppendBytes       = 64 << 20
+	minSnapshotEntries   = 100
+	maxSnapshotEntries   = 10_000_000
+	maxDirectFollowers   = 1_000
+	maxJoinsPerSecond    = 10_000
+	minLedgerBytes       = 16 << 20
+	maxLedgerBytes       = 64 << 30
+	// heartbeatsPerElection is the least number of heartbeats in an election timeout; fewer would let one lost message
+	// start an election.
+	heartbeatsPerElection = 3
+)
+
+// checker collects the problems of one file.
+type checker struct {
+	file     string
+	problems Problems
+	// faulty lists the fields that could not be decoded; their zero values are not reported again.
+	faulty []string
+}
+
+func (c *checker) err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return c.problems
+}
+
+func (c *checker) add(field, value, allowed string) {
+	for _, path := range c.faulty {
+		if path == field || strings.HasPrefix(path, field+".") || strings.HasPrefix(field, path+".") {
+			return
+		}
+	}
+	c.problems = append(c.problems, Problem{File: c.file, Field: field, Value: value, Allowed: allowed})
+}
+
+func (c *checker) node(n Node) {
+	c.name("instance", n.Instance)
+	c.name("zone", n.Zone)
+	c.address("callers", n.Callers)
+	c.address("mesh", n.Mesh)
+	c.address("admin", n.Admin)
+	c.reachable("advertise", n.Advertise)
+	c.distinct(map[string]string{"callers": n.Callers, "mesh": n.Mesh, "admin": n.Admin})
+	if len(n.Join) == 0 {
+		c.add("join", "no address", "at least one mesh address of a control member or node")
+	}
+	c.joins(n.Join)
+	c.tls(n.TLS)
+	c.path("keyring", n.Keyring)
+	c.delays(n.ZoneDelays)
+	c.upstream(n.Upstream)
+	c.between("limits.max_calls", int64(n.Limits.MaxCalls), 1, maxCalls)
+	c.between("limits.max_header_bytes", int64(n.Limits.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes)
+	c.between("limits.max_body_bytes", n.Limits.MaxBodyBytes, 1, maxBodyBytes)
+	c.during("limits.drain_timeout", n.Limits.DrainTimeout, time.Second, maxDrainTimeout)
+}
+
+func (c *checker) upstream(u *Upstream) {
+	if u == nil {
+		return
+	}
+	c.name("upstream.service", u.Service)
+	c.reachable("upstream.address", u.Address)
+	c.between("upstream.slots", int64(u.Slots), 1, maxSlots)
+	c.between("upstream.connections", int64(u.Connections), 1, maxConnections)
+	c.urlPath("upstream.health_path", u.HealthPath)
+	c.during("upstream.health_interval", u.HealthInterval, minHealthInterval, maxHealthInterval)
+	if u.LoadPath != "" {
+		c.urlPath("upstream.load_path", u.LoadPath)
+	}
+}
+
+func (c *checker) control(s Control) {
+	c.name("instance", s.Instance)
+	c.name("zone", s.Zone)
+	c.address("mesh", s.Mesh)
+	c.address("admin", s.Admin)
+	c.reachable("advertise", s.Advertise)
+	c.reachable("advertise_admin", s.AdvertiseAdmin)
+	c.distinct(map[string]string{"mesh": s.Mesh, "admin": s.Admin})
+	c.path("data_folder", s.DataFolder)
+	c.tls(s.TLS)
+	c.path("keyring", s.Keyring)
+	c.peers(s)
+	c.joins(s.Join)
+	c.delays(s.ZoneDelays)
+	l := s.Limits
+	c.during("limits.election_timeout", l.ElectionTimeout, minElectionTimeout, maxElectionTimeout)
+	c.during("limits.heartbeat_interval", l.HeartbeatInterval, minHeartbeatInterval,
+		max(minHeartbeatInterval, l.ElectionTimeout.Std()/heartbeatsPerElection))
+	c.between("limits.max_append_bytes", int64(l.MaxAppendBytes), minAppendBytes, maxAppendBytes)
+	c.between("limits.snapshot_entries", int64(l.SnapshotEntries), minSnapshotEntries, maxSnapshotEntries)
+	c.between("limits.direct_followers", int64(l.DirectFollowers), 1, maxDirectFollowers)
+	c.between("limits.joins_per_second", int64(l.JoinsPerSecond), 1, maxJoinsPerSecond)
+	c.between("limits.max_ledger_bytes", int64(l.MaxLedgerBytes), minLedgerBytes, maxLedgerBytes)
+}
+
+// peers checks the members of the first start. The own address must be among them, so that all members start with the
+// same membership.
+func (c *checker) peers(s Control) {
+	if len(s.Peers) == 0 && len(s.Join) == 0 {
+		c.add("peers", "no member", "the members of the first start, or join addresses of a running group")
+	}
+	if len(s.Peers) > 0 && len(s.Join) > 0 {
+		c.add("join", "addresses", "no address when peers is set")
+	}
+	var addresses []string
+	for i, peer := range s.Peers {
+		field := fmt.Sprintf("peers[%d]", i)
+		c.reachable(field+".address", peer.Address)
+		c.reachable(field+".admin", peer.Admin)
+		c.name(field+".zone", peer.Zone)
+		if slices.Contains(addresses, peer.Address) {
+			c.add(field+".address", strictjson.Quote(peer.Address), "each address once")
+		}
+		addresses = append(addresses, peer.Address)
+	}
+	if len(s.Peers) > 0 && !slices.Contains(addresses, s.Advertise) {
+		c.add("peers", strings.Join(addresses, ", "), "a list with the own address "+strictjson.Quote(s.Advertise))
+	}
+}
+
+func (c *checker) name(field, value string) {
+	valid := len(value) > 0 && len(value) <= maxNameLength && !strings.ContainsFunc(value, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '.'
+	})
+	if !valid {
+		c.add(field, strictjson.Quote(value), fmt.Sprintf("1 to %d of a-z, 0-9, - and .", maxNameLength))
+	}
+}
+
+// address checks a listen address; its host may be empty, which means all interfaces, and its port may be 0.
+func (c *checker) address(field, value string) {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || portErr != nil || (host != "" && net.ParseIP(host) == nil) || strconv.FormatUint(number, 10) != port {
+		c.add(field, strictjson.Quote(value), "an IP address and a port such as 10.0.0.1:7000")
+	}
+}
+
+// reachable checks an address that others dial.
+func (c *checker) reachable(field, value string) {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	ip := net.ParseIP(host)
+	if err != nil || portErr != nil || ip == nil || ip.IsUnspecified() || number == 0 {
+		c.add(field, strictjson.Quote(value), "an IP address that others can dial, and a port such as 10.0.0.1:7000")
+	}
+}
+
+func (c *checker) joins(addresses []string) {
+	for i, address := range addresses {
+		c.reachable(fmt.Sprintf("join[%d]", i), address)
+	}
+}
+
+// distinct checks that no two listeners have the same address.
+func (c *checker) distinct(addresses map[string]string) {
+	users := make(map[string]string)
+	for _, field := range slices.Sorted(maps.Keys(addresses)) {
+		address := addresses[field]
+		if address == "" || strings.HasSuffix(address, ":0") {
+			continue
+		}
+		if other, ok := users[address]; ok {
+			c.add(field, strictjson.Quote(address), "an address other than that of "+other)
+		}
+		users[address] = field
+	}
+}
+
+func (c *checker) tls(t TLS) {
+	files := []struct{ field, value string }{
+		{"tls.certificate", t.Certificate}, {"tls.key", t.Key}, {"tls.ca", t.CA},
+	}
+	for _, file := range files {
+		if t.Insecure && file.value != "" {
+			c.add(file.field, strictjson.Quote(file.value), "no value when tls.insecure is true")
+		}
+		if !t.Insecure && file.value == "" {
+			c.add(file.field, `""`, "a file name, or tls.insecure set to true")
+		}
+	}
+}
+
+func (c *checker) path(field, value string) {
+	if value == "" {
+		c.add(field, `""`, "a path")
+	}
+}
+
+func (c *checker) urlPath(field, value string) {
+	if !strings.HasPrefix(value, "/") || strings.ContainsAny(value, " \t\r\n") {
+		c.add(field, strictjson.Quote(value), "a path that starts with /")
+	}
+}
+
+func (c *checker) delays(delays map[string]Duration) {
+	for _, zone := range slices.Sorted(maps.Keys(delays)) {
+		c.during("zone_delays."+zone, delays[zone], 0, maxZoneDelay)
+	}
+}
+
+func (c *checker) between(field string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(field, strconv.FormatInt(value, 10), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) during(field string, value Duration, low, high time.Duration) {
+	if value.Std() < low || value.Std() > high {
+		c.add(field, strictjson.Quote(value.Std().String()), fmt.Sprintf("%s to %s", low, high))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,47 +1,6 @@
 // Package settings reads the JSON settings of the node and control processes.
 package settings
 
-import (
-	"crypto/tls"
-	"fmt"
-	"strings"
-	"time"
-)
-
-// Duration is a time.Duration that is written as a string such as "250ms".
-type Duration time.Duration
-
-// Std returns the value as a time.Duration.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// MarshalText encodes the duration as a string.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// UnmarshalText decodes a string such as "250ms".
-func (d *Duration) UnmarshalText(text []byte) error {
-	value, err := time.ParseDuration(string(text))
-	if err != nil {
-		return err
-	}
-	*d = Duration(value)
-	return nil
-}
-
-// TLS names the files that secure connections between processes and with operators.
-type TLS struct {
-	Certificate string `json:"certificate,omitempty"`
-	Key         string `json:"key,omitempty"`
-	CA          string `json:"ca,omitempty"`
-	// Insecure switches TLS off. The file names must then be empty.
-	Insecure bool `json:"insecure,omitempty"`
-}
-
-// ServerConfig returns the configuration of a server that demands client certificates, or nil if TLS is off.
-func (t TLS) ServerConfig() (*tls.Config, error) { return nil, nil }
-
-// ClientConfig returns the configuration of a client, or nil if TLS is off.
-func (t TLS) ClientConfig() (*tls.Config, error) { return nil, nil }
-
 // Upstream describes the local upstream of a node.
 type Upstream struct {
 	// Service is the service that the upstream serves.
@@ -139,46 +98,3 @@
 	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
 	Limits     ControlLimits       `json:"limits"`
 }
-
-// Problem is one fault in a settings file.
-type Problem struct {
-	File    string `json:"file,omitempty"`
-	Field   string `json:"field"`
-	Value   string `json:"value"`
-	Allowed string `json:"allowed"`
-}
-
-// String formats the problem as one line.
-func (p Problem) String() string {
-	return fmt.Sprintf("%s: %s: got %s, allowed: %s", p.File, p.Field, p.Value, p.Allowed)
-}
-
-// Problems lists all faults of a settings file.
-type Problems []Problem
-
-// Error formats one problem per line.
-func (p Problems) Error() string {
-	lines := []string{fmt.Sprintf("settings: %d problems", len(p))}
-	for _, problem := range p {
-		lines = append(lines, problem.String())
-	}
-	return strings.Join(lines, "\n")
-}
-
-// DefaultNode returns the defaults of a node.
-func DefaultNode() Node { return Node{} }
-
-// DefaultControl returns the defaults of a control process.
-func DefaultControl() Control { return Control{} }
-
-// LoadNode reads the settings of a node. The error is of type Problems when the content is at fault.
-func LoadNode(file string) (Node, error) { return Node{}, nil }
-
-// LoadControl reads the settings of a control process. The error is of type Problems when the content is at fault.
-func LoadControl(file string) (Control, error) { return Control{}, nil }
-
-// ParseNode decodes the settings of a node; file is used in error messages.
-func ParseNode(file string, data []byte) (Node, error) { return Node{}, nil }
-
-// ParseControl decodes the settings of a control process; file is used in error messages.
-func ParseControl(file string, data []byte) (Control, error) { return Control{}, nil }
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,119 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 20261204
+	RunSpecs(t, "settings", suite, reporter)
+}
+
+// examples returns the JSON examples of the reference page.
+func examples() (page, node, control string) {
+	data, err := os.ReadFile("../docs/settings.md")
+	Expect(err).NotTo(HaveOccurred())
+	blocks := regexp.MustCompile("(?s)```json\n(.*?)```").FindAllStringSubmatch(string(data), -1)
+	Expect(blocks).To(HaveLen(2))
+	return string(data), blocks[0][1], blocks[1][1]
+}
+
+func lines(err error) []string {
+	GinkgoHelper()
+	Expect(err).To(BeAssignableToTypeOf(settings.Problems{}))
+	return strings.Split(err.Error(), "\n")[1:]
+}
+
+var _ = Describe("Settings", func() {
+	It("accepts the examples of the reference page and fills in defaults", func() {
+		_, nodeText, controlText := examples()
+		node, err := settings.ParseNode("node.json", []byte(nodeText))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(node.Advertise).To(Equal(node.Mesh))
+		Expect(node.Upstream.HealthPath).To(Equal("/health"))
+		Expect(node.ZoneDelays["luzon-b"].Std()).To(Equal(4 * time.Millisecond))
+		control, err := settings.ParseControl("control.json", []byte(controlText))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(control.Limits).To(Equal(settings.DefaultControl().Limits))
+		Expect(control.AdvertiseAdmin).To(Equal(control.Admin))
+		again, err := json.Marshal(control)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.ParseControl("again.json", again)).To(Equal(control))
+	})
+
+	It("documents every field, so that the reference page does not fall behind", func() {
+		page, _, _ := examples()
+		var visit func(t reflect.Type)
+		visit = func(t reflect.Type) {
+			for i := range t.NumField() {
+				name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+				Expect(page).To(ContainSubstring("`" + name + "`"))
+				inner := t.Field(i).Type
+				for inner.Kind() == reflect.Pointer || inner.Kind() == reflect.Slice {
+					inner = inner.Elem()
+				}
+				if inner.Kind() == reflect.Struct {
+					visit(inner)
+				}
+			}
+		}
+		visit(reflect.TypeFor[settings.Node]())
+		visit(reflect.TypeFor[settings.Control]())
+	})
+
+	It("reports all faults of a node at once", func() {
+		_, err := settings.ParseNode("n.json", []byte(`{"instance":"A","zone":"z","callers":"nowhere","mesh":":7000",
+			"admin":":7000","join":["h:1"],"tls":{"insecure":true,"ca":"x"},"keyring":"k","listen":1,
+			"upstream":{"service":"s","address":"127.0.0.1:1","slots":0,"health_interval":"fast"},
+			"limits":{"drain_timeout":5}}`))
+		Expect(lines(err)).To(Equal([]string{
+			`n.json: listen: got unknown field, allowed: one of instance, zone, callers, mesh, admin, advertise, join, tls, ` +
+				`keyring, upstream, zone_delays, limits`,
+			`n.json: upstream.health_interval: got "fast", allowed: a duration such as "250ms" or "3s"`,
+			`n.json: limits.drain_timeout: got 5, allowed: a duration such as "250ms" or "3s"`,
+			`n.json: instance: got "A", allowed: 1 to 63 of a-z, 0-9, - and .`,
+			`n.json: callers: got "nowhere", allowed: an IP address and a port such as 10.0.0.1:7000`,
+			`n.json: advertise: got ":7000", allowed: an IP address that others can dial, and a port such as 10.0.0.1:7000`,
+			`n.json: mesh: got ":7000", allowed: an address other than that of admin`,
+			`n.json: join[0]: got "h:1", allowed: an IP address that others can dial, and a port such as 10.0.0.1:7000`,
+			`n.json: tls.ca: got "x", allowed: no value when tls.insecure is true`,
+			`n.json: upstream.slots: got 0, allowed: 1 to 10000`,
+		}))
+	})
+
+	DescribeTable("refuses control settings that cannot work",
+		func(old, changed, want string) {
+			_, _, text := examples()
+			Expect(text).To(ContainSubstring(old))
+			_, err := settings.ParseControl("c.json", []byte(strings.Replace(text, old, changed, 1)))
+			Expect(lines(err)).To(ContainElement(HavePrefix("c.json: " + want)))
+		},
+		Entry("a heartbeat that one lost message turns into an election", `"zone"`,
+			`"limits":{"election_timeout":"200ms","heartbeat_interval":"150ms"},"zone"`, "limits.heartbeat_interval"),
+		Entry("a first membership without the member itself", `"address": "10.1.0.2:7000"`,
+			`"address": "10.1.0.9:7000"`, "peers: "),
+		Entry("both peers and join", `"zone"`, `"join":["10.1.0.9:7000"],"zone"`, "join"),
+		Entry("a peer twice", `"10.2.0.2:7000"`, `"10.3.0.2:7000"`, "peers[2].address"),
+		Entry("no certificate", `"certificate": "/etc/sapphiregate/control.pem",`, ``, "tls.certificate"),
+		Entry("no data folder", `/var/lib/sapphiregate`, ``, "data_folder"),
+	)
+
+	It("finds unusable TLS files at the start", func() {
+		_, err := settings.TLS{Certificate: "none", Key: "none", CA: "none"}.ServerConfig()
+		Expect(err).To(MatchError(settings.ErrTLS))
+		Expect(settings.TLS{Insecure: true}.ClientConfig()).To(BeNil())
+	})
+})
