--- /dev/null
+++ b/ctl/bundle.go
@@ -0,0 +1,252 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// maxBuiltBytes bounds a built bundle file.
+const maxBuiltBytes = registry.MaxUpdateBytes
+
+// built is a bundle with its complete update.
+type built struct {
+	bundle  *bundle.Bundle
+	update  bundle.Update
+	encoded []byte
+}
+
+// openBundle reads a folder of bundle files or a file that 'bundle build' wrote, and validates it.
+func openBundle(path string) (built, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return built{}, errors.Wrap(err, "open bundle")
+	}
+	if info.IsDir() {
+		return buildFolder(path)
+	}
+	return openBuilt(path)
+}
+
+func buildFolder(folder string) (built, error) {
+	b, err := bundle.Load(folder)
+	if err != nil {
+		return built{}, err
+	}
+	parts, manifest, err := bundle.Split(b)
+	if err != nil {
+		return built{}, err
+	}
+	update := bundle.Update{
+		Target: manifest.Digest(), Delta: bundle.Diff(bundle.Manifest{}, manifest), Parts: distinct(parts),
+	}
+	encoded, err := registry.EncodeUpdate(update)
+	return built{bundle: b, update: update, encoded: encoded}, err
+}
+
+// distinct drops parts that occur under several names.
+func distinct(parts []bundle.Part) []bundle.Part {
+	seen := make(map[bundle.Digest]bool, len(parts))
+	var list []bundle.Part
+	for _, part := range parts {
+		if !seen[part.Digest] {
+			seen[part.Digest] = true
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+func openBuilt(file string) (built, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return built{}, errors.Wrap(err, "open bundle")
+	}
+	defer f.Close()
+	encoded, err := io.ReadAll(io.LimitReader(f, maxBuiltBytes))
+	if err != nil {
+		return built{}, errors.Wrap(err, "read bundle")
+	}
+	update, err := registry.DecodeUpdate(encoded)
+	if err != nil {
+		return built{}, errors.Wrapf(err, "%s is neither a folder nor a built bundle", file)
+	}
+	store := bundle.NewStore()
+	if err := store.Add(update); err != nil {
+		return built{}, errors.Wrapf(err, "%s is damaged", file)
+	}
+	b, err := store.Bundle(update.Target)
+	if err != nil {
+		return built{}, errors.Wrapf(err, "%s is damaged", file)
+	}
+	return built{bundle: b, update: update, encoded: encoded}, bundle.Validate(b).Err()
+}
+
+// summary is the output of validate and build.
+type summary struct {
+	Digest    bundle.Digest `json:"digest"`
+	Services  int           `json:"services"`
+	Routes    int           `json:"routes"`
+	Resources int           `json:"resources"`
+	File      string        `json:"file,omitempty"`
+}
+
+func (b built) summary(file string) summary {
+	return summary{Digest: b.update.Target, Services: len(b.bundle.Services), Routes: len(b.bundle.Routes),
+		Resources: len(b.bundle.Resources), File: file}
+}
+
+func (s summary) print(w io.Writer) {
+	fmt.Fprintf(w, "digest\t%s\n", s.Digest)
+	fmt.Fprintf(w, "content\t%d services, %d routes, %d resources\n", s.Services, s.Routes, s.Resources)
+	if s.File != "" {
+		fmt.Fprintf(w, "file\t%s\n", s.File)
+	}
+}
+
+func (a *app) bundleCommand() *cobra.Command {
+	return group("bundle", "Work on bundle files; needs no control member",
+		a.validateCommand(), a.buildCommand(), a.diffCommand(), a.signCommand())
+}
+
+func (a *app) validateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "validate FOLDER|FILE",
+		Short: "Check a bundle and list all of its faults",
+		Args:  exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := openBundle(args[0])
+			if err != nil {
+				return err
+			}
+			s := b.summary("")
+			return a.print(c, s, s.print)
+		},
+	}
+}
+
+func (a *app) buildCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "build FOLDER --file FILE",
+		Short: "Write a bundle in canonical form into one file",
+		Args:  exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if file == "" {
+				return usage("--file is not set")
+			}
+			b, err := openBundle(args[0])
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(file, b.encoded, 0o644); err != nil {
+				return errors.Wrap(err, "write bundle")
+			}
+			s := b.summary(file)
+			return a.print(c, s, s.print)
+		},
+	}
+	command.Flags().StringVar(&file, "file", "", "file to write")
+	return command
+}
+
+func (a *app) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff OLD NEW",
+		Short: "Show the differences between two bundles, each a folder or a built file",
+		Args:  exactly(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			from, err := openBundle(args[0])
+			if err != nil {
+				return err
+			}
+			to, err := openBundle(args[1])
+			if err != nil {
+				return err
+			}
+			changes := append([]bundle.Change{}, bundle.Changes(from.bundle, to.bundle)...)
+			return a.print(c, changes, func(w io.Writer) { printChanges(w, changes) })
+		},
+	}
+}
+
+func printChanges(w io.Writer, changes []bundle.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "no differences")
+	}
+	for _, change := range changes {
+		fmt.Fprintln(w, change)
+	}
+}
+
+func (a *app) signCommand() *cobra.Command {
+	var version, replaces uint64
+	var file string
+	command := &cobra.Command{
+		Use:   "sign FOLDER|FILE --version N",
+		Short: "Write a signed approval, for 'approve --approval' on another instance",
+		Args:  exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			b, err := openBundle(args[0])
+			if err != nil {
+				return err
+			}
+			approval, err := a.sign(b.update.Target, version, replaces)
+			if err != nil {
+				return err
+			}
+			return a.writeApproval(c, approval, file)
+		},
+	}
+	command.Flags().Uint64Var(&version, "version", 0, "version of the approval")
+	command.Flags().Uint64Var(&replaces, "replaces", 0, "version that must still be the latest")
+	command.Flags().StringVar(&file, "file", "", "file to write; default: standard output")
+	return command
+}
+
+// sign returns an approval with the signature of the operator's key.
+func (a *app) sign(digest bundle.Digest, version, replaces uint64) (bundle.Approval, error) {
+	if version == 0 {
+		return bundle.Approval{}, usage("--version is not set")
+	}
+	key, err := a.loadKey()
+	if err != nil {
+		return bundle.Approval{}, err
+	}
+	return bundle.Sign(key.Key, bundle.Approval{
+		Version: version, Digest: digest, Operator: key.Operator, Replaces: replaces,
+	}), nil
+}
+
+func (a *app) writeApproval(c *cobra.Command, approval bundle.Approval, file string) error {
+	data, err := json.MarshalIndent(approval, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode approval")
+	}
+	data = append(data, '\n')
+	if file == "" {
+		_, err = c.OutOrStdout().Write(data)
+		return errors.Wrap(err, "write output")
+	}
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return errors.Wrap(err, "write approval")
+	}
+	return a.print(c, approval, func(w io.Writer) { fmt.Fprintf(w, "approval\t%s\n", file) })
+}
+
+// parseVersion reads a version argument.
+func parseVersion(text string) (uint64, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, usage("version %q: allowed: an integer of at least 1", text)
+	}
+	return version, nil
+}
--- /dev/null
+++ b/ctl/ctl_test.go
@@ -0,0 +1,321 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/ctl"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+func TestCtl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 20261204
+	RunSpecs(t, "ctl", suite, reporter)
+}
+
+const kalasag = "../examples/kalasag"
+
+// member is a stand-in for a control member over a registry, with a script of zone figures for status.
+type member struct {
+	operator.Backend
+	mu       sync.Mutex
+	registry *registry.Registry
+	index    uint64
+	zones    [][]operator.ZoneStatus
+	replaced operator.ReplaceMemberRequest
+}
+
+func (m *member) apply(c registry.Command) (operator.Decision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index++
+	return operator.FromResult(m.registry.Apply(m.index, c))
+}
+
+func (m *member) Stage(_ context.Context, r operator.StageRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Stage: &registry.Stage{
+		Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update}})
+}
+
+func (m *member) Approve(_ context.Context, r operator.ApproveRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
+}
+
+func (m *member) Replace(_ context.Context, r operator.ReplaceRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
+}
+
+func (m *member) Stop(_ context.Context, r operator.StopRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Stop: &r.Stop})
+}
+
+func (m *member) Status(context.Context) (operator.Status, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := m.registry.State()
+	status := operator.Status{Member: "m1", Leader: "m1", Latest: state.Latest, Rollout: operator.RolloutInProgress}
+	if state.Stopped {
+		status.Rollout = operator.RolloutStopped
+	}
+	if len(m.zones) > 0 {
+		status.Zones = m.zones[0]
+	}
+	if len(m.zones) > 1 {
+		m.zones = m.zones[1:]
+	}
+	return status, nil
+}
+
+func (m *member) History(context.Context, operator.HistoryRequest) (operator.HistoryAnswer, error) {
+	return operator.HistoryAnswer{Records: m.registry.History()}, nil
+}
+
+func (m *member) Members(context.Context) (operator.MembersAnswer, error) {
+	return operator.MembersAnswer{Term: 3, Members: []operator.Member{{ID: "old", Zone: "luzon-b", Learner: true}}}, nil
+}
+
+func (m *member) ReplaceMember(ctx context.Context, r operator.ReplaceMemberRequest) (operator.MembersAnswer, error) {
+	m.replaced = r
+	return m.Members(ctx)
+}
+
+func (m *member) Quarantine(context.Context) (operator.QuarantineAnswer, error) {
+	return operator.QuarantineAnswer{Entries: []operator.QuarantineEntry{{Fingerprint: "ab\x1b[2J", Crashes: 2}}}, nil
+}
+
+func (m *member) ClearQuarantine(_ context.Context, r operator.ClearQuarantineRequest) (operator.ClearQuarantineAnswer, error) {
+	return operator.ClearQuarantineAnswer{Cleared: len(r.Fingerprints)}, nil
+}
+
+func (m *member) Dump(context.Context) (operator.DumpAnswer, error) {
+	return operator.DumpAnswer{Member: "m1", State: json.RawMessage(`{"term":3}`)}, nil
+}
+
+// zone returns the figures of a zone with 4 proxies, of which some have version 2 and the others version 1.
+func zone(inForce int, age int64) operator.ZoneStatus {
+	z := operator.ZoneStatus{Zone: "luzon-a", Proxies: 4, LowestVersion: 1, AgeMs: age,
+		Versions: []operator.VersionCount{{Version: 2, Proxies: inForce}, {Version: 1, Proxies: 4 - inForce}}}
+	if inForce < 4 {
+		z.Lagging = []operator.LaggingProxy{{ID: "n7", Version: 1, Reason: "waiting for parts"}}
+	}
+	return z
+}
+
+// harness runs commands against a member.
+type harness struct {
+	member  *member
+	address string
+	folder  string
+}
+
+func newHarness() *harness {
+	folder := GinkgoT().TempDir()
+	h := &harness{folder: folder}
+	keys := make(map[string][]ed25519.PublicKey)
+	for i, name := range []string{"ana", "ben"} {
+		key, err := bundle.GenerateKey(name, bytes.NewReader(bytes.Repeat([]byte{byte(i + 1)}, 64)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(key.Save(filepath.Join(folder, name))).To(Succeed())
+		keys[name] = []ed25519.PublicKey{key.Key.Public().(ed25519.PublicKey)}
+	}
+	h.member = &member{registry: registry.New(bundle.NewKeyring(keys))}
+	server := httptest.NewServer(operator.NewHandler(h.member))
+	DeferCleanup(server.Close)
+	h.address = strings.TrimPrefix(server.URL, "http://")
+	return h
+}
+
+// run executes a command as an operator and returns its outputs and exit code.
+func (h *harness) run(name string, args ...string) (stdout, stderr string, code int) {
+	var out, errs bytes.Buffer
+	root := ctl.NewRoot()
+	root.SetOut(&out)
+	root.SetErr(&errs)
+	root.SetArgs(append(args, "--insecure", "--control", h.address, "--key", filepath.Join(h.folder, name),
+		"--interval", "1ms"))
+	code = ctl.Execute(context.Background(), root)
+	return out.String(), errs.String(), code
+}
+
+func (h *harness) must(args ...string) string {
+	GinkgoHelper()
+	stdout, stderr, code := h.run("ana", args...)
+	Expect(code).To(Equal(ctl.ExitOK), stderr)
+	return stdout
+}
+
+var _ = Describe("sapphirectl", func() {
+	var h *harness
+	BeforeEach(func() { h = newHarness() })
+
+	It("approves, gives the first answer to a repeated command and names the winner of a race", func() {
+		first := h.must("approve", kalasag, "--version", "1")
+		Expect(first).To(ContainSubstring("version 1 approved at log index 2"))
+		Expect(h.must("approve", kalasag, "--version", "1")).To(Equal(first))
+		_, stderr, code := h.run("ben", "approve", "../examples/kartuli", "--version", "1")
+		Expect(code).To(Equal(ctl.ExitRefused))
+		Expect(stderr).To(And(ContainSubstring("approved by ana"), ContainSubstring("next: another operator won")))
+		_, stderr, code = h.run("ben", "approve", "../examples/kartuli", "--version", "1", "--output", "json")
+		Expect(code).To(Equal(ctl.ExitRefused))
+		var failure struct{ Error struct{ Code, Next string } }
+		Expect(json.Unmarshal([]byte(stderr), &failure)).To(Succeed())
+		Expect(failure.Error.Code).To(Equal("version-taken"))
+	})
+
+	It("approves what was built and signed elsewhere, and nothing else", func() {
+		file, approval := filepath.Join(h.folder, "k.bundle"), filepath.Join(h.folder, "approval")
+		h.must("bundle", "build", kalasag, "--file", file)
+		Expect(h.must("bundle", "diff", kalasag, file)).To(Equal("no differences\n"))
+		h.must("bundle", "sign", file, "--version", "4", "--file", approval)
+		_, _, code := h.run("ben", "approve", "../examples/kartuli", "--approval", approval)
+		Expect(code).To(Equal(ctl.ExitUsage))
+		_, stderr, code := h.run("none", "approve", file, "--approval", approval)
+		Expect(code).To(Equal(ctl.ExitOK), stderr)
+		data, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(file, data[:len(data)-9], 0o644)).To(Succeed())
+		_, _, code = h.run("ana", "approve", file, "--version", "5")
+		Expect(code).To(Equal(ctl.ExitFailure))
+		Expect(h.member.registry.State().Latest.Version).To(Equal(uint64(4)))
+	})
+
+	It("lists all faults of a bundle and stages nothing", func() {
+		folder := GinkgoT().TempDir()
+		Expect(os.WriteFile(filepath.Join(folder, "b.json"), []byte(`{"services":[{"name":"A"}],"x":1}`), 0o644)).To(Succeed())
+		_, stderr, code := h.run("ana", "approve", folder, "--version", "1")
+		Expect(code).To(Equal(ctl.ExitInvalid))
+		Expect(stderr).To(And(ContainSubstring("b.json: services[0].name"), ContainSubstring("b.json: x")))
+		Expect(h.member.index).To(BeZero())
+	})
+
+	It("watches until every proxy has the version, with a line for each change when the output is no terminal", func() {
+		h.must("approve", kalasag, "--version", "1")
+		h.member.zones = [][]operator.ZoneStatus{{zone(1, 0)}, {zone(1, 200)}, {zone(4, 20_000)}, {zone(4, 100)}}
+		out := h.must("replace", "1", "2", "../examples/kartuli", "--wait")
+		Expect(out).To(ContainSubstring("luzon-a          [#####...............] 1/4"))
+		Expect(strings.Count(out, "n7 has version 1: waiting for parts")).To(Equal(1))
+		Expect(out).To(ContainSubstring("the figures are too old to judge"))
+		Expect(out).To(ContainSubstring("version 2: in-force, in force on 4 of 4 proxies"))
+	})
+
+	It("writes one JSON object for each change of a watch", func() {
+		h.must("approve", kalasag, "--version", "1")
+		h.must("approve", kalasag, "--version", "2")
+		h.member.zones = [][]operator.ZoneStatus{{zone(3, 0)}, {zone(3, 1)}, {zone(4, 0)}}
+		out := strings.Split(strings.TrimSpace(h.must("watch", "2", "-o", "json")), "\n")
+		Expect(out).To(HaveLen(2))
+		Expect(out[1]).To(ContainSubstring(`"state":"in-force"`))
+	})
+
+	It("ends a watch with its own exit code when the rollout is stopped or the wait ends", func() {
+		h.must("approve", kalasag, "--version", "2")
+		h.member.zones = [][]operator.ZoneStatus{{zone(1, 0)}}
+		_, stderr, code := h.run("ana", "watch", "--wait-timeout", "5ms")
+		Expect(code).To(Equal(ctl.ExitNotInForce), stderr)
+		h.must("stop", "2")
+		_, _, code = h.run("ana", "watch")
+		Expect(code).To(Equal(ctl.ExitStopped))
+		Expect(h.must("history")).To(ContainSubstring("stopped"))
+		Expect(h.must("status")).To(And(ContainSubstring("2, stopped"), ContainSubstring("n7 in luzon-a has version 1")))
+	})
+
+	It("never counts a mesh without proxies as in force", func() {
+		h.must("approve", kalasag, "--version", "1")
+		_, stderr, code := h.run("ana", "watch", "1", "--wait-timeout", "5ms")
+		Expect(code).To(Equal(ctl.ExitNotInForce))
+		Expect(stderr).To(ContainSubstring("no proxy is counted"))
+	})
+
+	It("refuses a replacement after another operator's version, and says what to do", func() {
+		h.must("approve", kalasag, "--version", "1")
+		h.must("approve", kalasag, "--version", "2")
+		_, stderr, code := h.run("ben", "replace", "1", "3", kalasag)
+		Expect(code).To(Equal(ctl.ExitRefused))
+		Expect(stderr).To(And(ContainSubstring("winner: version 2"), ContainSubstring("next: run 'sapphirectl status'")))
+	})
+
+	It("replaces a member in the zone of the old one", func() {
+		h.must("members", "replace", "old", "new", "--address", "10.0.0.9:7000")
+		Expect(h.member.replaced.Zone).To(Equal("luzon-b"))
+		Expect(h.must("members", "list")).To(ContainSubstring("learner"))
+		_, _, code := h.run("ana", "members", "replace", "absent", "new", "--address", "10.0.0.9:7000")
+		Expect(code).To(Equal(ctl.ExitRefused))
+	})
+
+	It("shows and clears the quarantine without control characters in the output", func() {
+		Expect(h.must("quarantine", "list")).To(And(ContainSubstring("ab?[2J"), Not(ContainSubstring("\x1b"))))
+		Expect(h.must("quarantine", "clear", "ab")).To(Equal("1 cleared\n"))
+		Expect(h.must("dump")).To(ContainSubstring(`"term": 3`))
+	})
+
+	It("generates keys that the members accept", func() {
+		out := h.must("keys", "generate", "eve", "--folder", h.folder, "-o", "json")
+		var files struct{ Private, Keyring string }
+		Expect(json.Unmarshal([]byte(out), &files)).To(Succeed())
+		key, err := bundle.LoadKey(files.Private)
+		Expect(err).NotTo(HaveOccurred())
+		ring, err := bundle.LoadKeyring(files.Keyring)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ring.Verify(bundle.Sign(key.Key, bundle.Approval{Version: 1, Operator: "eve"}))).To(Succeed())
+	})
+
+	DescribeTable("tells wrong usage from refusals",
+		func(args ...string) {
+			_, stderr, code := h.run("ana", args...)
+			Expect(code).To(Equal(ctl.ExitUsage), stderr)
+			Expect(stderr).To(ContainSubstring("next:"))
+		},
+		Entry("unknown command", "rollback"),
+		Entry("unknown subcommand", "bundle", "burn"),
+		Entry("unknown flag", "status", "--loud"),
+		Entry("missing argument", "stop"),
+		Entry("version 0", "stop", "0"),
+		Entry("older replacement", "replace", "2", "1", kalasag),
+		Entry("output format", "status", "-o", "xml"),
+		Entry("no version", "approve", kalasag),
+	)
+
+	It("documents every command and exit code, so that the guide does not fall behind", func() {
+		data, err := os.ReadFile("../docs/operators.md")
+		Expect(err).NotTo(HaveOccurred())
+		page := string(data)
+		var visit func(c *cobra.Command)
+		visit = func(c *cobra.Command) {
+			for _, sub := range c.Commands() {
+				if !sub.HasSubCommands() {
+					path := strings.TrimPrefix(sub.CommandPath(), "sapphirectl ")
+					Expect(page).To(ContainSubstring("| `" + path))
+				}
+				visit(sub)
+			}
+		}
+		visit(ctl.NewRoot())
+		for code, name := range []string{"ExitOK", "ExitFailure", "ExitUsage", "ExitInvalid", "ExitRefused",
+			"ExitUnreachable", "ExitUnknown", "ExitNotInForce", "ExitStopped"} {
+			Expect(page).To(ContainSubstring(fmt.Sprintf("| %d | `%s` |", code, name)))
+		}
+	})
+
+	It("reports a control member that cannot be reached with its own exit code", func() {
+		h.address = "127.0.0.1:1"
+		_, _, code := h.run("ana", "status", "--timeout", "50ms")
+		Expect(code).To(Equal(ctl.ExitUnreachable))
+	})
+})
--- /dev/null
+++ b/ctl/exit.go
@@ -0,0 +1,109 @@
+package ctl
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Exit codes of sapphirectl.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitFailure means a failure that no other code describes, such as a file that cannot be read.
+	ExitFailure = 1
+	// ExitUsage means that arguments or flags are wrong.
+	ExitUsage = 2
+	// ExitInvalid means that a bundle does not validate.
+	ExitInvalid = 3
+	// ExitRefused means that the control members refused the request; nothing changed.
+	ExitRefused = 4
+	// ExitUnreachable means that no control member accepted the request; nothing changed.
+	ExitUnreachable = 5
+	// ExitUnknown means that the request may or may not have taken effect; running the same command again is safe.
+	ExitUnknown = 6
+	// ExitNotInForce means that the version was not in force everywhere when the wait ended.
+	ExitNotInForce = 7
+	// ExitStopped means that the rollout that was watched is stopped.
+	ExitStopped = 8
+)
+
+// Errors of the commands.
+var (
+	// ErrUsage reports wrong arguments or flags.
+	ErrUsage = errors.New("wrong usage")
+	// ErrNotInForce reports that a wait ended before the version was in force everywhere.
+	ErrNotInForce = errors.New("version is not in force everywhere")
+	// ErrStopped reports that the watched rollout is stopped.
+	ErrStopped = errors.New("rollout is stopped")
+)
+
+// advice is the exit code and the next step for one kind of error.
+type advice struct {
+	kind error
+	code string
+	exit int
+	next string
+}
+
+// advices lists the kinds of errors. The first that matches applies.
+var advices = []advice{
+	{ErrUsage, "usage", ExitUsage, "run the command with --help"},
+	{ErrNotInForce, "not-in-force", ExitNotInForce,
+		"run 'sapphirectl watch' to go on, or see 'slow convergence' in docs/operators.md"},
+	{ErrStopped, "stopped", ExitStopped, "approve a corrected bundle with 'sapphirectl replace'"},
+	{operator.ErrVersionTaken, "", ExitRefused,
+		"another operator won the version: agree with them on the content, then choose a greater version"},
+	{operator.ErrVersionOld, "", ExitRefused, "run 'sapphirectl status' and choose a version above the latest"},
+	{operator.ErrWithdrawn, "", ExitRefused, "choose a greater version; a withdrawn version cannot be used again"},
+	{operator.ErrNotLatest, "", ExitRefused, "run 'sapphirectl status' and decide again about the version it shows"},
+	{operator.ErrUnknownVersion, "", ExitRefused, "run 'sapphirectl status' to see staged and approved versions"},
+	{operator.ErrNotStaged, "", ExitRefused, "run 'sapphirectl approve' with the bundle, which stages it again"},
+	{operator.ErrInvalidBundle, "", ExitInvalid, "correct the listed fields and run 'sapphirectl bundle validate'"},
+	{operator.ErrUnauthorized, "", ExitRefused,
+		"check --key, and that the keyring of every control member holds the public key of the operator"},
+	{operator.ErrNotFound, "", ExitRefused, "run 'sapphirectl members list' or 'sapphirectl quarantine list'"},
+	{operator.ErrMembershipBusy, "", ExitRefused, "wait until 'sapphirectl members list' shows the other change as done"},
+	{operator.ErrBadRequest, "", ExitRefused, "check that sapphirectl and the control members have the same release"},
+	{operator.ErrOutcomeUnknown, "", ExitUnknown,
+		"run the same command again: it takes effect at most once"},
+	{operator.ErrNoQuorum, "", ExitUnreachable,
+		"nothing was changed; see 'lost quorum' in docs/operators.md, and run the command again once a quorum is back"},
+	{operator.ErrUnreachable, "", ExitUnreachable,
+		"check --control and the TLS flags, and that the control members run"},
+	{operator.ErrInternal, "", ExitFailure, "look into the log of the control member"},
+}
+
+// adviceFor returns what is known about an error.
+func adviceFor(err error) advice {
+	var problems bundle.Problems
+	if errors.As(err, &problems) {
+		return advice{code: "invalid-bundle", exit: ExitInvalid, next: "correct the listed fields"}
+	}
+	for _, candidate := range advices {
+		if errors.Is(err, candidate.kind) {
+			if candidate.code == "" {
+				candidate.code = operator.CodeOf(err)
+			}
+			return candidate
+		}
+	}
+	// cobra has no error value for unknown commands.
+	if strings.HasPrefix(err.Error(), "unknown command") {
+		return advices[0]
+	}
+	return advice{code: "failure", exit: ExitFailure}
+}
+
+// ExitCode returns the exit code for an error of a command.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	return adviceFor(err).exit
+}
+
+func usage(format string, args ...any) error { return errors.Wrapf(ErrUsage, format, args...) }
--- /dev/null
+++ b/ctl/root.go
@@ -0,0 +1,232 @@
+// Package ctl is the command tree of sapphirectl, the operators' tool.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/settings"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Environment variables that set the defaults of flags.
+const (
+	EnvControl  = "SAPPHIRECTL_CONTROL"
+	EnvKey      = "SAPPHIRECTL_KEY"
+	EnvTLSCert  = "SAPPHIRECTL_TLS_CERT"
+	EnvTLSKey   = "SAPPHIRECTL_TLS_KEY"
+	EnvTLSCA    = "SAPPHIRECTL_TLS_CA"
+	EnvInsecure = "SAPPHIRECTL_INSECURE"
+)
+
+// defaultTimeout bounds a command that does not wait for a rollout. It covers several elections.
+const defaultTimeout = 30 * time.Second
+
+// The output formats.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// app holds the flags that all commands share.
+type app struct {
+	control  []string
+	output   string
+	key      string
+	operator string
+	timeout  time.Duration
+	tls      settings.TLS
+	// waitTimeout bounds waits for a rollout or for a member.
+	waitTimeout time.Duration
+	// interval is the time between the status requests of a watch.
+	interval time.Duration
+}
+
+// NewRoot returns the command tree. Further commands are added with AddCommand.
+func NewRoot() *cobra.Command {
+	a := &app{}
+	root := &cobra.Command{
+		Use:               "sapphirectl",
+		Short:             "Declare, approve and watch configuration bundles of a sapphiregate mesh",
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return a.checkFlags() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage("%v", err) })
+	a.addFlags(root)
+	root.AddCommand(
+		a.bundleCommand(), a.keysCommand(), a.approveCommand(), a.replaceCommand(), a.stopCommand(),
+		a.watchCommand(), a.statusCommand(), a.historyCommand(), a.membersCommand(), a.quarantineCommand(),
+		a.dumpCommand(),
+	)
+	return root
+}
+
+func (a *app) addFlags(root *cobra.Command) {
+	flags := root.PersistentFlags()
+	var control []string
+	if value := os.Getenv(EnvControl); value != "" {
+		control = strings.Split(value, ",")
+	}
+	flags.StringSliceVar(&a.control, "control", control, "operator API addresses of control members, host:port ($"+EnvControl+")")
+	flags.StringVarP(&a.output, "output", "o", outputText, "output format: text or json")
+	flags.StringVar(&a.key, "key", os.Getenv(EnvKey), "private key file of the operator ($"+EnvKey+")")
+	flags.StringVar(&a.operator, "operator", "", "operator name for commands that are not signed; default: that of --key")
+	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "longest time that requests of the command take")
+	flags.DurationVar(&a.waitTimeout, "wait-timeout", defaultWaitTimeout, "longest time of watch, --wait and changes of members")
+	flags.DurationVar(&a.interval, "interval", defaultWatchInterval, "time between the status requests of a watch")
+	flags.StringVar(&a.tls.Certificate, "tls-cert", os.Getenv(EnvTLSCert), "client certificate file ($"+EnvTLSCert+")")
+	flags.StringVar(&a.tls.Key, "tls-key", os.Getenv(EnvTLSKey), "client key file ($"+EnvTLSKey+")")
+	flags.StringVar(&a.tls.CA, "tls-ca", os.Getenv(EnvTLSCA), "certificates that sign those of the members ($"+EnvTLSCA+")")
+	flags.BoolVar(&a.tls.Insecure, "insecure", os.Getenv(EnvInsecure) == "true", "connect without TLS ($"+EnvInsecure+"=true)")
+}
+
+func (a *app) checkFlags() error {
+	if a.output != outputText && a.output != outputJSON {
+		return usage("--output %q: allowed: text, json", a.output)
+	}
+	if min(a.timeout, a.waitTimeout, a.interval) <= 0 {
+		return usage("--timeout, --wait-timeout and --interval: allowed: positive durations")
+	}
+	return nil
+}
+
+// Execute runs the command tree, prints an error with the next step and returns the exit code.
+func Execute(ctx context.Context, root *cobra.Command) int {
+	command, err := root.ExecuteContextC(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	format := outputText
+	if flag := command.Flag("output"); flag != nil {
+		format = flag.Value.String()
+	}
+	printError(root.ErrOrStderr(), err, format)
+	return ExitCode(err)
+}
+
+// errorOutput is the JSON form of an error.
+type errorOutput struct {
+	Code     string           `json:"code"`
+	Message  string           `json:"message"`
+	Next     string           `json:"next,omitempty"`
+	Winner   *bundle.Approval `json:"winner,omitempty"`
+	Problems bundle.Problems  `json:"problems,omitempty"`
+}
+
+func printError(w io.Writer, err error, format string) {
+	about := adviceFor(err)
+	out := errorOutput{Code: about.code, Message: err.Error(), Next: about.next}
+	var detailed *operator.Error
+	if errors.As(err, &detailed) {
+		out.Winner = detailed.Winner
+		out.Problems = detailed.Problems
+	}
+	var problems bundle.Problems
+	if errors.As(err, &problems) {
+		out.Problems = problems
+	}
+	if format == outputJSON {
+		// A diagnostic that cannot be written has no other place to go.
+		_ = json.NewEncoder(w).Encode(map[string]errorOutput{"error": out})
+		return
+	}
+	fmt.Fprintln(w, "error:", out.Message)
+	if out.Winner != nil {
+		fmt.Fprintf(w, "winner: version %d, digest %s, approved by %s\n", out.Winner.Version, out.Winner.Digest,
+			out.Winner.Operator)
+	}
+	if detailed != nil {
+		for _, problem := range out.Problems {
+			fmt.Fprintln(w, problem)
+		}
+	}
+	if out.Next != "" {
+		fmt.Fprintln(w, "next:", out.Next)
+	}
+}
+
+// client returns a client for the flags.
+func (a *app) client() (*operator.Client, error) {
+	if len(a.control) == 0 {
+		return nil, usage("--control is not set")
+	}
+	config, err := a.tls.ClientConfig()
+	if err != nil {
+		return nil, usage("TLS: %v; or set --insecure", err)
+	}
+	client, err := operator.NewClient(operator.ClientConfig{Addresses: a.control, TLS: config})
+	if err != nil {
+		return nil, usage("%v", err)
+	}
+	return client, nil
+}
+
+// deadline returns a context that ends after --timeout.
+func (a *app) deadline(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Context(), a.timeout)
+}
+
+// waitDeadline returns a context that ends after --wait-timeout.
+func (a *app) waitDeadline(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Context(), a.waitTimeout)
+}
+
+// loadKey reads the operator's private key.
+func (a *app) loadKey() (bundle.PrivateKey, error) {
+	if a.key == "" {
+		return bundle.PrivateKey{}, usage("--key is not set")
+	}
+	return bundle.LoadKey(a.key)
+}
+
+// operatorName returns the operator for commands that are not signed.
+func (a *app) operatorName() (string, error) {
+	if a.operator != "" {
+		return a.operator, nil
+	}
+	key, err := a.loadKey()
+	return key.Operator, err
+}
+
+// print writes a value as JSON, or as text by the given function.
+func (a *app) print(c *cobra.Command, value any, text func(w io.Writer)) error {
+	out := c.OutOrStdout()
+	if a.output == outputJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(value), "write output")
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	text(table)
+	return errors.Wrap(table.Flush(), "write output")
+}
+
+// group returns a command that only holds subcommands.
+func group(use, short string, commands ...*cobra.Command) *cobra.Command {
+	parent := &cobra.Command{Use: use, Short: short, RunE: func(c *cobra.Command, args []string) error {
+		return usage("%s: choose one of its subcommands", c.CommandPath())
+	}}
+	parent.AddCommand(commands...)
+	return parent
+}
+
+// exactly checks the number of arguments.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usage("%s takes %d arguments, got %d", c.CommandPath(), n, len(args))
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/ctl/show.go
@@ -0,0 +1,337 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+)
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the latest version, staged bundles and the proxies of each availability zone",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.deadline(c)
+			defer cancel()
+			status, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(c, status, func(w io.Writer) { printStatus(w, status) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, s operator.Status) {
+	leader := s.Leader
+	if leader == "" {
+		leader = "none known"
+	}
+	fmt.Fprintf(w, "answered by\t%s\n", s.Member)
+	fmt.Fprintf(w, "leader\t%s\n", leader)
+	fmt.Fprintf(w, "confirmed by a quorum\t%s\n", ago(s.ConfirmedAgeMs))
+	if s.Latest == nil {
+		fmt.Fprintln(w, "latest version\tnone")
+	} else {
+		fmt.Fprintf(w, "latest version\t%d, %s, digest %s, approved by %s\n", s.Latest.Version, s.Rollout,
+			s.Latest.Digest.Short(), s.Latest.Operator)
+	}
+	for _, staged := range s.Staged {
+		fmt.Fprintf(w, "staged\t%d, digest %s, by %s\n", staged.Version, staged.Digest.Short(), staged.Operator)
+	}
+	fmt.Fprintf(w, "keyring\t%s\n\n", s.Keyring.Short())
+	printZones(w, s.Zones)
+}
+
+func printZones(w io.Writer, zones []operator.ZoneStatus) {
+	fmt.Fprintln(w, "ZONE\tROLLOUT\tPROXIES\tVERSIONS\tFIGURES")
+	for _, zone := range zones {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", zone.Zone, zone.Rollout, zone.Proxies, versions(zone.Versions),
+			ago(zone.AgeMs))
+	}
+	for _, zone := range zones {
+		for _, proxy := range zone.Lagging {
+			fmt.Fprintf(w, "lagging\t%s in %s has version %d: %s\n", printable(proxy.ID), zone.Zone, proxy.Version,
+				printable(proxy.Reason))
+		}
+	}
+}
+
+func versions(counts []operator.VersionCount) string {
+	text := ""
+	for _, count := range counts {
+		if text != "" {
+			text += ", "
+		}
+		text += fmt.Sprintf("%d: %d", count.Version, count.Proxies)
+	}
+	return text
+}
+
+// ago formats an age in milliseconds.
+func ago(ms int64) string {
+	if ms == operator.AgeUnknown {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String() + " ago"
+}
+
+func (a *app) historyCommand() *cobra.Command {
+	limit := 0
+	command := &cobra.Command{
+		Use:   "history",
+		Short: "List approvals, stops and withdrawals, newest first",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if limit < 1 || limit > operator.MaxHistoryLimit {
+				return usage("--limit %d: allowed: 1 to %d", limit, operator.MaxHistoryLimit)
+			}
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.deadline(c)
+			defer cancel()
+			history, err := client.History(ctx, operator.HistoryRequest{Limit: limit})
+			if err != nil {
+				return err
+			}
+			return a.print(c, history, func(w io.Writer) {
+				fmt.Fprintln(w, "INDEX\tVERSION\tACTION\tDIGEST\tOPERATOR")
+				for _, r := range history.Records {
+					fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\n", r.Index, r.Version, r.Action, r.Digest.Short(), r.Operator)
+				}
+			})
+		},
+	}
+	command.Flags().IntVar(&limit, "limit", operator.DefaultHistoryLimit, "greatest number of records")
+	return command
+}
+
+func (a *app) dumpCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "dump",
+		Short: "Print the state dump of the member that answers",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.deadline(c)
+			defer cancel()
+			dump, err := client.Dump(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(c, dump, func(w io.Writer) {
+				fmt.Fprintf(w, "member\t%s\n", dump.Member)
+				text, _ := json.MarshalIndent(dump.State, "", "  ")
+				fmt.Fprintln(w, string(text))
+			})
+		},
+	}
+}
+
+func (a *app) quarantineCommand() *cobra.Command {
+	list := &cobra.Command{
+		Use:   "list",
+		Short: "List the requests that crashed upstreams",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.deadline(c)
+			defer cancel()
+			answer, err := client.Quarantine(ctx)
+			if err != nil {
+				return err
+			}
+			return a.print(c, answer, func(w io.Writer) { printQuarantine(w, answer.Entries) })
+		},
+	}
+	return group("quarantine", "Show and clear requests that crashed upstreams", list, a.clearCommand())
+}
+
+func printQuarantine(w io.Writer, entries []operator.QuarantineEntry) {
+	fmt.Fprintln(w, "FINGERPRINT\tVERDICT\tCRASHES\tUPSTREAMS\tEXPIRES IN")
+	for _, e := range entries {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", printable(e.Fingerprint), printable(e.Verdict), e.Crashes, len(e.Upstreams),
+			time.Duration(e.ExpiresInMs)*time.Millisecond)
+	}
+}
+
+func (a *app) clearCommand() *cobra.Command {
+	all := false
+	command := &cobra.Command{
+		Use:   "clear [FINGERPRINT...]",
+		Short: "Allow quarantined requests again",
+		RunE: func(c *cobra.Command, args []string) error {
+			if all == (len(args) > 0) {
+				return usage("give fingerprints, or --all")
+			}
+			name, err := a.operatorName()
+			if err != nil {
+				return err
+			}
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.deadline(c)
+			defer cancel()
+			answer, err := client.ClearQuarantine(ctx,
+				operator.ClearQuarantineRequest{Operator: name, Fingerprints: args})
+			if err != nil {
+				return err
+			}
+			return a.print(c, answer, func(w io.Writer) { fmt.Fprintf(w, "%d cleared\n", answer.Cleared) })
+		},
+	}
+	command.Flags().BoolVar(&all, "all", false, "clear all fingerprints")
+	return command
+}
+
+func (a *app) membersCommand() *cobra.Command {
+	return group("members", "Show and change the control members",
+		a.memberListCommand(), a.memberAddCommand(), a.memberRemoveCommand(), a.memberReplaceCommand())
+}
+
+// memberChange runs a request on the members and prints the resulting membership. The deadline is that of a wait, as a
+// learner has to catch up before it is promoted.
+func (a *app) memberChange(
+	c *cobra.Command, call func(c *cobra.Command, api *operator.Client) (operator.MembersAnswer, error),
+) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	answer, err := call(c, client)
+	if err != nil {
+		return err
+	}
+	return a.print(c, answer, func(w io.Writer) { printMembers(w, answer) })
+}
+
+func printMembers(w io.Writer, answer operator.MembersAnswer) {
+	fmt.Fprintf(w, "term %d, commit index %d\n", answer.Term, answer.Commit)
+	fmt.Fprintln(w, "ID\tZONE\tADDRESS\tROLE\tSTORED INDEX\tLAST CONTACT")
+	for _, m := range answer.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", m.ID, m.Zone, m.Address, role(m), m.Match, ago(m.LastContactMs))
+	}
+}
+
+func role(m operator.Member) string {
+	switch {
+	case m.Leader:
+		return "leader"
+	case m.Learner:
+		return "learner"
+	default:
+		return "follower"
+	}
+}
+
+func (a *app) memberListCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the control members",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return a.memberChange(c, func(c *cobra.Command, api *operator.Client) (operator.MembersAnswer, error) {
+				ctx, cancel := a.deadline(c)
+				defer cancel()
+				return api.Members(ctx)
+			})
+		},
+	}
+}
+
+func (a *app) memberAddCommand() *cobra.Command {
+	learner := false
+	command := &cobra.Command{
+		Use:   "add ID ADDRESS ZONE",
+		Short: "Add a member; it votes once it has caught up",
+		Args:  exactly(3),
+		RunE: func(c *cobra.Command, args []string) error {
+			return a.memberChange(c, func(c *cobra.Command, api *operator.Client) (operator.MembersAnswer, error) {
+				ctx, cancel := a.waitDeadline(c)
+				defer cancel()
+				return api.AddMember(ctx,
+					operator.AddMemberRequest{ID: args[0], Address: args[1], Zone: args[2], Learner: learner})
+			})
+		},
+	}
+	command.Flags().BoolVar(&learner, "learner", false, "keep the member a learner, which never votes")
+	return command
+}
+
+func (a *app) memberRemoveCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "remove ID",
+		Short: "Remove a member",
+		Args:  exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return a.memberChange(c, func(c *cobra.Command, api *operator.Client) (operator.MembersAnswer, error) {
+				ctx, cancel := a.waitDeadline(c)
+				defer cancel()
+				return api.RemoveMember(ctx, operator.RemoveMemberRequest{ID: args[0]})
+			})
+		},
+	}
+}
+
+func (a *app) memberReplaceCommand() *cobra.Command {
+	request := operator.ReplaceMemberRequest{}
+	command := &cobra.Command{
+		Use:   "replace OLD NEW --address ADDRESS",
+		Short: "Replace a lost member: add NEW, wait until it votes, remove OLD",
+		Args:  exactly(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			request.Old, request.New = args[0], args[1]
+			if request.Address == "" {
+				return usage("--address is not set")
+			}
+			return a.memberChange(c, func(c *cobra.Command, api *operator.Client) (operator.MembersAnswer, error) {
+				return a.replaceMember(c, api, request)
+			})
+		},
+	}
+	command.Flags().StringVar(&request.Address, "address", "", "mesh address of NEW")
+	command.Flags().StringVar(&request.Zone, "zone", "", "availability zone of NEW; default: that of OLD")
+	return command
+}
+
+func (a *app) replaceMember(
+	c *cobra.Command, api *operator.Client, request operator.ReplaceMemberRequest,
+) (operator.MembersAnswer, error) {
+	ctx, cancel := a.waitDeadline(c)
+	defer cancel()
+	if request.Zone != "" {
+		return api.ReplaceMember(ctx, request)
+	}
+	current, err := api.Members(ctx)
+	if err != nil {
+		return current, err
+	}
+	for _, member := range current.Members {
+		if member.ID == request.Old {
+			request.Zone = member.Zone
+			return api.ReplaceMember(ctx, request)
+		}
+	}
+	return current, errors.Wrapf(operator.ErrNotFound, "member %s", request.Old)
+}
--- /dev/null
+++ b/ctl/watch.go
@@ -0,0 +1,334 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+)
+
+const (
+	// defaultWatchInterval is the time between status requests. Figures reach a member about once a second.
+	defaultWatchInterval = 500 * time.Millisecond
+	// defaultWaitTimeout bounds a watch. The longest expected rollout converges within seconds of the last fault.
+	defaultWaitTimeout = 5 * time.Minute
+	// progressWidth is the number of characters of a progress bar.
+	progressWidth = 20
+)
+
+// progress is what a status says about the rollout of one version.
+type progress struct {
+	Version uint64         `json:"version"`
+	State   string         `json:"state"`
+	Zones   []zoneProgress `json:"zones"`
+	// Note tells why the rollout is not judged to be complete although all counted proxies may have it.
+	Note string `json:"note,omitempty"`
+}
+
+// zoneProgress counts the proxies of one zone that have the version or a later one in force.
+type zoneProgress struct {
+	Zone    string                  `json:"zone"`
+	InForce int                     `json:"in_force"`
+	Proxies int                     `json:"proxies"`
+	AgeMs   int64                   `json:"age_ms"`
+	Lagging []operator.LaggingProxy `json:"lagging,omitempty"`
+}
+
+// The states of a progress.
+const (
+	stateWaiting    = "waiting"
+	stateInProgress = "in-progress"
+	stateInForce    = "in-force"
+	stateStopped    = "stopped"
+)
+
+// progressOf judges a status. A version counts as in force only if every counted proxy has it or a later one, and all
+// figures are fresh.
+func progressOf(status operator.Status, version uint64) progress {
+	p := progress{Version: version, State: stateInProgress, Zones: []zoneProgress{}}
+	if status.Latest == nil || status.Latest.Version < version {
+		p.State = stateWaiting
+		p.Note = "the member that answered does not know the version as approved"
+		return p
+	}
+	stale := !operator.Fresh(status.ConfirmedAgeMs)
+	complete, proxies := true, 0
+	for _, zone := range status.Zones {
+		z := zoneProgressOf(zone, version)
+		p.Zones = append(p.Zones, z)
+		proxies += z.Proxies
+		complete = complete && z.InForce == z.Proxies
+		stale = stale || !operator.Fresh(z.AgeMs)
+	}
+	switch {
+	case status.Latest.Version == version && status.Rollout == operator.RolloutStopped:
+		p.State = stateStopped
+	case stale:
+		p.Note = "the figures are too old to judge"
+	case proxies == 0:
+		p.Note = "no proxy is counted"
+	case complete:
+		p.State = stateInForce
+	}
+	if status.Latest.Version > version && p.Note == "" {
+		p.Note = fmt.Sprintf("version %d is superseded by version %d", version, status.Latest.Version)
+	}
+	return p
+}
+
+func zoneProgressOf(zone operator.ZoneStatus, version uint64) zoneProgress {
+	z := zoneProgress{Zone: zone.Zone, InForce: zone.InForce(version), Proxies: zone.Proxies, AgeMs: zone.AgeMs}
+	for _, proxy := range zone.Lagging {
+		if proxy.Version < version {
+			z.Lagging = append(z.Lagging, proxy)
+		}
+	}
+	return z
+}
+
+func (a *app) watchCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "watch [VERSION]",
+		Short: "Watch a version, by default the latest, come into force",
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) > 1 {
+				return usage("%s takes at most 1 argument", c.CommandPath())
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			if len(args) == 1 {
+				version, err := parseVersion(args[0])
+				if err != nil {
+					return err
+				}
+				return a.watch(c, client, version)
+			}
+			version, err := a.latest(c, client)
+			if err != nil {
+				return err
+			}
+			return a.watch(c, client, version)
+		},
+	}
+	return command
+}
+
+func (a *app) latest(c *cobra.Command, api operator.Backend) (uint64, error) {
+	ctx, cancel := a.deadline(c)
+	defer cancel()
+	status, err := api.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if status.Latest == nil {
+		return 0, errors.Wrap(operator.ErrUnknownVersion, "no version is approved")
+	}
+	return status.Latest.Version, nil
+}
+
+// watch shows the progress until the version is in force, the rollout is stopped or the wait ends.
+func (a *app) watch(c *cobra.Command, api operator.Backend, version uint64) error {
+	ctx, cancel := context.WithTimeout(c.Context(), a.waitTimeout)
+	defer cancel()
+	display := a.display(c.OutOrStdout())
+	ticker := time.NewTicker(a.interval)
+	defer ticker.Stop()
+	last := progress{Version: version, State: stateWaiting, Note: "no status has arrived"}
+	for {
+		status, err := api.Status(ctx)
+		switch {
+		case err == nil:
+			last = progressOf(status, version)
+		case permanent(err):
+			return err
+		case ctx.Err() == nil:
+			last.Note = "status is not available: " + firstLine(err)
+		}
+		if err := display.show(last); err != nil {
+			return err
+		}
+		switch last.State {
+		case stateInForce:
+			return nil
+		case stateStopped:
+			return errors.Wrapf(ErrStopped, "version %d", version)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ErrNotInForce, "version %d after %s: %s", version, a.waitTimeout, summarize(last))
+		case <-ticker.C:
+		}
+	}
+}
+
+// permanent reports whether asking again for the status is pointless. Members that are away come back.
+func permanent(err error) bool {
+	return !errors.IsAny(err, operator.ErrUnreachable, operator.ErrNoQuorum, operator.ErrNotLeader,
+		operator.ErrInternal, operator.ErrOutcomeUnknown)
+}
+
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
+// summarize tells in one line how far the rollout is.
+func summarize(p progress) string {
+	inForce, proxies := 0, 0
+	for _, zone := range p.Zones {
+		inForce += zone.InForce
+		proxies += zone.Proxies
+	}
+	text := fmt.Sprintf("in force on %d of %d proxies", inForce, proxies)
+	if p.Note != "" {
+		text += " (" + p.Note + ")"
+	}
+	return text
+}
+
+// display shows a progress.
+type display interface {
+	show(p progress) error
+}
+
+func (a *app) display(out io.Writer) display {
+	if a.output == outputJSON {
+		return &jsonDisplay{out: out}
+	}
+	if file, ok := out.(*os.File); ok && isatty.IsTerminal(file.Fd()) && os.Getenv("TERM") != "dumb" {
+		return &liveDisplay{out: out}
+	}
+	return &plainDisplay{out: out}
+}
+
+// lines formats a progress.
+func lines(p progress) []string {
+	list := []string{fmt.Sprintf("version %d: %s, %s", p.Version, p.State, summarize(p))}
+	for _, zone := range p.Zones {
+		list = append(list, fmt.Sprintf("  %-16s %s %d/%d, %s", zone.Zone, bar(zone.InForce, zone.Proxies), zone.InForce,
+			zone.Proxies, age(zone.AgeMs)))
+		for _, proxy := range zone.Lagging {
+			list = append(list, fmt.Sprintf("    %s has version %d: %s", proxy.ID, proxy.Version, proxy.Reason))
+		}
+	}
+	return list
+}
+
+func bar(part, whole int) string {
+	filled := 0
+	if whole > 0 {
+		filled = min(max(progressWidth*part/whole, 0), progressWidth)
+	}
+	return "[" + strings.Repeat("#", filled) + strings.Repeat(".", progressWidth-filled) + "]"
+}
+
+// age formats the age of figures.
+func age(ms int64) string {
+	if ms == operator.AgeUnknown {
+		return "no figures yet"
+	}
+	return "figures " + (time.Duration(ms) * time.Millisecond).Round(100*time.Millisecond).String() + " old"
+}
+
+// liveDisplay redraws a block of lines on a terminal.
+type liveDisplay struct {
+	out   io.Writer
+	drawn int
+}
+
+// ANSI sequences that move the cursor to the start of the block and clear the screen below it.
+const (
+	cursorUp   = "\x1b[%dA"
+	clearBelow = "\r\x1b[J"
+)
+
+func (d *liveDisplay) show(p progress) error {
+	var text strings.Builder
+	if d.drawn > 0 {
+		fmt.Fprintf(&text, cursorUp, d.drawn)
+	}
+	text.WriteString(clearBelow)
+	list := lines(p)
+	for _, line := range list {
+		text.WriteString(printable(line))
+		text.WriteString("\n")
+	}
+	d.drawn = len(list)
+	_, err := io.WriteString(d.out, text.String())
+	return errors.Wrap(err, "write output")
+}
+
+// printable replaces control characters, as names and reasons come from other processes.
+func printable(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < 0x20 || r == 0x7f {
+			return '?'
+		}
+		return r
+	}, text)
+}
+
+// plainDisplay writes a line when something but the age of the figures changes.
+type plainDisplay struct {
+	out   io.Writer
+	shown map[string]bool
+}
+
+func (d *plainDisplay) show(p progress) error {
+	current := make(map[string]bool)
+	for i, line := range lines(p) {
+		line = printable(line)
+		key := line
+		if i > 0 && strings.Contains(line, "figures") {
+			key, _, _ = strings.Cut(line, ", ")
+		}
+		current[key] = true
+		if d.shown[key] {
+			continue
+		}
+		if _, err := fmt.Fprintln(d.out, line); err != nil {
+			return errors.Wrap(err, "write output")
+		}
+	}
+	d.shown = current
+	return nil
+}
+
+// jsonDisplay writes one JSON object per line when the progress changes.
+type jsonDisplay struct {
+	out   io.Writer
+	shown string
+}
+
+func (d *jsonDisplay) show(p progress) error {
+	key := fmt.Sprint(withoutAges(p))
+	if key == d.shown {
+		return nil
+	}
+	d.shown = key
+	return errors.Wrap(json.NewEncoder(d.out).Encode(p), "write output")
+}
+
+func withoutAges(p progress) progress {
+	zones := make([]zoneProgress, 0, len(p.Zones))
+	for _, zone := range p.Zones {
+		zone.AgeMs = 0
+		zones = append(zones, zone)
+	}
+	p.Zones = zones
+	return p
+}
--- a/protocol/operator/attempt.go
+++ b/protocol/operator/attempt.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -139,9 +141,17 @@
 		return &Error{Kind: ErrUnreachable, Message: err.Error()}
 	}
 	request.Header.Set("Content-Type", "application/json")
+	var connected atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
 	response, err := e.client.config.HTTP.Do(request)
+	if err != nil && !connected.Load() {
+		// Without a connection, after a refused dial or a failed TLS handshake, nothing was sent.
+		return &Error{Kind: ErrUnreachable, Message: err.Error()}
+	}
 	if err != nil {
-		return e.transportError(err)
+		return e.lost(err.Error())
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
@@ -157,15 +167,6 @@
 	return nil
 }
 
-// transportError tells a request that never left from one that may have arrived.
-func (e *exchange) transportError(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return &Error{Kind: ErrUnreachable, Message: err.Error()}
-	}
-	return e.lost(err.Error())
-}
-
 // lost returns the error for a lost answer. Only a change can have taken effect.
 func (e *exchange) lost(message string) error {
 	if e.method == http.MethodPost {
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -20,6 +20,9 @@
 const (
 	// DefaultAttemptTimeout bounds one attempt. It covers an election, which takes about 1 s.
 	DefaultAttemptTimeout = 5 * time.Second
+	// dialTimeout bounds opening a connection, so that an instance that is down delays the next address only a little.
+	// Availability zones are some milliseconds apart.
+	dialTimeout = time.Second
 	// membershipAttemptTimeout bounds one attempt of a membership change, during which a learner catches up.
 	membershipAttemptTimeout = 2 * time.Minute
 	// DefaultRounds is the number of times that all addresses are tried.
@@ -93,7 +96,11 @@
 	}
 	if c.HTTP == nil {
 		client.config.HTTP = &http.Client{
-			Transport:     &http.Transport{TLSClientConfig: c.TLS, ForceAttemptHTTP2: true},
+			Transport: &http.Transport{
+				TLSClientConfig:   c.TLS,
+				ForceAttemptHTTP2: true,
+				DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- a/protocol/operator/operator_test.go
+++ b/protocol/operator/operator_test.go
@@ -218,6 +218,36 @@
 	})
 })
 
+var _ = Describe("Rollout", func() {
+	zone := func(age int64, lowest uint64, counts ...operator.VersionCount) operator.ZoneStatus {
+		return operator.ZoneStatus{Proxies: 4, AgeMs: age, LowestVersion: lowest, Versions: counts}
+	}
+
+	DescribeTable("judges a zone, never from old figures",
+		func(z operator.ZoneStatus, stopped bool, want operator.RolloutState) {
+			z.Rollout = operator.RolloutOf(5, stopped, z)
+			Expect(z.Rollout).To(Equal(want))
+			Expect(operator.RolloutOfAll(5, stopped, []operator.ZoneStatus{z})).To(Equal(want))
+		},
+		Entry("all", zone(0, 5, operator.VersionCount{Version: 5, Proxies: 4}), false, operator.RolloutInForce),
+		Entry("all, later versions unlisted", zone(0, 6), false, operator.RolloutInForce),
+		Entry("some", zone(0, 4, operator.VersionCount{Version: 5, Proxies: 3}), false, operator.RolloutInProgress),
+		Entry("old figures", zone(operator.MaxFigureAgeMs+1, 5), false, operator.RolloutUnknown),
+		Entry("no figures", zone(operator.AgeUnknown, 5), false, operator.RolloutUnknown),
+		Entry("stopped", zone(0, 5), true, operator.RolloutStopped),
+	)
+
+	It("does not judge a mesh without proxies, nor one before the first approval", func() {
+		Expect(operator.RolloutOfAll(5, false, nil)).To(Equal(operator.RolloutUnknown))
+		Expect(operator.RolloutOfAll(0, false, nil)).To(Equal(operator.RolloutNone))
+	})
+
+	It("returns the newest records of a history first", func() {
+		records := []registry.HistoryRecord{{Index: 1}, {Index: 2}, {Index: 3}}
+		Expect(operator.NewestFirst(records, 2)).To(Equal([]registry.HistoryRecord{{Index: 3}, {Index: 2}}))
+	})
+})
+
 var _ = Describe("Handler", func() {
 	post := func(path string, body []byte) *httptest.ResponseRecorder {
 		recorder := httptest.NewRecorder()
--- /dev/null
+++ b/protocol/operator/rollout.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"slices"
+
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// MaxFigureAgeMs is the age in milliseconds above which figures do not prove that a version is in force. It exceeds the
+// time of several polls down the tree and back.
+const MaxFigureAgeMs int64 = 10_000
+
+// Fresh reports whether an age in milliseconds is known and small enough for a judgment.
+func Fresh(ageMs int64) bool { return ageMs != AgeUnknown && ageMs <= MaxFigureAgeMs }
+
+// InForce counts the proxies of the zone that have the version or a later one in force. The zone lists only its newest
+// versions, so older entries are covered by LowestVersion.
+func (z ZoneStatus) InForce(version uint64) int {
+	if z.LowestVersion >= version {
+		return z.Proxies
+	}
+	count := 0
+	for _, entry := range z.Versions {
+		if entry.Version >= version {
+			count += entry.Proxies
+		}
+	}
+	return count
+}
+
+// RolloutOf returns the state of the latest version's rollout in a zone.
+func RolloutOf(latest uint64, stopped bool, z ZoneStatus) RolloutState {
+	switch {
+	case latest == 0:
+		return RolloutNone
+	case stopped:
+		return RolloutStopped
+	case !Fresh(z.AgeMs):
+		return RolloutUnknown
+	case z.InForce(latest) == z.Proxies:
+		return RolloutInForce
+	default:
+		return RolloutInProgress
+	}
+}
+
+// RolloutOfAll returns the state of the latest version's rollout over all zones, from the states of the zones.
+func RolloutOfAll(latest uint64, stopped bool, zones []ZoneStatus) RolloutState {
+	if latest == 0 {
+		return RolloutNone
+	}
+	if stopped {
+		return RolloutStopped
+	}
+	proxies := 0
+	worst := RolloutInForce
+	for _, zone := range zones {
+		proxies += zone.Proxies
+		if zone.Rollout == RolloutInProgress || (zone.Rollout == RolloutUnknown && worst == RolloutInForce) {
+			worst = zone.Rollout
+		}
+	}
+	if proxies == 0 {
+		return RolloutUnknown
+	}
+	return worst
+}
+
+// NewestFirst returns at most limit records of a registry's history in the order of HistoryAnswer.
+func NewestFirst(records []registry.HistoryRecord, limit int) []registry.HistoryRecord {
+	list := slices.Clone(records[max(0, len(records)-limit):])
+	slices.Reverse(list)
+	return list
+}
