Admit calls by class, deadline and isolation

An upstream under overload must spend its slots on calls that finish in time. The queue serves classes strictly in order, sheds calls whose remaining time does not cover the mean service time and the wait, and serves the newest call first once the oldest has used two thirds of its time. Isolated calls take at most a tenth of the time and of the places; a test found that they could otherwise fill the queue and starve ordinary calls. The estimate lapses after 1 s without a finished call, because one above the deadlines would shed everything and never be corrected.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -3,6 +3,7 @@
 package admission
 
 import (
+	"cmp"
 	"time"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
@@ -64,38 +65,333 @@
 	Slots int
 	// QueueLimit bounds the waiting calls of each class.
 	QueueLimit int
+	// AloneShare bounds the part of the time that the upstream is reserved for calls that must run alone while other
+	// calls wait, including the time to empty the slots. It also bounds their part of the places in a queue.
+	AloneShare float64
+	// EstimateLifetime is the time for which the estimate of the service time holds if no call finishes. Without this
+	// limit, an estimate above the deadlines would shed every call and never be corrected.
+	EstimateLifetime time.Duration
 }
 
+// The defaults of Config.
+const (
+	DefaultSlots            = 10
+	DefaultQueueLimit       = 100
+	DefaultAloneShare       = 0.1
+	DefaultEstimateLifetime = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	c.Slots = cmp.Or(c.Slots, DefaultSlots)
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.AloneShare = cmp.Or(c.AloneShare, DefaultAloneShare)
+	c.EstimateLifetime = cmp.Or(c.EstimateLifetime, DefaultEstimateLifetime)
+	return c
+}
+
+var (
+	run  = Verdict{Action: Run}
+	wait = Verdict{Action: Wait}
+)
+
+func shed(reason Reason) Verdict { return Verdict{Action: Shed, Reason: reason} }
+
 // Queue holds the slots and the waiting calls of one upstream.
 type Queue struct {
-	config Config
+	config   Config
+	running  map[uint64]*call
+	waiting  map[uint64]*call
+	classes  [classCount]class
+	total    estimate // service time over all classes
+	pending  []Decision
+	draining bool
+	// seen is the time of the last input.
+	seen time.Time
+	isolation
+}
+
+// isolation holds the state of calls that must run alone.
+type isolation struct {
+	// reserved is the call for which the slots are being emptied, or that runs alone.
+	reserved *call
+	since    time.Time
+	// notBefore is the time from which the slots may be emptied for a further call.
+	notBefore time.Time
 }
 
 // New returns an empty queue.
-func New(c Config) *Queue { return &Queue{config: c} }
+func New(c Config) *Queue {
+	return &Queue{config: c.withDefaults(), running: make(map[uint64]*call), waiting: make(map[uint64]*call)}
+}
 
-// Offer decides on a new call. Decisions on other calls that follow from it are returned by the next call of Expire,
-// Finish or Cancel; NextExpiry is due at once in this case.
-func (q *Queue) Offer(now time.Time, t Ticket) Verdict { return Verdict{} }
+// Offer decides on a new call. Its identifier must not be in use. Decisions on other calls that follow from it are
+// returned by the next call of Expire, Finish or Cancel; NextExpiry is due at once in this case.
+func (q *Queue) Offer(now time.Time, t Ticket) Verdict {
+	q.seen = now
+	c := newCall(t, now)
+	switch {
+	case q.draining:
+		return shed(ReasonDraining)
+	case c.remaining(now) <= q.need(c, now):
+		return shed(ReasonDeadline)
+	case q.mayStart(c):
+		q.start(c, now)
+		return run
+	case c.remaining(now) < q.need(c, now)+q.expectedWait(c, now):
+		return shed(ReasonDeadline)
+	case !q.makeRoom(c, now):
+		return shed(ReasonQueueFull)
+	}
+	q.enqueue(c)
+	q.reserve(now)
+	return wait
+}
 
 // Cancel frees the slot or the place in the queue of a call whose caller left.
-func (q *Queue) Cancel(now time.Time, id uint64) []Decision { return nil }
+func (q *Queue) Cancel(now time.Time, id uint64) []Decision {
+	if c, ok := q.waiting[id]; ok {
+		q.remove(c, now)
+	}
+	if c, ok := q.running[id]; ok {
+		q.stop(c, now)
+	}
+	return q.dispatch(now)
+}
 
 // Finish frees the slot of a call that ran for the given time.
-func (q *Queue) Finish(now time.Time, id uint64, service time.Duration) []Decision { return nil }
+func (q *Queue) Finish(now time.Time, id uint64, service time.Duration) []Decision {
+	if c, ok := q.running[id]; ok {
+		q.class(c).service.add(now, service)
+		q.total.add(now, service)
+		q.stop(c, now)
+	}
+	return q.dispatch(now)
+}
 
 // Expire sheds waiting calls that can no longer finish in time and returns all pending decisions.
-func (q *Queue) Expire(now time.Time) []Decision { return nil }
+func (q *Queue) Expire(now time.Time) []Decision { return q.dispatch(now) }
 
-// NextExpiry returns the time at which Expire should be called, if any call waits.
-func (q *Queue) NextExpiry() (time.Time, bool) { return time.Time{}, false }
+// NextExpiry returns the time at which Expire should be called, if any call waits. The zero time means at once.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	if len(q.pending) > 0 {
+		return time.Time{}, true
+	}
+	var next time.Time
+	for i := range q.classes {
+		class := &q.classes[i]
+		if len(class.byDeadline) == 0 {
+			continue
+		}
+		at := class.byDeadline[0].deadline.Add(-class.service.at(q.seen, q.config.EstimateLifetime))
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if q.reserved == nil && q.hasAlone() && q.notBefore.After(q.seen) && q.notBefore.Before(next) {
+		next = q.notBefore
+	}
+	return next, len(q.waiting) > 0
+}
 
 // Load returns the first-hand load.
-func (q *Queue) Load() balance.Load { return balance.Load{} }
+func (q *Queue) Load() balance.Load {
+	return balance.Load{
+		InFlight:      len(q.running),
+		Queued:        len(q.waiting),
+		Slots:         q.config.Slots,
+		LatencyMicros: q.total.mean.Microseconds(),
+	}
+}
 
 // Drain refuses all further calls and sheds the waiting ones; call Expire next to receive these decisions.
 // Calls in flight are not affected.
-func (q *Queue) Drain() {}
+func (q *Queue) Drain() {
+	q.draining = true
+	for i := range q.classes {
+		for len(q.classes[i].byDeadline) > 0 {
+			q.evict(q.classes[i].byDeadline[0], ReasonDraining, time.Time{})
+		}
+	}
+}
 
 // Resize changes the number of slots; call Expire next to receive the decisions that follow.
-func (q *Queue) Resize(slots int) {}
+func (q *Queue) Resize(slots int) { q.config.Slots = max(1, slots) }
+
+func (q *Queue) class(c *call) *class { return &q.classes[c.class] }
+
+// need returns the time that a call is expected to run.
+func (q *Queue) need(c *call, now time.Time) time.Duration {
+	return q.class(c).service.at(now, q.config.EstimateLifetime)
+}
+
+// expectedWait returns the time until the slots have served the calls ahead. Under overload the newest call of a class
+// is served first, so those of its own class are not ahead.
+func (q *Queue) expectedWait(c *call, now time.Time) time.Duration {
+	ahead := 1
+	for i := range c.class {
+		ahead += len(q.classes[i].byDeadline)
+	}
+	if !q.class(c).overloaded(now) {
+		ahead += len(q.class(c).byDeadline)
+	}
+	return time.Duration(ahead) * q.total.mean / time.Duration(q.config.Slots)
+}
+
+// mayStart reports whether a new call may start without waiting.
+func (q *Queue) mayStart(c *call) bool {
+	if q.reserved != nil {
+		return false
+	}
+	if c.alone {
+		return len(q.running) == 0
+	}
+	return len(q.running) < q.config.Slots
+}
+
+// makeRoom reports whether the queue of the call's class has a free place. Under overload the oldest call gives way.
+// Isolated calls get only their share of the places: they leave slowly and would otherwise fill the queue.
+func (q *Queue) makeRoom(c *call, now time.Time) bool {
+	class := q.class(c)
+	if c.alone && class.alone.Len() >= max(1, int(float64(q.config.QueueLimit)*q.config.AloneShare)) {
+		return false
+	}
+	if len(class.byDeadline) < q.config.QueueLimit {
+		return true
+	}
+	if !class.overloaded(now) {
+		return false
+	}
+	q.evict(class.oldest(), ReasonQueueFull, now)
+	return true
+}
+
+func (q *Queue) enqueue(c *call) {
+	q.waiting[c.id] = c
+	q.class(c).push(c)
+}
+
+func (q *Queue) remove(c *call, now time.Time) {
+	delete(q.waiting, c.id)
+	q.class(c).remove(c)
+	if q.reserved == c {
+		q.endReservation(now)
+	}
+}
+
+func (q *Queue) evict(c *call, reason Reason, now time.Time) {
+	q.remove(c, now)
+	q.pending = append(q.pending, Decision{ID: c.id, Verdict: shed(reason)})
+}
+
+func (q *Queue) start(c *call, now time.Time) {
+	q.running[c.id] = c
+	if c.alone && q.reserved == nil {
+		q.reserved, q.since = c, now
+	}
+}
+
+func (q *Queue) stop(c *call, now time.Time) {
+	delete(q.running, c.id)
+	if q.reserved == c {
+		q.endReservation(now)
+	}
+}
+
+// dispatch sheds calls that can no longer finish in time, starts calls while slots are free, and returns all pending
+// decisions.
+func (q *Queue) dispatch(now time.Time) []Decision {
+	q.seen = now
+	q.shedLate(now)
+	for {
+		q.reserve(now)
+		c := q.next(now)
+		if c == nil {
+			break
+		}
+		reserved := q.reserved
+		q.reserved = nil // the reservation passes from the waiting call to the running one
+		q.remove(c, now)
+		q.reserved = reserved
+		q.start(c, now)
+		q.pending = append(q.pending, Decision{ID: c.id, Verdict: run})
+	}
+	decisions := q.pending
+	q.pending = nil
+	return decisions
+}
+
+func (q *Queue) shedLate(now time.Time) {
+	for i := range q.classes {
+		class := &q.classes[i]
+		need := class.service.at(now, q.config.EstimateLifetime)
+		for len(class.byDeadline) > 0 && class.byDeadline[0].remaining(now) <= need {
+			q.evict(class.byDeadline[0], ReasonDeadline, now)
+		}
+	}
+}
+
+// next returns the call that starts now, or nil.
+func (q *Queue) next(now time.Time) *call {
+	if q.reserved != nil {
+		if _, waits := q.waiting[q.reserved.id]; waits && len(q.running) == 0 {
+			return q.reserved
+		}
+		return nil
+	}
+	if len(q.running) >= q.config.Slots {
+		return nil
+	}
+	for i := range q.classes {
+		if c := q.classes[i].next(now); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// reserve empties the slots for the first call that must run alone, if its class is served next and the share of time
+// allows it.
+func (q *Queue) reserve(now time.Time) {
+	if q.reserved != nil {
+		return
+	}
+	due := !now.Before(q.notBefore)
+	for i := range q.classes {
+		class := &q.classes[i]
+		if class.alone.Len() > 0 && (due || q.idle()) {
+			q.reserved, q.since = class.alone.Front().Value.(*call), now
+			return
+		}
+		if class.ordinary.Len() > 0 {
+			return
+		}
+	}
+}
+
+// idle reports whether an isolated call would keep no other call from running.
+func (q *Queue) idle() bool {
+	for i := range q.classes {
+		if q.classes[i].ordinary.Len() > 0 {
+			return false
+		}
+	}
+	return len(q.running) == 0
+}
+
+func (q *Queue) hasAlone() bool {
+	for i := range q.classes {
+		if q.classes[i].alone.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// endReservation delays the next reservation, so that reservations take at most their share of the time.
+func (q *Queue) endReservation(now time.Time) {
+	used := now.Sub(q.since)
+	q.reserved = nil
+	if used > 0 {
+		q.notBefore = now.Add(time.Duration(float64(used) * (1/q.config.AloneShare - 1)))
+	}
+}
--- /dev/null
+++ b/coordination/admission/class.go
@@ -0,0 +1,155 @@
+package admission
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// classCount is the number of classes.
+const classCount = 3
+
+// classOf returns the rank of a class: lower ranks are served first. Unknown classes are served last.
+func classOf(c bundle.Class) int {
+	switch c {
+	case bundle.ClassIrreversible:
+		return 0
+	case bundle.ClassLookup:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// call is one waiting or running call.
+type call struct {
+	id       uint64
+	class    int
+	alone    bool
+	arrived  time.Time
+	deadline time.Time
+	element  *list.Element
+	index    int // position in byDeadline
+}
+
+// noDeadline stands in for a missing deadline.
+const noDeadline = 24 * time.Hour
+
+func newCall(t Ticket, now time.Time) *call {
+	c := &call{id: t.ID, class: classOf(t.Class), alone: t.Alone, arrived: now, deadline: t.Deadline}
+	if c.deadline.IsZero() {
+		c.deadline = now.Add(noDeadline)
+	}
+	return c
+}
+
+func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
+
+// overloadRatio is the ratio of waiting time to remaining time from which the newest call is served first.
+const overloadRatio = 2
+
+// class holds the waiting calls of one class.
+type class struct {
+	ordinary   list.List // in order of arrival
+	alone      list.List // in order of arrival
+	byDeadline deadlineHeap
+	service    estimate
+}
+
+func (q *class) listOf(c *call) *list.List {
+	if c.alone {
+		return &q.alone
+	}
+	return &q.ordinary
+}
+
+func (q *class) push(c *call) {
+	c.element = q.listOf(c).PushBack(c)
+	heap.Push(&q.byDeadline, c)
+}
+
+func (q *class) remove(c *call) {
+	q.listOf(c).Remove(c.element)
+	heap.Remove(&q.byDeadline, c.index)
+}
+
+// oldest returns the ordinary call that has waited longest. The queue must hold one.
+func (q *class) oldest() *call { return q.ordinary.Front().Value.(*call) }
+
+// overloaded reports whether the oldest ordinary call has used up two thirds of its time by waiting. Serving in order
+// of arrival would then bring every call close to its deadline. A lower threshold sheds lookups that FIFO would still
+// serve in time; never leaving FIFO wastes slots on calls that finish late (docs/traffic.md has the figures).
+func (q *class) overloaded(now time.Time) bool {
+	front := q.ordinary.Front()
+	if front == nil {
+		return false
+	}
+	c := front.Value.(*call)
+	return now.Sub(c.arrived) > overloadRatio*c.remaining(now)
+}
+
+// next returns the ordinary call that is served next, or nil: the newest under overload, otherwise the oldest.
+func (q *class) next(now time.Time) *call {
+	element := q.ordinary.Front()
+	if q.overloaded(now) {
+		element = q.ordinary.Back()
+	}
+	if element == nil {
+		return nil
+	}
+	return element.Value.(*call)
+}
+
+// deadlineHeap orders calls by deadline.
+type deadlineHeap []*call
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].deadline.Before(h[j].deadline) }
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push appends a call; container/heap calls it.
+func (h *deadlineHeap) Push(x any) {
+	c := x.(*call)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+
+// Pop removes the last call; container/heap calls it.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return c
+}
+
+// estimate is a running mean of the service time. A higher quantile would shed more calls that might finish late, but
+// a few long samples can then raise it above the deadlines, which sheds everything.
+type estimate struct {
+	mean    time.Duration
+	updated time.Time
+}
+
+// meanWeight divides the difference that one sample makes.
+const meanWeight = 8
+
+func (e *estimate) add(now time.Time, sample time.Duration) {
+	if e.updated.IsZero() {
+		e.mean = sample
+	}
+	e.mean += (sample - e.mean) / meanWeight
+	e.updated = now
+}
+
+// at returns the mean, or 0 if no call has finished for the lifetime.
+func (e *estimate) at(now time.Time, lifetime time.Duration) time.Duration {
+	if e.updated.IsZero() || now.Sub(e.updated) >= lifetime {
+		return 0
+	}
+	return e.mean
+}
