--- a/control/operators.go
+++ b/control/operators.go
@@ -104,16 +104,20 @@
 		state := m.machines.registry.State()
 		status.Latest = state.Latest
 		status.Staged = m.machines.registry.Staged()
-		status.Zones = zoneStatuses(m.peer.Status(), state)
-		status.Rollout = rolloutOf(status, state)
+		status.Zones = zoneStatuses(m.peer.Zones(), state)
+		status.Rollout = operator.RolloutOfAll(latestVersion(state), state.Stopped, status.Zones)
 	})
+	if !operator.Fresh(status.ConfirmedAgeMs) {
+		// A member that was cut off cannot know the present state.
+		status.Rollout = operator.RolloutUnknown
+	}
 	return status, err
 }
 
 // zoneStatuses describes the proxies of each zone.
-func zoneStatuses(status relay.Status, state registry.State) []operator.ZoneStatus {
+func zoneStatuses(counts []relay.ZoneCounts, state registry.State) []operator.ZoneStatus {
 	var zones []operator.ZoneStatus
-	for _, counted := range status.Zones {
+	for _, counted := range counts {
 		zone := operator.ZoneStatus{
 			Zone: counted.Zone, Proxies: counted.Counts.Nodes, LowestVersion: counted.Counts.Lowest,
 			AgeMs: counted.Age.Milliseconds(),
@@ -125,55 +129,30 @@
 			zone.Lagging = append(zone.Lagging,
 				operator.LaggingProxy{ID: lag.ID, Version: lag.Version, Reason: lag.Reason})
 		}
-		zone.Rollout = rollout(state, zone.Proxies, zone.LowestVersion)
+		zone.Rollout = operator.RolloutOf(latestVersion(state), state.Stopped, zone)
 		zones = append(zones, zone)
 	}
 	slices.SortFunc(zones, func(a, b operator.ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
 	return zones
 }
 
-func rollout(state registry.State, proxies int, lowest uint64) operator.RolloutState {
-	switch {
-	case state.Latest == nil:
-		return operator.RolloutNone
-	case state.Stopped:
-		return operator.RolloutStopped
-	case proxies == 0:
-		return operator.RolloutUnknown
-	case lowest >= state.Latest.Version:
-		return operator.RolloutInForce
-	default:
-		return operator.RolloutInProgress
-	}
-}
-
-// staleFigures is the age from which the counts of proxies say nothing about the present.
-const staleFigures = 5 * time.Second
-
-func rolloutOf(status operator.Status, state registry.State) operator.RolloutState {
-	if status.ConfirmedAgeMs == operator.AgeUnknown || status.ConfirmedAgeMs > staleFigures.Milliseconds() {
-		return operator.RolloutUnknown
-	}
-	proxies, lowest := 0, ^uint64(0)
-	for _, zone := range status.Zones {
-		proxies += zone.Proxies
-		if zone.Proxies > 0 {
-			lowest = min(lowest, zone.LowestVersion)
-		}
+func latestVersion(state registry.State) uint64 {
+	if state.Latest == nil {
+		return 0
 	}
-	return rollout(state, proxies, lowest)
+	return state.Latest.Version
 }
 
 // History lists the decisions, newest first.
 func (b backend) History(ctx context.Context, r operator.HistoryRequest) (operator.HistoryAnswer, error) {
-	var answer operator.HistoryAnswer
-	err := b.query(ctx, func(time.Time) { answer.Records = slices.Clone(b.member.machines.registry.History()) })
-	slices.Reverse(answer.Records)
 	limit := r.Limit
 	if limit <= 0 {
 		limit = operator.DefaultHistoryLimit
 	}
-	answer.Records = answer.Records[:min(limit, len(answer.Records))]
+	var answer operator.HistoryAnswer
+	err := b.query(ctx, func(time.Time) {
+		answer.Records = operator.NewestFirst(b.member.machines.registry.History(), limit)
+	})
 	return answer, err
 }
 
--- a/local/local.go
+++ b/local/local.go
@@ -23,6 +23,7 @@
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/disk"
+	"sapphiregate.example/sapphiregate/state/registry"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 	"sapphiregate.example/sapphiregate/transport/shape"
 )
@@ -317,7 +318,7 @@
 	return d.SignOff(ctx, member, signed)
 }
 
-// operatorClient returns a client of one member, shaped like any other traffic from the member's own zone.
+// operatorClient returns a client of one member. Operators sit beside the member that they talk to.
 func (d *Deployment) operatorClient(member string) (*operator.Client, error) {
 	d.mu.Lock()
 	slot := d.members[member]
@@ -326,7 +327,7 @@
 		return nil, errors.Wrapf(ErrUnknownProcess, "%s", member)
 	}
 	return operator.NewClient(operator.ClientConfig{
-		Addresses: []string{slot.admin()}, Scheme: "http", Rand: rand.New(rand.NewSource(d.spec.Seed)),
+		Addresses: []string{slot.admin()}, Rounds: 1, Rand: rand.New(rand.NewSource(d.spec.Seed)),
 	})
 }
 
@@ -343,11 +344,18 @@
 	if err != nil {
 		return err
 	}
-	request, err := operator.NewStageRequest(signed.Approval.Operator, signed.Approval.Version, signed.Bundle)
+	update, err := bundle.Complete(signed.Bundle)
 	if err != nil {
 		return err
 	}
-	_, err = client.Stage(ctx, request)
+	encoded, err := registry.EncodeUpdate(update)
+	if err != nil {
+		return err
+	}
+	_, err = client.Stage(ctx, operator.StageRequest{
+		RequestID: operator.NewRequestID(), Operator: signed.Approval.Operator, Version: signed.Approval.Version,
+		Digest: update.Target, Update: encoded,
+	})
 	return err
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -228,7 +228,9 @@
 }
 
 // AcceptUpstream takes an announcement from settings, for an upstream that does not announce itself.
-func (n *Node) AcceptUpstream(announcement Announcement) error { return n.executor.accept(announcement) }
+func (n *Node) AcceptUpstream(announcement Announcement) error {
+	return n.executor.accept(announcement)
+}
 
 // Follow serves the children of this node in the distribution tree.
 func (n *Node) Follow(stream rpc.FollowServerStream) error { return n.control.Follow(stream) }
--- a/state/bundle/part.go
+++ b/state/bundle/part.go
@@ -156,6 +156,28 @@
 	return parts, manifest, nil
 }
 
+// Complete returns the update that brings a bundle to a store that holds nothing.
+func Complete(b *Bundle) (Update, error) {
+	parts, manifest, err := Split(b)
+	if err != nil {
+		return Update{}, err
+	}
+	return Update{Target: manifest.Digest(), Delta: Diff(Manifest{}, manifest), Parts: distinct(parts)}, nil
+}
+
+// distinct drops parts that occur under several names.
+func distinct(parts []Part) []Part {
+	seen := make(map[Digest]bool, len(parts))
+	var list []Part
+	for _, part := range parts {
+		if !seen[part.Digest] {
+			seen[part.Digest] = true
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
 // Assemble builds the bundle that a manifest lists. It returns ErrMissingPart if lookup lacks a part.
 func Assemble(manifest Manifest, lookup func(Digest) ([]byte, bool)) (*Bundle, error) {
 	b := &Bundle{}
--- a/transport/rpc/service.go
+++ b/transport/rpc/service.go
@@ -50,8 +50,8 @@
 }
 
 const (
-	methodFollow  = "/sapphiregate.Mesh/Follow"
-	methodCall    = "/sapphiregate.Mesh/Call"
+	methodFollow   = "/sapphiregate.Mesh/Follow"
+	methodCall     = "/sapphiregate.Mesh/Call"
 	methodPropose  = "/sapphiregate.Control/Propose"
 	methodIdentify = "/sapphiregate.Control/Identify"
 	methodStep     = "/sapphiregate.Raft/Step"
--- a/transport/rpc/tls.go
+++ b/transport/rpc/tls.go
@@ -127,7 +127,7 @@
 }
 
 func (c *reloadingCredentials) Info() credentials.ProtocolInfo {
-	return credentials.ProtocolInfo{SecurityProtocol: "tls", SecurityVersion: "1.3"}
+	return credentials.ProtocolInfo{SecurityProtocol: "tls"}
 }
 
 func (c *reloadingCredentials) Clone() credentials.TransportCredentials {
