Add the ledger of irreversible calls

An irreversible call must run at most once although answers are lost and callers resend. The ledger grants a claim to one (executor, incarnation, attempt), keeps the first answer, and accepts records and releases only from the holder. A release also voids copies of the claim that arrive after it: granted to nobody who would run the call, such a copy would block the key for 7 days. Time comes from the commands and never goes back. A UUIDv7 key is kept until claims that carry it are refused for their age, so it can never be claimed twice.

--- /dev/null
+++ b/state/ledger/keys.go
@@ -0,0 +1,176 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"github.com/google/uuid"
+)
+
+const (
+	// bucketMs is the width of the buckets in which keys expire.
+	bucketMs = 60_000
+	// maxVoided bounds the released attempts that are remembered for a key. If a copy of an older claim arrives after
+	// all, it is granted to a holder that no longer exists, and the key stays claimed: no call runs twice.
+	maxVoided = 8
+)
+
+// keyHash is the truncated SHA-256 of a key; it makes entries small and equal in size.
+type keyHash [16]byte
+
+func hashOf(key string) keyHash {
+	sum := sha256.Sum256([]byte(key))
+	return keyHash(sum[:len(keyHash{})])
+}
+
+// requestHash is the truncated SHA-256 of a route and a request digest. It is zero for released keys whose claim has
+// not arrived.
+type requestHash [16]byte
+
+func requestOf(route string, digest [32]byte) requestHash {
+	sum := sha256.Sum256(append(digest[:], route...))
+	return requestHash(sum[:len(requestHash{})])
+}
+
+// keyTime returns the time in a UUIDv7 key, in milliseconds since 1970.
+func keyTime(key string) (int64, bool) {
+	const timeBytes = 6
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return 0, false
+	}
+	var raw [8]byte
+	copy(raw[len(raw)-timeBytes:], id[:timeBytes])
+	return int64(binary.BigEndian.Uint64(raw[:])), true
+}
+
+// holder identifies an attempt at an executor.
+type holder struct {
+	incarnation uint64
+	attempt     uint64
+	executor    uint32 // number in Ledger.executors
+}
+
+// entry is the state of one key.
+type entry struct {
+	request      requestHash
+	holder       holder
+	untilMs      int64
+	answerStatus uint16
+	status       Status // Claimed, Done or Released
+}
+
+func (e entry) sameRequest(route string, digest [32]byte) bool {
+	return e.request == requestHash{} || e.request == requestOf(route, digest)
+}
+
+// keys holds the entries and the order in which they expire.
+type keys struct {
+	entries map[keyHash]entry
+	voided  map[keyHash][]holder
+	// buckets lists the keys by the bucket of their expiry. A key whose expiry changed is listed more than once.
+	buckets map[int64][]keyHash
+	// next is the first bucket that is not yet cleared.
+	next int64
+}
+
+func newKeys() keys {
+	return keys{
+		entries: make(map[keyHash]entry),
+		voided:  make(map[keyHash][]holder),
+		buckets: make(map[int64][]keyHash),
+	}
+}
+
+// lookup returns the entry of a key unless it has expired. It changes nothing.
+func (k *keys) lookup(key keyHash, nowMs int64) (entry, bool) {
+	e, ok := k.entries[key]
+	if ok && e.untilMs <= nowMs {
+		return entry{}, false
+	}
+	return e, ok
+}
+
+// take is lookup for commands that may change the key: it removes an expired entry.
+func (k *keys) take(key keyHash, nowMs int64) (entry, bool) {
+	e, ok := k.lookup(key, nowMs)
+	if !ok {
+		k.remove(key)
+	}
+	return e, ok
+}
+
+func (k *keys) store(key keyHash, e entry) {
+	old, held := k.entries[key]
+	k.entries[key] = e
+	if !held || old.untilMs/bucketMs != e.untilMs/bucketMs {
+		bucket := e.untilMs / bucketMs
+		k.buckets[bucket] = append(k.buckets[bucket], key)
+	}
+}
+
+func (k *keys) remove(key keyHash) {
+	delete(k.entries, key)
+	delete(k.voided, key)
+}
+
+// void makes later claims by the holder void.
+func (k *keys) void(key keyHash, by holder) {
+	list := k.voided[key]
+	if slices.Contains(list, by) {
+		return
+	}
+	if len(list) >= maxVoided {
+		list = slices.Delete(list, 0, 1)
+	}
+	k.voided[key] = append(list, by)
+}
+
+// expire clears the buckets that lie entirely in the past. Which entries are held depends only on the commands, so
+// that replicas agree on when the ledger is full.
+func (k *keys) expire(nowMs int64) {
+	current := nowMs / bucketMs
+	if current == k.next {
+		return
+	}
+	if current-k.next > int64(len(k.buckets)) {
+		for bucket := range k.buckets {
+			if bucket < current {
+				k.clear(bucket)
+			}
+		}
+		k.next = current
+	}
+	for ; k.next < current; k.next++ {
+		k.clear(k.next)
+	}
+}
+
+func (k *keys) clear(bucket int64) {
+	for _, key := range k.buckets[bucket] {
+		if e, ok := k.entries[key]; ok && e.untilMs/bucketMs <= bucket {
+			k.remove(key)
+		}
+	}
+	delete(k.buckets, bucket)
+}
+
+// names numbers the executors, so that entries need not repeat them. Names are not removed before the next restore
+// from a snapshot; there are as many as nodes.
+type names struct {
+	list    []string
+	numbers map[string]uint32
+}
+
+func newNames() names { return names{numbers: make(map[string]uint32)} }
+
+func (n *names) number(name string) uint32 {
+	if number, ok := n.numbers[name]; ok {
+		return number
+	}
+	number := uint32(len(n.list))
+	n.list = append(n.list, name)
+	n.numbers[name] = number
+	return number
+}
--- a/state/ledger/ledger.go
+++ b/state/ledger/ledger.go
@@ -3,7 +3,11 @@
 package ledger
 
 import (
+	"cmp"
+	"slices"
 	"time"
+
+	"sapphiregate.example/sapphiregate/invariant"
 )
 
 // Answer is the response of an irreversible call.
@@ -43,10 +47,11 @@
 	Attempt     uint64 `cbor:"4,keyasint"`
 }
 
-// Query asks for the state of a key. A zero RequestDigest skips the comparison with the digest of the claim.
+// Query asks for the state of a key. With a zero RequestDigest, the request is not compared with that of the claim.
 type Query struct {
 	Key           string   `cbor:"1,keyasint"`
-	RequestDigest [32]byte `cbor:"2,keyasint,omitempty"`
+	RequestDigest [32]byte `cbor:"2,keyasint,omitzero"`
+	Route         string   `cbor:"3,keyasint,omitempty"`
 }
 
 // Command is one entry of the replicated log. One of the pointers is set.
@@ -87,7 +92,7 @@
 // Result is the effect of a command.
 type Result struct {
 	Status Status `cbor:"1,keyasint"`
-	// Holder is the current or last holder of the claim. Its RequestDigest is not filled in.
+	// Holder is the current or last holder of the claim. Its Route and RequestDigest are not filled in.
 	Holder Claim   `cbor:"2,keyasint,omitzero"`
 	Answer *Answer `cbor:"3,keyasint,omitempty"`
 }
@@ -106,22 +111,204 @@
 	MaxKeys int
 }
 
+// The defaults of Config.
+const (
+	DefaultKeyRetention    = 7 * 24 * time.Hour
+	DefaultAnswerRetention = time.Hour
+	DefaultMaxAnswerBytes  = 64 << 10
+	// DefaultMaxTotalAnswerBytes and DefaultMaxKeys keep a member's ledger within the 256 MB of control memory.
+	DefaultMaxTotalAnswerBytes = 64 << 20
+	DefaultMaxKeys             = 1_000_000
+)
+
+func (c Config) withDefaults() Config {
+	c.KeyRetention = cmp.Or(c.KeyRetention, DefaultKeyRetention)
+	c.AnswerRetention = cmp.Or(c.AnswerRetention, DefaultAnswerRetention)
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	c.MaxTotalAnswerBytes = cmp.Or(c.MaxTotalAnswerBytes, DefaultMaxTotalAnswerBytes)
+	c.MaxKeys = cmp.Or(c.MaxKeys, DefaultMaxKeys)
+	return c
+}
+
 // Ledger holds the state of all keys. It is not safe for concurrent use.
 type Ledger struct {
 	config Config
+	nowMs  int64
+	keys
+	answers
+	executors names
 }
 
 // New returns an empty ledger.
-func New(c Config) *Ledger { return &Ledger{config: c} }
+func New(c Config) *Ledger {
+	return &Ledger{config: c.withDefaults(), keys: newKeys(), answers: newAnswers(), executors: newNames()}
+}
 
 // Apply applies a committed command.
-func (l *Ledger) Apply(c Command) Result { return Result{} }
+func (l *Ledger) Apply(c Command) Result {
+	l.advance(c.NowMs)
+	if !c.valid() {
+		return Result{Status: Invalid}
+	}
+	switch {
+	case c.Claim != nil:
+		return l.claim(*c.Claim)
+	case c.Record != nil:
+		return l.record(*c.Record)
+	case c.Release != nil:
+		return l.release(*c.Release)
+	default:
+		return l.Lookup(*c.Query)
+	}
+}
 
 // Len returns the number of keys that are held.
-func (l *Ledger) Len() int { return 0 }
+func (l *Ledger) Len() int { return len(l.entries) }
+
+// valid reports whether one field is set and names a key.
+func (c Command) valid() bool {
+	set, key := 0, ""
+	if c.Claim != nil {
+		set, key = set+1, c.Claim.Key
+	}
+	if c.Record != nil {
+		set, key = set+1, c.Record.Key
+	}
+	if c.Release != nil {
+		set, key = set+1, c.Release.Key
+	}
+	if c.Query != nil {
+		set, key = set+1, c.Query.Key
+	}
+	return set == 1 && key != ""
+}
+
+// advance moves the time, which never goes back when another leader's clock is behind, and drops what has expired.
+func (l *Ledger) advance(nowMs int64) {
+	l.nowMs = max(l.nowMs, nowMs)
+	l.keys.expire(l.nowMs)
+	l.answers.expire(l.nowMs, l.config.MaxTotalAnswerBytes)
+}
+
+func (l *Ledger) claim(c Claim) Result {
+	keyMs, dated := keyTime(c.Key)
+	if dated && !l.accepts(keyMs) {
+		return Result{Status: Expired}
+	}
+	key, by := hashOf(c.Key), l.holder(c.Executor, c.Incarnation, c.Attempt)
+	e, held := l.take(key, l.nowMs)
+	switch {
+	case !held && len(l.entries) >= l.config.MaxKeys:
+		return Result{Status: Full}
+	case held && !e.sameRequest(c.Route, c.RequestDigest):
+		return Result{Status: KeyReused}
+	case held && e.status == Claimed && e.holder == by:
+		return l.result(Granted, c.Key, e)
+	case held && e.status != Released:
+		return l.result(e.status, c.Key, e)
+	case slices.Contains(l.voided[key], by):
+		e.holder = by
+		return l.result(Released, c.Key, e)
+	}
+	e = entry{status: Claimed, holder: by, request: requestOf(c.Route, c.RequestDigest)}
+	// A key with a time in the future is kept until claims that carry it are refused for their age.
+	e.untilMs = max(l.nowMs, keyMs) + l.config.KeyRetention.Milliseconds()
+	l.store(key, e)
+	return l.result(Granted, c.Key, e)
+}
+
+func (l *Ledger) record(r Record) Result {
+	key, by := hashOf(r.Key), l.holder(r.Executor, r.Incarnation, r.Attempt)
+	e, held := l.take(key, l.nowMs)
+	if !held {
+		return Result{Status: Absent}
+	}
+	if slices.Contains(l.voided[key], by) {
+		invariant.Violated(invariant.FalseNotRun, "a released call has an answer", map[string]any{
+			"key": r.Key, "executor": r.Executor, "attempt": r.Attempt,
+		})
+	}
+	if e.status == Claimed && e.holder == by {
+		e.status = Done
+		e.answerStatus = uint16(r.Answer.Status)
+		l.store(key, e)
+		l.keep(key, r.Answer)
+	}
+	return l.result(e.status, r.Key, e)
+}
 
-// Snapshot returns the canonical encoding of the state: equal states have equal snapshots.
-func (l *Ledger) Snapshot() ([]byte, error) { return nil, nil }
+// keep stores an answer unless it is too large.
+func (l *Ledger) keep(key keyHash, a Answer) {
+	if a.Dropped || a.size() > l.config.MaxAnswerBytes {
+		return
+	}
+	l.answers.add(key, a, l.nowMs+l.config.AnswerRetention.Milliseconds())
+	l.answers.expire(l.nowMs, l.config.MaxTotalAnswerBytes)
+}
 
-// Restore builds a ledger from a snapshot.
-func Restore(c Config, data []byte) (*Ledger, error) { return New(c), nil }
+// release ends the holder's claim. Whether or not it holds one, copies of its claim that arrive later are void: nothing
+// would run the call or give that claim back.
+func (l *Ledger) release(r Release) Result {
+	key, by := hashOf(r.Key), l.holder(r.Executor, r.Incarnation, r.Attempt)
+	e, held := l.take(key, l.nowMs)
+	releasedUntil := l.nowMs + l.config.AnswerRetention.Milliseconds()
+	switch {
+	case !held && len(l.entries) >= l.config.MaxKeys:
+		return Result{Status: Absent}
+	case !held:
+		e = entry{status: Released, holder: by, untilMs: releasedUntil}
+		l.store(key, e)
+	case e.status == Claimed && e.holder == by:
+		e.status, e.untilMs = Released, releasedUntil
+		l.store(key, e)
+	case e.status == Done:
+		return l.result(Done, r.Key, e)
+	}
+	l.void(key, by)
+	return l.result(e.status, r.Key, e)
+}
+
+// Lookup answers a query from this replica's state, which may lag behind that of the leader. It changes nothing.
+func (l *Ledger) Lookup(q Query) Result {
+	e, held := l.lookup(hashOf(q.Key), l.nowMs)
+	if keyMs, dated := keyTime(q.Key); !held && dated && !l.accepts(keyMs) {
+		return Result{Status: Expired}
+	}
+	if !held {
+		return Result{Status: Absent}
+	}
+	if q.RequestDigest != ([32]byte{}) && !e.sameRequest(q.Route, q.RequestDigest) {
+		return Result{Status: KeyReused}
+	}
+	return l.result(e.status, q.Key, e)
+}
+
+// accepts reports whether a key of this time may be claimed. Keys beyond the retention may have been forgotten; keys
+// as far in the future are refused because they would have to be kept for longer.
+func (l *Ledger) accepts(keyMs int64) bool {
+	age := l.nowMs - keyMs
+	retention := l.config.KeyRetention.Milliseconds()
+	return age < retention && age > -retention
+}
+
+func (l *Ledger) holder(executor string, incarnation, attempt uint64) holder {
+	return holder{executor: l.executors.number(executor), incarnation: incarnation, attempt: attempt}
+}
+
+func (l *Ledger) result(status Status, key string, e entry) Result {
+	r := Result{Status: status, Holder: Claim{
+		Key:         key,
+		Executor:    l.executors.list[e.holder.executor],
+		Incarnation: e.holder.incarnation,
+		Attempt:     e.holder.attempt,
+	}}
+	if status != Done {
+		return r
+	}
+	if a, ok := l.answers.get(hashOf(key)); ok {
+		r.Answer = a
+		return r
+	}
+	r.Answer = &Answer{Status: int(e.answerStatus), Dropped: true}
+	return r
+}
--- /dev/null
+++ b/state/ledger/snapshot.go
@@ -0,0 +1,160 @@
+package ledger
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrCorruptSnapshot reports a snapshot that cannot be restored.
+var ErrCorruptSnapshot = errors.New("ledger: corrupt snapshot")
+
+// snapshotFormat is raised when the encoding changes.
+const snapshotFormat = 1
+
+// snapshot is the encoded state. Keys are in ascending order, executors in the order of their names.
+type snapshot struct {
+	Format    uint             `cbor:"1,keyasint"`
+	NowMs     int64            `cbor:"2,keyasint"`
+	Executors []string         `cbor:"3,keyasint"`
+	Keys      []snapshotKey    `cbor:"4,keyasint"`
+	Answers   []snapshotAnswer `cbor:"5,keyasint"`
+}
+
+type snapshotKey struct {
+	_            struct{} `cbor:",toarray"`
+	Key          keyHash
+	Request      requestHash
+	Status       Status
+	AnswerStatus uint16
+	UntilMs      int64
+	Holder       snapshotHolder
+	Voided       []snapshotHolder
+}
+
+type snapshotHolder struct {
+	_           struct{} `cbor:",toarray"`
+	Executor    uint32
+	Incarnation uint64
+	Attempt     uint64
+}
+
+type snapshotAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	Key     keyHash
+	UntilMs int64
+	Answer  Answer
+}
+
+var encoding = mustEncMode(cbor.CoreDetEncOptions())
+
+func mustEncMode(options cbor.EncOptions) cbor.EncMode {
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// decoding admits arrays as long as the ledger may have keys.
+var decoding = mustDecMode(cbor.DecOptions{MaxArrayElements: 1<<31 - 1})
+
+func mustDecMode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Snapshot returns the canonical encoding of the state: equal states have equal snapshots.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	executors, numbers := l.usedExecutors()
+	s := snapshot{Format: snapshotFormat, NowMs: l.nowMs, Executors: executors}
+	convert := func(h holder) snapshotHolder {
+		return snapshotHolder{Executor: numbers[h.executor], Incarnation: h.incarnation, Attempt: h.attempt}
+	}
+	for key, e := range l.entries {
+		converted := snapshotKey{
+			Key: key, Request: e.request, Status: e.status, AnswerStatus: e.answerStatus, UntilMs: e.untilMs,
+			Holder: convert(e.holder),
+		}
+		for _, h := range l.voided[key] {
+			converted.Voided = append(converted.Voided, convert(h))
+		}
+		s.Keys = append(s.Keys, converted)
+	}
+	slices.SortFunc(s.Keys, func(a, b snapshotKey) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	for _, stored := range l.answers.queue {
+		s.Answers = append(s.Answers, snapshotAnswer{Key: stored.key, UntilMs: stored.untilMs, Answer: *stored.answer})
+	}
+	data, err := encoding.Marshal(s)
+	return data, errors.Wrap(err, "ledger: encode snapshot")
+}
+
+// usedExecutors returns the executors that entries refer to, in order, and their new numbers by their old ones.
+func (l *Ledger) usedExecutors() ([]string, map[uint32]uint32) {
+	numbers := make(map[uint32]uint32)
+	for key, e := range l.entries {
+		numbers[e.holder.executor] = 0
+		for _, h := range l.voided[key] {
+			numbers[h.executor] = 0
+		}
+	}
+	var list []string
+	for old := range numbers {
+		list = append(list, l.executors.list[old])
+	}
+	slices.Sort(list)
+	for i, name := range list {
+		numbers[l.executors.numbers[name]] = uint32(i)
+	}
+	return list, numbers
+}
+
+// Restore builds a ledger from a snapshot.
+func Restore(c Config, data []byte) (*Ledger, error) {
+	var s snapshot
+	if err := decoding.Unmarshal(data, &s); err != nil {
+		return nil, errors.Wrapf(ErrCorruptSnapshot, "decode: %v", err)
+	}
+	if s.Format != snapshotFormat {
+		return nil, errors.Wrapf(ErrCorruptSnapshot, "format %d", s.Format)
+	}
+	l := New(c)
+	l.nowMs = s.NowMs
+	l.keys.next = s.NowMs / bucketMs
+	for _, name := range s.Executors {
+		l.executors.number(name)
+	}
+	for _, key := range s.Keys {
+		if err := l.restoreKey(key); err != nil {
+			return nil, err
+		}
+	}
+	for _, a := range s.Answers {
+		l.answers.add(a.Key, a.Answer, a.UntilMs)
+	}
+	return l, nil
+}
+
+func (l *Ledger) restoreKey(s snapshotKey) error {
+	for _, h := range append([]snapshotHolder{s.Holder}, s.Voided...) {
+		if int(h.Executor) >= len(l.executors.list) {
+			return errors.Wrapf(ErrCorruptSnapshot, "executor %d", h.Executor)
+		}
+	}
+	l.store(s.Key, entry{
+		request: s.Request, status: s.Status, answerStatus: s.AnswerStatus, untilMs: s.UntilMs, holder: s.Holder.restore(),
+	})
+	for _, h := range s.Voided {
+		l.void(s.Key, h.restore())
+	}
+	return nil
+}
+
+func (h snapshotHolder) restore() holder {
+	return holder{executor: h.Executor, incarnation: h.Incarnation, attempt: h.Attempt}
+}
