--- a/state/ledger/answers.go
+++ b/state/ledger/answers.go
@@ -24,8 +24,8 @@
 
 func (a *answers) add(key keyHash, answer Answer, untilMs int64) {
 	a.byKey[key] = &answer
-	a.queue = append(a.queue, storedAnswer{key: key, untilMs: untilMs, size: answer.size(), answer: &answer})
-	a.total += answer.size()
+	a.queue = append(a.queue, storedAnswer{key: key, untilMs: untilMs, size: answer.Size(), answer: &answer})
+	a.total += answer.Size()
 }
 
 // expire drops answers that are too old, and the oldest ones while all together are too large.
@@ -41,8 +41,8 @@
 	}
 }
 
-// size returns the bytes that an answer takes, without the overhead of its containers.
-func (a Answer) size() int {
+// Size returns the bytes that an answer takes, without the overhead of its containers.
+func (a Answer) Size() int {
 	size := len(a.Body)
 	for name, values := range a.Header {
 		size += len(name)
--- a/state/ledger/ledger.go
+++ b/state/ledger/ledger.go
@@ -239,7 +239,7 @@
 
 // keep stores an answer unless it is too large.
 func (l *Ledger) keep(key keyHash, a Answer) {
-	if a.Dropped || a.size() > l.config.MaxAnswerBytes {
+	if a.Dropped || a.Size() > l.config.MaxAnswerBytes {
 		return
 	}
 	l.answers.add(key, a, l.nowMs+l.config.AnswerRetention.Milliseconds())
