Bound the time of validation and ask for a fresh status

Validation runs inside the replicated state machine, so its time delays every later command.

The client's Status asks the members in turn until one has a state that a quorum confirmed in the last 10 s. It stayed with a partitioned member before, so a watch could not see that the version was in force.

--- a/protocol/operator/attempt.go
+++ b/protocol/operator/attempt.go
@@ -205,6 +205,14 @@
 	c.preferred = address
 }
 
+// rotate prefers the address after the one that answered last.
+func (c *Client) rotate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := slices.Index(c.config.Addresses, c.preferred) + 1
+	c.preferred = c.config.Addresses[next%len(c.config.Addresses)]
+}
+
 // pause waits for half to all of the duration. It returns false if the context ended.
 func (c *Client) pause(ctx context.Context, wait time.Duration) bool {
 	c.mu.Lock()
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -158,8 +158,29 @@
 	return change[Decision](ctx, c, PathReplace, r, c.config.AttemptTimeout)
 }
 
-// Status implements Backend.
-func (c *Client) Status(ctx context.Context) (Status, error) { return read[Status](ctx, c, PathStatus) }
+// Status implements Backend. A member on the far side of a partition answers with an old state, so the members are asked
+// in turn until one answers with a fresh state. If none does, the freshest answer is returned.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var best Status
+	for i := range c.config.Addresses {
+		status, err := read[Status](ctx, c, PathStatus)
+		if err != nil && i > 0 {
+			return best, nil
+		}
+		if err != nil || Fresh(status.ConfirmedAgeMs) {
+			return status, err
+		}
+		if i == 0 || fresher(status.ConfirmedAgeMs, best.ConfirmedAgeMs) {
+			best = status
+		}
+		c.rotate()
+	}
+	return best, nil
+}
+
+func fresher(ageMs, other int64) bool {
+	return ageMs != AgeUnknown && (other == AgeUnknown || ageMs < other)
+}
 
 // History implements Backend.
 func (c *Client) History(ctx context.Context, r HistoryRequest) (HistoryAnswer, error) {
--- a/protocol/operator/operator_test.go
+++ b/protocol/operator/operator_test.go
@@ -42,6 +42,8 @@
 	index    uint64
 	err      error
 	calls    int
+	// confirmed is the age of the member's state in milliseconds.
+	confirmed int64
 }
 
 func newMember() *member {
@@ -74,7 +76,7 @@
 }
 
 func (m *member) Status(context.Context) (operator.Status, error) {
-	return operator.Status{Member: "m1", Zones: []operator.ZoneStatus{{Zone: "a", Proxies: 3, AgeMs: operator.AgeUnknown,
+	return operator.Status{Member: "m1", ConfirmedAgeMs: m.confirmed, Zones: []operator.ZoneStatus{{Zone: "a", Proxies: 3, AgeMs: operator.AgeUnknown,
 		Lagging: []operator.LaggingProxy{{ID: "n1", Version: 4, Reason: "parts missing"}}}}}, m.err
 }
 
@@ -207,6 +209,21 @@
 		Expect(err).To(MatchError(operator.ErrInternal))
 	})
 
+	It("prefers the status of a member that a quorum confirmed over that of a partitioned one", func() {
+		cut, old, good := newMember(), newMember(), newMember()
+		cut.confirmed, old.confirmed = operator.AgeUnknown, 2*operator.MaxFigureAgeMs
+		addresses := []string{}
+		for _, m := range []*member{cut, old, good} {
+			addresses = append(addresses, serve(operator.NewHandler(m)))
+		}
+		status, err := clientOf(addresses...).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.ConfirmedAgeMs).To(BeZero())
+		status, err = clientOf(addresses[:2]...).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.ConfirmedAgeMs).To(Equal(old.confirmed))
+	})
+
 	It("reads status and history", func() {
 		client := clientOf(serve(operator.NewHandler(newMember())))
 		status, err := client.Status(ctx)
--- a/state/bundle/match.go
+++ b/state/bundle/match.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Overlaps reports whether one request can satisfy both matches.
+// Overlaps reports whether one request can satisfy both matches. Header names must be in canonical form.
 func (m Match) Overlaps(other Match) bool {
 	if m.Host != "" && other.Host != "" && !strings.EqualFold(m.Host, other.Host) {
 		return false
@@ -80,10 +80,8 @@
 // headersOverlap reports whether no header is required with two different values.
 func headersOverlap(a, b map[string]string) bool {
 	for name, value := range a {
-		for otherName, otherValue := range b {
-			if strings.EqualFold(name, otherName) && value != otherValue {
-				return false
-			}
+		if other, ok := b[name]; ok && other != value {
+			return false
 		}
 	}
 	return true
--- a/state/bundle/validate.go
+++ b/state/bundle/validate.go
@@ -60,6 +60,8 @@
 	problems  Problems
 	services  map[string]bool
 	resources map[string]*Resource
+	// serviceNames and resourceNames suggest declared names in problems.
+	serviceNames, resourceNames string
 }
 
 // Validate returns all faults of a bundle.
@@ -74,6 +76,8 @@
 	for i := range b.Resources {
 		v.resource(placeOf("resources", from.resources, i), &b.Resources[i])
 	}
+	v.serviceNames = suggest(sortedKeys(v.services))
+	v.resourceNames = suggest(sortedKeys(v.resources))
 	names := make(map[string]bool)
 	for i := range b.Routes {
 		v.route(placeOf("routes", from.routes, i), &b.Routes[i], names)
@@ -164,7 +168,7 @@
 	names[r.Name] = true
 	v.match(at.field("match"), r.Match)
 	if !v.services[r.Service] {
-		v.add(at.field("service"), strictjson.Quote(r.Service), "a declared service"+suggest(sortedKeys(v.services)))
+		v.add(at.field("service"), strictjson.Quote(r.Service), "a declared service"+v.serviceNames)
 	}
 	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport}, r.Class) {
 		v.add(at.field("class"), strictjson.Quote(string(r.Class)),
@@ -192,7 +196,7 @@
 		resource := v.resources[name]
 		switch {
 		case resource == nil:
-			v.add(at.item(i), quoted, "a declared resource"+suggest(sortedKeys(v.resources)))
+			v.add(at.item(i), quoted, "a declared resource"+v.resourceNames)
 		case slices.Contains(names[:i], name):
 			v.add(at.item(i), quoted, "each resource once")
 		case resource.Kind == ResourceCallLimit && limitedBy != "":
@@ -261,9 +265,13 @@
 func (v *validator) ambiguous() {
 	type path struct{ host, prefix string }
 	groups := make(map[path][]int)
+	matches := make([]Match, 0, len(v.bundle.Routes))
 	for i, route := range v.bundle.Routes {
 		key := path{host: strings.ToLower(route.Match.Host), prefix: route.Match.PathPrefix}
 		first := groups[key]
+		match := route.Match
+		match.Headers = canonicalHeaders(match.Headers)
+		matches = append(matches, match)
 		at := placeOf("routes", v.from.routes, i).field("match")
 		if len(first) == MaxRoutesPerPath {
 			v.add(at, strictjson.Quote(route.Match.PathPrefix),
@@ -271,10 +279,10 @@
 			continue
 		}
 		for _, j := range first {
-			other := &v.bundle.Routes[j]
-			if route.Match.Compare(other.Match) == 0 && route.Match.Overlaps(other.Match) {
+			if match.Compare(matches[j]) == 0 && match.Overlaps(matches[j]) {
 				v.add(at, "the match of route "+strictjson.Quote(route.Name),
-					"a match that no request shares with the equally specific route "+strictjson.Quote(other.Name))
+					"a match that no request shares with the equally specific route "+
+						strictjson.Quote(v.bundle.Routes[j].Name))
 			}
 		}
 		groups[key] = append(first, i)
