Make the watch specs independent of the machine's speed

The specs ended the watch by a timeout of 5 ms, which a busy machine can exceed before the first answer. They now interrupt the command at a given status request. The message names why the watch ended instead of the timeout, which was wrong after an interrupt.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -42,6 +42,9 @@
 	replaced operator.ReplaceMemberRequest
 	// dropped makes the next approval find its bundle dropped, as after 16 other stages.
 	dropped bool
+	// interrupt cancels the command during the given status request.
+	interrupt  func()
+	interruptN int
 }
 
 func (m *member) apply(c registry.Command) (operator.Decision, error) {
@@ -76,6 +79,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := m.registry.State()
+	m.interruptN--
+	if m.interrupt != nil && m.interruptN == 0 {
+		m.interrupt()
+	}
 	status := operator.Status{Member: "m1", Leader: "m1", Latest: state.Latest, Rollout: operator.RolloutInProgress}
 	if state.Stopped {
 		status.Rollout = operator.RolloutStopped
@@ -156,7 +163,10 @@
 	root.SetErr(&errs)
 	root.SetArgs(append(args, "--insecure", "--control", h.address, "--key", filepath.Join(h.folder, name),
 		"--interval", "1ms"))
-	code = ctl.Execute(context.Background(), root)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.member.interrupt = cancel
+	code = ctl.Execute(ctx, root)
 	return out.String(), errs.String(), code
 }
 
@@ -238,8 +248,12 @@
 	It("ends a watch with its own exit code when the rollout is stopped or the wait ends", func() {
 		h.must("approve", kalasag, "--version", "2")
 		h.member.zones = [][]operator.ZoneStatus{{zone(1, 0)}}
-		_, stderr, code := h.run("ana", "watch", "--wait-timeout", "5ms")
+		h.member.interruptN = 4
+		_, stderr, code := h.run("ana", "watch")
 		Expect(code).To(Equal(ctl.ExitNotInForce), stderr)
+		Expect(stderr).To(ContainSubstring("in force on 1 of 4 proxies"))
+		_, _, code = h.run("ana", "watch", "--wait-timeout", "1ms")
+		Expect(code).To(Equal(ctl.ExitNotInForce))
 		h.must("stop", "2")
 		_, _, code = h.run("ana", "watch")
 		Expect(code).To(Equal(ctl.ExitStopped))
@@ -249,7 +263,8 @@
 
 	It("never counts a mesh without proxies as in force", func() {
 		h.must("approve", kalasag, "--version", "1")
-		_, stderr, code := h.run("ana", "watch", "1", "--wait-timeout", "5ms")
+		h.member.interruptN = 3
+		_, stderr, code := h.run("ana", "watch", "1")
 		Expect(code).To(Equal(ctl.ExitNotInForce))
 		Expect(stderr).To(ContainSubstring("no proxy is counted"))
 	})
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -169,7 +169,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ErrNotInForce, "version %d after %s: %s", version, a.waitTimeout, summarize(last))
+			return errors.Wrapf(ErrNotInForce, "version %d: %s; the watch ended: %v", version, summarize(last), ctx.Err())
 		case <-ticker.C:
 		}
 	}
