--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -40,6 +40,11 @@
 	index    uint64
 	zones    [][]operator.ZoneStatus
 	replaced operator.ReplaceMemberRequest
+	// dropped makes the next approval find its bundle dropped, as after 16 other stages.
+	dropped bool
+	// interrupt cancels the command during the given status request.
+	interrupt  func()
+	interruptN int
 }
 
 func (m *member) apply(c registry.Command) (operator.Decision, error) {
@@ -55,6 +60,10 @@
 }
 
 func (m *member) Approve(_ context.Context, r operator.ApproveRequest) (operator.Decision, error) {
+	if m.dropped {
+		m.dropped = false
+		return operator.Decision{}, &operator.Error{Kind: operator.ErrNotStaged}
+	}
 	return m.apply(registry.Command{RequestID: r.RequestID, Approve: &r.Approval})
 }
 
@@ -70,6 +79,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := m.registry.State()
+	m.interruptN--
+	if m.interrupt != nil && m.interruptN == 0 {
+		m.interrupt()
+	}
 	status := operator.Status{Member: "m1", Leader: "m1", Latest: state.Latest, Rollout: operator.RolloutInProgress}
 	if state.Stopped {
 		status.Rollout = operator.RolloutStopped
@@ -150,7 +163,10 @@
 	root.SetErr(&errs)
 	root.SetArgs(append(args, "--insecure", "--control", h.address, "--key", filepath.Join(h.folder, name),
 		"--interval", "1ms"))
-	code = ctl.Execute(context.Background(), root)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.member.interrupt = cancel
+	code = ctl.Execute(ctx, root)
 	return out.String(), errs.String(), code
 }
 
@@ -196,6 +212,11 @@
 		Expect(h.member.registry.State().Latest.Version).To(Equal(uint64(4)))
 	})
 
+	It("stages again when the bundle was dropped before its approval", func() {
+		h.member.dropped = true
+		Expect(h.must("approve", kalasag, "--version", "1")).To(ContainSubstring("approved"))
+	})
+
 	It("lists all faults of a bundle and stages nothing", func() {
 		folder := GinkgoT().TempDir()
 		Expect(os.WriteFile(filepath.Join(folder, "b.json"), []byte(`{"services":[{"name":"A"}],"x":1}`), 0o644)).To(Succeed())
@@ -227,8 +248,12 @@
 	It("ends a watch with its own exit code when the rollout is stopped or the wait ends", func() {
 		h.must("approve", kalasag, "--version", "2")
 		h.member.zones = [][]operator.ZoneStatus{{zone(1, 0)}}
-		_, stderr, code := h.run("ana", "watch", "--wait-timeout", "5ms")
+		h.member.interruptN = 4
+		_, stderr, code := h.run("ana", "watch")
 		Expect(code).To(Equal(ctl.ExitNotInForce), stderr)
+		Expect(stderr).To(ContainSubstring("in force on 1 of 4 proxies"))
+		_, _, code = h.run("ana", "watch", "--wait-timeout", "1ms")
+		Expect(code).To(Equal(ctl.ExitNotInForce))
 		h.must("stop", "2")
 		_, _, code = h.run("ana", "watch")
 		Expect(code).To(Equal(ctl.ExitStopped))
@@ -238,7 +263,8 @@
 
 	It("never counts a mesh without proxies as in force", func() {
 		h.must("approve", kalasag, "--version", "1")
-		_, stderr, code := h.run("ana", "watch", "1", "--wait-timeout", "5ms")
+		h.member.interruptN = 3
+		_, stderr, code := h.run("ana", "watch", "1")
 		Expect(code).To(Equal(ctl.ExitNotInForce))
 		Expect(stderr).To(ContainSubstring("no proxy is counted"))
 	})
--- a/protocol/operator/operator_test.go
+++ b/protocol/operator/operator_test.go
@@ -41,6 +41,9 @@
 	registry *registry.Registry
 	index    uint64
 	err      error
+	calls    int
+	// confirmed is the age of the member's state in milliseconds.
+	confirmed int64
 }
 
 func newMember() *member {
@@ -51,6 +54,7 @@
 func (m *member) apply(c registry.Command) (operator.Decision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.calls++
 	if m.err != nil {
 		return operator.Decision{}, m.err
 	}
@@ -72,7 +76,7 @@
 }
 
 func (m *member) Status(context.Context) (operator.Status, error) {
-	return operator.Status{Member: "m1", Zones: []operator.ZoneStatus{{Zone: "a", Proxies: 3, AgeMs: operator.AgeUnknown,
+	return operator.Status{Member: "m1", ConfirmedAgeMs: m.confirmed, Zones: []operator.ZoneStatus{{Zone: "a", Proxies: 3, AgeMs: operator.AgeUnknown,
 		Lagging: []operator.LaggingProxy{{ID: "n1", Version: 4, Reason: "parts missing"}}}}}, m.err
 }
 
@@ -167,6 +171,7 @@
 		two.err = &operator.Error{Kind: operator.ErrNotLeader, Leader: first}
 		_, err := clientOf(first, second).Stage(ctx, stageRequest())
 		Expect(err).To(MatchError(operator.ErrNoQuorum))
+		Expect(one.calls+two.calls).To(BeNumerically("<=", 2*(2+3)), "two rounds of two addresses and three follows")
 	})
 
 	It("never reports a change as not accepted when it may have taken effect", func() {
@@ -204,6 +209,21 @@
 		Expect(err).To(MatchError(operator.ErrInternal))
 	})
 
+	It("prefers the status of a member that a quorum confirmed over that of a partitioned one", func() {
+		cut, old, good := newMember(), newMember(), newMember()
+		cut.confirmed, old.confirmed = operator.AgeUnknown, 2*operator.MaxFigureAgeMs
+		addresses := []string{}
+		for _, m := range []*member{cut, old, good} {
+			addresses = append(addresses, serve(operator.NewHandler(m)))
+		}
+		status, err := clientOf(addresses...).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.ConfirmedAgeMs).To(BeZero())
+		status, err = clientOf(addresses[:2]...).Status(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.ConfirmedAgeMs).To(Equal(old.confirmed))
+	})
+
 	It("reads status and history", func() {
 		client := clientOf(serve(operator.NewHandler(newMember())))
 		status, err := client.Status(ctx)
