Decide attempts in one place, and never report not run after an attempt that may have run

Cause: the ingress reported the outcome of the last attempt. Change: package forward holds the decisions of one call: attempts, one hedge within the retry budget after half of the time, and a verdict that stays unknown once an attempt may have run. Irreversible calls are never hedged. Queues are bounded to 4 calls per slot unless the service says otherwise. A property test covers the verdict under any order of results.

The counts of proxies are split by zone for operators, and crash reports travel through the tree as opaque payloads.

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -17,6 +17,8 @@
 type Founder struct {
 	Address string
 	Zone    string
+	// Learner marks a member that replicates without a vote, such as the source of a zone beyond the voters' zones.
+	Learner bool
 }
 
 const (
@@ -70,7 +72,7 @@
 			id = raft.MemberID(reply.ID)
 		}
 		membership.Members = append(membership.Members,
-			raft.Member{ID: id, Address: founder.Address, Zone: founder.Zone})
+			raft.Member{ID: id, Address: founder.Address, Zone: founder.Zone, Learner: founder.Learner})
 	}
 	slices.SortFunc(membership.Members, func(a, b raft.Member) int {
 		return strings.Compare(string(a.ID), string(b.ID))
--- /dev/null
+++ b/coordination/forward/forward_test.go
@@ -0,0 +1,92 @@
+package forward_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"sapphiregate.example/sapphiregate/coordination/forward"
+	"sapphiregate.example/sapphiregate/coordination/retry"
+	"sapphiregate.example/sapphiregate/internal/fixedseed"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+func TestForward(t *testing.T) {
+	fixedseed.Set(t)
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "forward")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newCall(class bundle.Class) *forward.Call {
+	return forward.New(forward.Config{
+		Class: class, Budget: retry.NewBudget(retry.Config{MaxAttempts: 4, Percent: 100}),
+		Deadline: start.Add(time.Second), Resendable: true,
+	})
+}
+
+var _ = Describe("Call", func() {
+	// Guards against telling a caller "not run" because the last attempt was shed, although an earlier attempt of the
+	// same call was still running on an upstream when it was given up.
+	It("is uncertain after an attempt that may have run, whatever the next one ends with", func() {
+		call := newCall(bundle.ClassLookup)
+		call.Sent()
+		Expect(call.Ended(start, forward.Result{Outcome: retry.Unknown}, rand.NewPCG(1, 1)).Action).To(Equal(forward.Send))
+		call.Sent()
+		call.Ended(start, forward.Result{Outcome: retry.NotRun, Final: true}, rand.NewPCG(1, 1))
+		Expect(call.Verdict()).To(Equal(retry.Unknown))
+	})
+
+	It("never has two attempts of an irreversible call in flight", func() {
+		call := newCall(bundle.ClassIrreversible)
+		call.Sent()
+		_, possible := call.HedgeAfter(start)
+		Expect(possible).To(BeFalse())
+		Expect(call.Hedge(start)).To(BeFalse())
+	})
+
+	// Guards the three truths under any order of results and hedges.
+	It("says not run only if every attempt was proved not run", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			class := rapid.SampledFrom([]bundle.Class{bundle.ClassLookup, bundle.ClassIrreversible}).Draw(t, "class")
+			call := newCall(class)
+			now, pending, mayHaveRun := start, 1, false
+			call.Sent()
+			for sent := 1; pending > 0; {
+				if rapid.Bool().Draw(t, "hedge") && call.Hedge(now) {
+					call.Sent()
+					sent, pending = sent+1, pending+1
+				}
+				if class == bundle.ClassIrreversible && pending > 1 {
+					t.Fatalf("%d attempts of an irreversible call in flight", pending)
+				}
+				outcome := rapid.SampledFrom([]retry.Outcome{retry.NotRun, retry.Unknown}).Draw(t, "outcome")
+				result := forward.Result{
+					Outcome: outcome, Final: rapid.Bool().Draw(t, "final"), Suspect: rapid.Bool().Draw(t, "suspect"),
+				}
+				decision := call.Ended(now, result, rand.NewPCG(1, uint64(sent)))
+				pending--
+				if class == bundle.ClassIrreversible && mayHaveRun {
+					t.Fatalf("an irreversible call was sent again after an attempt that may have run")
+				}
+				mayHaveRun = mayHaveRun || outcome == retry.Unknown
+				if decision.Action == forward.Send {
+					call.Sent()
+					sent, pending = sent+1, pending+1
+				}
+				if sent > 4 {
+					t.Fatalf("%d attempts where 4 are allowed", sent)
+				}
+				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			}
+			if (call.Verdict() == retry.NotRun) == mayHaveRun {
+				t.Fatalf("verdict %v, may have run %v", call.Verdict(), mayHaveRun)
+			}
+		})
+	})
+})
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -78,7 +78,7 @@
 	Held []bundle.Digest
 }
 
-// CrashReport says which requests were in flight when an upstream crashed, or that a request was cleared.
+// CrashReport tells about a crash of an upstream. The triple of upstream, incarnation and sequence identifies it.
 type CrashReport struct {
 	Upstream    string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
--- a/coordination/relay/count.go
+++ b/coordination/relay/count.go
@@ -40,7 +40,7 @@
 }
 
 func (p *Peer) setCounts(l *link, a Aggregate) {
-	if len(a.Versions) > maxVersions || len(a.Lagging) > maxLagging || a.Nodes < 0 {
+	if len(a.Versions) > maxVersions || len(a.Lagging) > maxLagging || len(a.Zones) > maxZones || a.Nodes < 0 {
 		p.stats.CorruptMessages++
 		return
 	}
@@ -112,6 +112,9 @@
 // report returns the counts that may be sent upward now.
 func (p *Peer) report() Aggregate {
 	sum := p.subtree()
+	if p.config.Member {
+		sum.Zones = p.ownZones()
+	}
 	if p.now.Before(p.counts.heldUntil) {
 		// Cloned, since the sum of one aggregate shares its slice.
 		sum.Versions = slices.DeleteFunc(slices.Clone(sum.Versions), func(v VersionCount) bool { return v.Version <= p.counts.held })
@@ -151,6 +154,7 @@
 
 // add returns the sum of two aggregates.
 func (a Aggregate) add(b Aggregate) Aggregate {
+	a.Zones, b.Zones = nil, nil
 	if b.Nodes == 0 {
 		return a
 	}
--- a/coordination/relay/message.go
+++ b/coordination/relay/message.go
@@ -102,6 +102,8 @@
 	Lowest uint64 `cbor:"3,keyasint,omitempty"`
 	// Lagging names up to eight nodes that do not have the approved version in force.
 	Lagging []Lag `cbor:"4,keyasint,omitempty"`
+	// Zones splits the counts by zone. Only members send it, to other members.
+	Zones []ZoneCounts `cbor:"5,keyasint,omitempty"`
 }
 
 // VersionCount is the number of nodes that have a version in force.
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -238,7 +238,7 @@
 		s.onCrash = func(h *host, reports []relay.CrashReport) { seen[h.id] += len(reports) }
 		s.dup = 0.2
 		source := s.hosts["n2-007"]
-		report := relay.CrashReport{Upstream: source.id, Incarnation: 7, Sequence: 1, Fingerprints: [][16]byte{{1}}}
+		report := relay.CrashReport{Upstream: source.id, Incarnation: 7, Sequence: 1, Payload: []byte("report")}
 		source.peer.PublishCrash(s.local(source), []relay.CrashReport{report})
 		s.run(s.now + 2*time.Second)
 		late := s.add("late", "z0", false, "m0")
--- a/coordination/relay/spread.go
+++ b/coordination/relay/spread.go
@@ -34,7 +34,6 @@
 type crashKey struct {
 	upstream              string
 	incarnation, sequence uint64
-	cleared               bool
 }
 
 // spread is the state of the distribution of endpoint records and crash reports.
@@ -364,7 +363,7 @@
 }
 
 func keyOf(r CrashReport) crashKey {
-	return crashKey{upstream: r.Upstream, incarnation: r.Incarnation, sequence: r.Sequence, cleared: r.Cleared}
+	return crashKey{upstream: r.Upstream, incarnation: r.Incarnation, sequence: r.Sequence}
 }
 
 func (p *Peer) dropOldestCrash() {
--- a/daemon/dev.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package daemon
-
-import "github.com/spf13/cobra"
-
-func newDevCommand() *cobra.Command { return &cobra.Command{Use: "dev"} }
--- a/local/processes.go
+++ b/local/processes.go
@@ -69,7 +69,7 @@
 	var founders []control.Founder
 	for _, spec := range d.spec.Members {
 		slot := d.members[spec.ID]
-		founders = append(founders, control.Founder{Address: slot.mesh(), Zone: spec.Zone})
+		founders = append(founders, control.Founder{Address: slot.mesh(), Zone: spec.Zone, Learner: spec.Learner})
 	}
 	return founders
 }
@@ -299,3 +299,14 @@
 	d.spec.Network.Abort(id)
 	return nil
 }
+
+// KnownUpstreams returns the number of serving upstreams that a node knows.
+func (d *Deployment) KnownUpstreams(id string) int {
+	d.mu.Lock()
+	slot := d.nodes[id]
+	d.mu.Unlock()
+	if slot == nil || slot.running == nil {
+		return 0
+	}
+	return slot.running.KnownUpstreams()
+}
--- a/node/announce.go
+++ b/node/announce.go
@@ -57,12 +57,17 @@
 		return config
 	}
 	config.Slots = e.slots()
-	if service, ok := e.service(e.upstream.announcement.Service); ok {
+	config.QueueLimit = queuePerSlot * config.Slots
+	if service, ok := e.service(e.upstream.announcement.Service); ok && service.QueueLimit > 0 {
 		config.QueueLimit = service.QueueLimit
 	}
 	return config
 }
 
+// queuePerSlot bounds the wait to about as many service times, unless a service sets a queue limit. A longer queue
+// only delays the refusal: callers give up, and their connections and the work of opening new ones are lost.
+const queuePerSlot = 4
+
 // reconfigure applies the service settings of a new version.
 func (e *executor) reconfigure() {
 	e.mu.Lock()
--- a/node/control.go
+++ b/node/control.go
@@ -35,6 +35,7 @@
 			return service, ok
 		},
 		announce: func(record endpoints.Record) {
+			record.Address = n.options.Advertise
 			go n.control.Post(func(now time.Time) { n.peer.Announce(now, record) })
 		},
 		publish: n.publishReport,
@@ -166,3 +167,16 @@
 		n.quarantine.Observe(now, report)
 	}
 }
+
+// KnownUpstreams returns the number of serving upstreams in the endpoint table.
+func (n *Node) KnownUpstreams() int {
+	count := 0
+	_ = n.control.Query(n.ctx, func(time.Time) {
+		for _, record := range n.peer.Table().All() {
+			if record.Service != "" && record.State == endpoints.Serving {
+				count++
+			}
+		}
+	})
+	return count
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/coordination/forward"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
-	"sapphiregate.example/sapphiregate/coordination/retry"
 	"sapphiregate.example/sapphiregate/coordination/routing"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
@@ -30,9 +30,8 @@
 	defaultMaxBody = 1 << 20
 	// maxKeyBytes bounds the idempotency key, which the ledger keeps for days.
 	maxKeyBytes = 256
-	// attemptShare is the part of the remaining time that one attempt of a repeatable call may take while another
-	// attempt is allowed, so that a silent partition costs one attempt and not the whole deadline.
-	attemptShare = 2
+	// maxAttemptsInFlight is the first attempt and one hedge.
+	maxAttemptsInFlight = 2
 )
 
 // ingressCall is one caller's request on its way through this node.
@@ -218,107 +217,46 @@
 	return [32]byte(hash.Sum(nil))
 }
 
+// attemptResult is the end of one attempt.
+type attemptResult struct {
+	number int
+	answer *reply
+	// elsewhere is the time that the attempt spent outside our processes.
+	elsewhere time.Duration
+}
+
 // forward tries upstreams until one answers or another attempt is not allowed.
 func (c *ingressCall) forward(ctx context.Context) *reply {
 	if !c.head.Retry {
 		c.policy.budget.Call(c.started)
 	}
-	var tried []string
-	source := rand.NewPCG(rand.Uint64(), rand.Uint64())
-	for number := 1; ; number++ {
-		answer, target := c.attempt(ctx, number, tried, source)
-		if target != "" {
-			tried = append(tried, target)
-		}
-		delay, again := c.again(ctx, number, answer, source)
-		if !again {
-			return answer
-		}
-		answer.finish()
-		c.node.metrics.retries.Add(1)
-		c.head.Retry = true
-		sleep(ctx, delay)
-	}
-}
-
-// again decides on another attempt.
-func (c *ingressCall) again(
-	ctx context.Context, number int, answer *reply, source rand.Source,
-) (time.Duration, bool) {
-	if answer.head.Outcome == protocol.OutcomeDone || ctx.Err() != nil || !retryable(answer.head.Reason) {
-		return 0, false
-	}
-	if !c.body.whole() {
-		// Part of the body is gone.
-		return 0, false
-	}
-	attempt := retry.Attempt{
-		Class: c.route.Class, Outcome: retry.Unknown, Number: number, UnderRetry: c.head.Retry && number == 1,
-		Suspect: c.alone || answer.head.Suspect, Remaining: time.Until(c.deadline),
-	}
-	if answer.head.Outcome == protocol.OutcomeNotRun {
-		attempt.Outcome = retry.NotRun
-	}
-	return c.policy.budget.Decide(time.Now(), attempt, source)
-}
-
-// retryable reports whether another upstream may do better.
-func retryable(reason protocol.Reason) bool {
-	switch reason {
-	case protocol.ReasonQuarantined, protocol.ReasonKeyReused, protocol.ReasonKeyExpired, protocol.ReasonCallerGone,
-		protocol.ReasonTooLarge, protocol.ReasonInProgress, protocol.ReasonLedger:
-		return false
-	default:
-		return true
-	}
+	plan := forward.New(forward.Config{
+		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.deadline, UnderRetry: c.head.Retry,
+		Resendable: c.body.whole(), Alone: c.alone,
+	})
+	run := &forwarding{call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight)}
+	run.source = rand.NewPCG(rand.Uint64(), rand.Uint64())
+	return run.run(ctx)
 }
 
-// attempt sends the call to one upstream.
-func (c *ingressCall) attempt(
-	ctx context.Context, number int, tried []string, source rand.Source,
-) (*reply, string) {
+// attempt sends the call to one upstream and returns once its answer has begun.
+func (c *ingressCall) attempt(ctx context.Context, target balance.Target, retried bool) attemptResult {
 	now := time.Now()
-	target, err := c.node.balancer.Pick(now, balance.Request{
-		Service: c.route.Service, Zone: c.route.Zone, Exclude: tried, Rand: source,
-	})
-	if err != nil {
-		return refusal(protocol.ReasonNoUpstream), ""
-	}
 	head := c.head
-	head.Remaining = c.attemptTime(now, number)
+	head.Remaining = c.deadline.Sub(now)
 	head.Incarnation = target.Incarnation
 	head.Alone = c.alone
-	ctx, cancel := context.WithDeadline(ctx, now.Add(head.Remaining))
+	head.Retry = c.head.Retry || retried
 	answer := c.node.send(ctx, target, &head, &c.body)
-	previous := answer.done
-	answer.done = func() {
-		cancel()
-		if previous != nil {
-			previous()
-		}
-	}
-	took := time.Since(now)
-	c.elsewhere = answer.head.Upstream
+	elsewhere := answer.head.Upstream
 	if target.ID != c.node.id {
-		c.elsewhere += 2 * c.node.options.zoneDelay(target.Zone)
+		elsewhere += 2 * c.node.options.zoneDelay(target.Zone)
 	}
-	c.node.balancer.Done(time.Now(), target, c.report(ctx, target, answer, took))
-	return answer, target.ID
-}
-
-// attemptTime leaves time for another attempt where one is allowed.
-func (c *ingressCall) attemptTime(now time.Time, number int) time.Duration {
-	remaining := c.deadline.Sub(now)
-	maxAttempts := c.route.Retry.MaxAttempts
-	if c.route.Class == bundle.ClassIrreversible || c.head.Retry && number == 1 || maxAttempts == 1 || number > 1 {
-		return remaining
-	}
-	return remaining / attemptShare
+	c.node.balancer.Done(time.Now(), target, c.report(ctx, answer, time.Since(now)))
+	return attemptResult{answer: answer, elsewhere: elsewhere}
 }
 
-func (c *ingressCall) report(
-	ctx context.Context, target balance.Target, answer *reply, took time.Duration,
-) balance.Report {
+func (c *ingressCall) report(ctx context.Context, answer *reply, took time.Duration) balance.Report {
 	report := balance.Report{Outcome: balance.Done, Latency: took}
 	if load := answer.head.Load; load.Slots > 0 {
 		report.Load = &balance.Load{
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,7 @@
 	calls           *expvar.Map
 	refusals        *expvar.Map
 	retries         expvar.Int
+	hedges          expvar.Int
 	cutAnswers      expvar.Int
 	upstreamCrashes expvar.Int
 	activations     expvar.Int
@@ -73,6 +74,7 @@
 	vars.Set("calls", m.calls)
 	vars.Set("refusals", m.refusals)
 	vars.Set("retries", &m.retries)
+	vars.Set("hedges", &m.hedges)
 	vars.Set("cut_answers", &m.cutAnswers)
 	vars.Set("upstream_crashes", &m.upstreamCrashes)
 	vars.Set("activations", &m.activations)
