--- a/control/admin.go
+++ b/control/admin.go
@@ -38,23 +38,29 @@
 	ID             string                   `json:"id"`
 	Instance       string                   `json:"instance"`
 	Zone           string                   `json:"zone"`
-	Formed         bool                     `json:"formed"`
-	Raft           raft.Status              `json:"raft"`
+	Groups         []GroupDump              `json:"groups"`
 	ConfirmedAgeMs int64                    `json:"confirmed_age_ms"`
 	Latest         *bundle.Approval         `json:"latest,omitempty"`
 	Stopped        bool                     `json:"stopped,omitempty"`
 	Staged         []registry.Staged        `json:"staged,omitempty"`
 	LedgerKeys     int                      `json:"ledger_keys"`
-	Proposals      int                      `json:"open_proposals"`
 	Relay          relay.Status             `json:"relay"`
 	Endpoints      []endpoints.Record       `json:"endpoints,omitempty"`
 	Quarantine     []quarantine.Entry       `json:"quarantine,omitempty"`
 	Violations     map[invariant.Name]int64 `json:"violations"`
 }
 
+// GroupDump is the state of one log.
+type GroupDump struct {
+	Group     uint32      `json:"group"`
+	Formed    bool        `json:"formed"`
+	Raft      raft.Status `json:"raft"`
+	Proposals int         `json:"open_proposals"`
+}
+
 func (m *Member) dump(ctx context.Context) (Dump, error) {
 	dump := Dump{
-		ID: string(m.id), Instance: m.options.Instance, Zone: m.options.Zone, Formed: m.isFormed.Load(),
+		ID: m.ID(), Instance: m.options.Instance, Zone: m.options.Zone,
 		ConfirmedAgeMs: operator.AgeUnknown, Violations: invariant.Counts(),
 	}
 	select {
@@ -64,15 +70,20 @@
 		return dump, nil
 	}
 	err := m.host.Query(ctx, func(now time.Time) {
-		dump.Raft = m.raft.Status()
-		if age, ok := m.raft.ConfirmedAge(now); ok {
+		for _, r := range m.replicas {
+			dump.Groups = append(dump.Groups, GroupDump{
+				Group: r.group, Formed: m.isFormed(r.group), Raft: r.raft.Status(), Proposals: len(r.proposals),
+			})
+		}
+		if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 			dump.ConfirmedAgeMs = age.Milliseconds()
 		}
-		dump.Latest = m.latestApproval()
-		dump.Stopped = m.machines.registry.State().Stopped
-		dump.Staged = m.machines.registry.Staged()
-		dump.LedgerKeys = m.machines.ledger.Len()
-		dump.Proposals = len(m.proposals)
+		state := m.registry.registry.State()
+		dump.Latest, dump.Stopped = state.Latest, state.Stopped
+		dump.Staged = m.registry.registry.Staged()
+		for _, l := range m.ledgers {
+			dump.LedgerKeys += l.ledger.Len()
+		}
 		dump.Relay = m.peer.Status()
 		dump.Endpoints = m.peer.Table().All()
 		dump.Quarantine = m.quarantine.Entries(now)
@@ -104,25 +115,35 @@
 
 // memberMetrics are the figures of a member that a monitoring system follows.
 type memberMetrics struct {
-	Term           uint64      `json:"term"`
-	Commit         uint64      `json:"commit"`
-	Applied        uint64      `json:"applied"`
-	Leader         bool        `json:"leader"`
-	QuorumLost     bool        `json:"quorum_lost"`
-	ConfirmedAgeMs int64       `json:"confirmed_age_ms"`
-	LedgerKeys     int         `json:"ledger_keys"`
-	Proposals      int         `json:"open_proposals"`
-	Followers      int         `json:"direct_followers"`
-	Relay          relay.Stats `json:"relay"`
+	Groups         []groupMetrics `json:"groups"`
+	ConfirmedAgeMs int64          `json:"confirmed_age_ms"`
+	LedgerKeys     int            `json:"ledger_keys"`
+	Followers      int            `json:"direct_followers"`
+	Relay          relay.Stats    `json:"relay"`
+}
+
+type groupMetrics struct {
+	Group      uint32 `json:"group"`
+	Term       uint64 `json:"term"`
+	Commit     uint64 `json:"commit"`
+	Applied    uint64 `json:"applied"`
+	Leader     bool   `json:"leader"`
+	QuorumLost bool   `json:"quorum_lost"`
+	Proposals  int    `json:"open_proposals"`
 }
 
 func metricsOf(dump Dump) memberMetrics {
-	return memberMetrics{
-		Term: dump.Raft.Term, Commit: dump.Raft.Commit, Applied: dump.Raft.Applied,
-		Leader: dump.Raft.Role == raft.RoleLeader, QuorumLost: dump.Raft.QuorumLost,
-		ConfirmedAgeMs: dump.ConfirmedAgeMs, LedgerKeys: dump.LedgerKeys, Proposals: dump.Proposals,
-		Followers: len(dump.Relay.Children), Relay: dump.Relay.Stats,
+	result := memberMetrics{
+		ConfirmedAgeMs: dump.ConfirmedAgeMs, LedgerKeys: dump.LedgerKeys, Followers: len(dump.Relay.Children),
+		Relay: dump.Relay.Stats,
+	}
+	for _, group := range dump.Groups {
+		result.Groups = append(result.Groups, groupMetrics{
+			Group: group.Group, Term: group.Raft.Term, Commit: group.Raft.Commit, Applied: group.Raft.Applied,
+			Leader: group.Raft.Role == raft.RoleLeader, QuorumLost: group.Raft.QuorumLost, Proposals: group.Proposals,
+		})
 	}
+	return result
 }
 
 func (m *Member) observeReports(now time.Time, reports []relay.CrashReport) {
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -30,46 +30,53 @@
 	foundingTerm  = 1
 )
 
-// formed reports whether the data folder belongs to a member of a group.
+// formed reports whether a folder belongs to a member of a group.
 func formed(recovered wal.Recovered) bool {
 	return recovered.Snapshot.Index > 0 || len(recovered.Entries) > 0
 }
 
-// found asks all founders for their identities and returns the first membership. It returns false if the group exists
-// already. Then this member starts empty: if it is one of the members, the leader brings it up to date; if not, its data
-// folder is new and an operator must add it. A wiped member can therefore neither vote under its old identity nor form
-// a second group.
-func (m *Member) found(ctx context.Context) (raft.Membership, bool, error) {
+// form makes the first membership of a group durable. If the group exists already, this replica starts empty: if it is
+// one of the members, the leader brings it up to date; if not, its folder is new and an operator must add it. A wiped
+// member can therefore neither vote under its old identity nor form a second group.
+func (m *Member) form(r *replica, recovered *wal.Recovered) error {
 	for {
-		membership, complete, exists := m.identifyFounders(ctx)
+		membership, complete, exists := m.identifyFounders(m.ctx, r)
 		switch {
 		case exists:
-			return raft.Membership{}, false, nil
+			r.logger.Info().Str("member", string(r.id)).Msg("the group exists; waiting for its leader")
+			return nil
 		case complete:
-			return membership, true, nil
+			recovered.Snapshot = raft.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: membership}
+			if err := r.log.SaveSnapshot(recovered.Snapshot); err != nil {
+				return errors.Wrapf(ErrStorage, "%v", err)
+			}
+			m.setFormed(r.group)
+			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return raft.Membership{}, false, errors.Wrapf(ErrBootstrap, "%v", ctx.Err())
-		case <-time.After(bootstrapPause):
+		pause(m.ctx, bootstrapPause)
+		if m.ctx.Err() != nil {
+			return errors.Wrapf(ErrBootstrap, "%v", m.ctx.Err())
 		}
 	}
 }
 
-func (m *Member) identifyFounders(ctx context.Context) (membership raft.Membership, complete, exists bool) {
+func (m *Member) identifyFounders(
+	ctx context.Context, r *replica,
+) (membership raft.Membership, complete, exists bool) {
 	complete = true
 	for _, founder := range m.options.Founders {
-		id := m.id
+		id := r.id
 		if founder.Address != m.options.Advertise {
 			reply, err := m.identify(ctx, founder.Address)
-			if err != nil {
+			if err != nil || int(r.group) >= len(reply.Groups) {
 				complete = false
 				continue
 			}
-			if reply.Formed {
+			described := reply.Groups[r.group]
+			if described.Formed {
 				return raft.Membership{}, false, true
 			}
-			id = raft.MemberID(reply.ID)
+			id = raft.MemberID(described.ID)
 		}
 		membership.Members = append(membership.Members,
 			raft.Member{ID: id, Address: founder.Address, Zone: founder.Zone, Learner: founder.Learner})
@@ -88,6 +95,23 @@
 
 // Identify tells other members who this one is.
 func (m *Member) Identify(context.Context, *protocol.IdentifyRequest) (*protocol.IdentifyReply, error) {
-	reply := &protocol.IdentifyReply{ID: string(m.id), Formed: m.isFormed.Load(), Admin: m.options.AdvertiseAdmin, Zone: m.options.Zone}
+	reply := &protocol.IdentifyReply{Admin: m.options.AdvertiseAdmin, Zone: m.options.Zone}
+	m.formedMu.Lock()
+	defer m.formedMu.Unlock()
+	for _, r := range m.replicas {
+		reply.Groups = append(reply.Groups, protocol.GroupIdentity{ID: string(r.id), Formed: m.formedGroups[r.group]})
+	}
 	return reply, nil
 }
+
+func (m *Member) setFormed(group uint32) {
+	m.formedMu.Lock()
+	defer m.formedMu.Unlock()
+	m.formedGroups[group] = true
+}
+
+func (m *Member) isFormed(group uint32) bool {
+	m.formedMu.Lock()
+	defer m.formedMu.Unlock()
+	return m.formedGroups[group]
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/ledger"
+	"sapphiregate.example/sapphiregate/state/registry"
+)
+
+// machine is a replicated state machine behind one log. The control goroutine owns it.
+type machine interface {
+	// prepare checks a proposal on the leader and returns the content of its log entry.
+	prepare(nowMs int64, command []byte) ([]byte, error)
+	// apply executes a committed entry and returns the encoded result.
+	apply(index uint64, data []byte) ([]byte, error)
+	snapshot() ([]byte, error)
+	// restore replaces the state by that of a snapshot; empty data stands for the empty state.
+	restore(data []byte) error
+}
+
+// registryMachine holds approvals and bundles.
+type registryMachine struct {
+	keys     *bundle.Keyring
+	registry *registry.Registry
+}
+
+func newRegistryMachine(keys *bundle.Keyring) *registryMachine {
+	return &registryMachine{keys: keys, registry: registry.New(keys)}
+}
+
+// prepare reduces a stage to what the registry lacks, so that the log carries each part once.
+func (s *registryMachine) prepare(_ int64, data []byte) ([]byte, error) {
+	command, err := registry.DecodeCommand(data)
+	if err != nil {
+		return nil, err
+	}
+	if command.Stage == nil {
+		return data, nil
+	}
+	// A stage that cannot be reduced is committed as it is; applying it gives the exact refusal.
+	if reduced, err := s.registry.Shrink(*command.Stage); err == nil {
+		command.Stage = &reduced
+	}
+	return registry.EncodeCommand(command)
+}
+
+func (s *registryMachine) apply(index uint64, data []byte) ([]byte, error) {
+	command, err := registry.DecodeCommand(data)
+	if err != nil {
+		return nil, err
+	}
+	return protocol.Marshal(s.registry.Apply(index, command))
+}
+
+func (s *registryMachine) snapshot() ([]byte, error) { return s.registry.Snapshot() }
+
+func (s *registryMachine) restore(data []byte) error {
+	if len(data) == 0 {
+		s.registry = registry.New(s.keys)
+		return nil
+	}
+	restored, err := registry.Restore(s.keys, data)
+	if err != nil {
+		return errors.Wrap(err, "control: restore registry")
+	}
+	s.registry = restored
+	return nil
+}
+
+// ledgerMachine holds irreversible calls.
+type ledgerMachine struct {
+	config ledger.Config
+	ledger *ledger.Ledger
+}
+
+func newLedgerMachine(config ledger.Config) *ledgerMachine {
+	return &ledgerMachine{config: config, ledger: ledger.New(config)}
+}
+
+// prepare sets the leader's time, so that all replicas apply the same one.
+func (s *ledgerMachine) prepare(nowMs int64, data []byte) ([]byte, error) {
+	var command ledger.Command
+	if err := protocol.Unmarshal(data, &command); err != nil {
+		return nil, err
+	}
+	command.NowMs = nowMs
+	return protocol.Marshal(command)
+}
+
+func (s *ledgerMachine) apply(_ uint64, data []byte) ([]byte, error) {
+	var command ledger.Command
+	if err := protocol.Unmarshal(data, &command); err != nil {
+		return nil, err
+	}
+	return protocol.Marshal(s.ledger.Apply(command))
+}
+
+func (s *ledgerMachine) snapshot() ([]byte, error) { return s.ledger.Snapshot() }
+
+func (s *ledgerMachine) restore(data []byte) error {
+	if len(data) == 0 {
+		s.ledger = ledger.New(s.config)
+		return nil
+	}
+	restored, err := ledger.Restore(s.config, data)
+	if err != nil {
+		return errors.Wrap(err, "control: restore ledger")
+	}
+	s.ledger = restored
+	return nil
+}
--- a/control/member.go
+++ b/control/member.go
@@ -1,6 +1,6 @@
-// Package control is a control member: an instance with a disk that holds a replica of the log, applies it to the
-// registry and the ledger, and serves its zone's nodes with the configuration. One goroutine owns the control state,
-// one writes to the disk.
+// Package control is a control member: an instance with a disk that holds a replica of each log, applies it to the
+// registry or the ledger, and serves its zone's nodes with the configuration. One goroutine owns the control state;
+// one for each log writes to the disk.
 package control
 
 import (
@@ -9,11 +9,11 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc/credentials"
 
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
@@ -42,11 +42,15 @@
 	// Founders lists the members of a new group, this one included. It is used only while the data folder is new. A
 	// member that is added later has none.
 	Founders []Founder
-	FS       disk.FS
+	// Registry and Ledgers are the folders of the logs. All members have the same number of ledger groups.
+	Registry disk.FS
+	Ledgers  []disk.FS
 	Keys     *bundle.Keyring
 	Identity *rpc.Identity
-	Dialer   rpc.Dialer
-	Logger   zerolog.Logger
+	// Dialer opens connections for configuration, LedgerDialer those for the ledger; nil dials TCP.
+	Dialer       rpc.Dialer
+	LedgerDialer rpc.Dialer
+	Logger       zerolog.Logger
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
@@ -60,32 +64,30 @@
 
 const (
 	defaultSnapshotEntries = 10_000
-	// writeQueueLength is 1 batch and 1 snapshot.
-	writeQueueLength  = 2
-	readHeaderTimeout = 10 * time.Second
+	readHeaderTimeout      = 10 * time.Second
 	// memberStopTime bounds the wait for streams that do not end by themselves.
 	memberStopTime = 200 * time.Millisecond
 	// transferTime lets a stopping leader hand over, so that a planned stop costs no election timeout.
-	transferTime = time.Second
+	transferTime  = time.Second
+	transferPause = 20 * time.Millisecond
 )
 
+// registryGroup is the group of the registry's log.
+const registryGroup = 0
+
 // Member is one running control member.
 type Member struct {
 	options Options
-	id      raft.MemberID
 	logger  zerolog.Logger
 
 	host       *mesh.Host
 	peer       *relay.Peer
 	pool       *rpc.Pool
+	ledgerPool *rpc.Pool
 	mesh       *rpc.Server
 	admin      *http.Server
 	quarantine *quarantine.List
 
-	wal      *wal.Log
-	writes   chan write
-	isFormed atomic.Bool
-
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -93,19 +95,16 @@
 	// ready is closed once the control goroutine runs.
 	ready chan struct{}
 
-	// The fields below belong to the control goroutine.
-	raft          *raft.Node
-	peers         *peers
-	machines      *machines
-	membership    raft.Membership
-	proposals     map[uint64]proposal
-	writing       bool
-	failed        bool
-	applied       uint64
-	snapshotIndex uint64
+	formedMu     sync.Mutex
+	formedGroups map[uint32]bool
+
+	// replicas are indexed by group. What they hold belongs to the control goroutine.
+	replicas []*replica
+	registry *registryMachine
+	ledgers  []*ledgerMachine
 }
 
-// New opens the data folder. The member does not run yet.
+// New opens the data folders and forms or rejoins the groups in the background.
 func New(options Options) (*Member, error) {
 	if options.SnapshotEntries == 0 {
 		options.SnapshotEntries = defaultSnapshotEntries
@@ -117,22 +116,16 @@
 		options.AdvertiseAdmin = options.Admin.Addr().String()
 	}
 	m := &Member{
-		options:   options,
-		logger:    logging.Part(options.Logger, "control"),
-		writes:    make(chan write, writeQueueLength),
-		ready:     make(chan struct{}),
-		machines:  newMachines(options.Keys, options.Ledger),
-		proposals: make(map[uint64]proposal),
+		options: options, logger: logging.Part(options.Logger, "control"), ready: make(chan struct{}),
+		formedGroups: make(map[uint32]bool),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	log, recovered, err := wal.Open(options.FS)
+	m.connect()
+	recovered, err := m.openReplicas()
 	if err != nil {
-		return nil, errors.Wrapf(ErrStorage, "%v", err)
+		m.cancel()
+		return nil, err
 	}
-	m.wal = log
-	m.id = recovered.Identity
-	m.isFormed.Store(formed(recovered))
-	m.connect()
 	m.admin = &http.Server{Handler: m.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	m.mesh.ServeMember(m)
 	m.tasks.Go(func() { m.run(recovered) })
@@ -140,18 +133,62 @@
 }
 
 func (m *Member) connect() {
-	if m.options.Identity == nil {
-		m.pool = rpc.NewPool(m.options.Dialer, nil)
-		m.mesh = rpc.NewServer(m.options.Mesh, nil)
-		return
+	var transport credentials.TransportCredentials
+	if m.options.Identity != nil {
+		transport = m.options.Identity.Credentials()
+	}
+	m.pool = rpc.NewPool(m.options.Dialer, transport)
+	m.ledgerPool = rpc.NewPool(m.options.LedgerDialer, transport)
+	m.mesh = rpc.NewServer(m.options.Mesh, transport)
+}
+
+// openReplicas reads the folders of all logs.
+func (m *Member) openReplicas() ([]wal.Recovered, error) {
+	m.registry = newRegistryMachine(m.options.Keys)
+	registryReplica := m.newReplica(registryGroup, m.registry, m.pool)
+	registryReplica.applied = m.publishSource
+	registryReplica.membershipChanged = m.publishMembers
+	folders := []disk.FS{m.options.Registry}
+	for i, folder := range m.options.Ledgers {
+		machine := newLedgerMachine(m.options.Ledger)
+		m.ledgers = append(m.ledgers, machine)
+		m.newReplica(uint32(i+1), machine, m.ledgerPool)
+		folders = append(folders, folder)
+	}
+	var all []wal.Recovered
+	for i, r := range m.replicas {
+		recovered, err := r.open(folders[i])
+		if err != nil {
+			return nil, err
+		}
+		if formed(recovered) {
+			m.setFormed(r.group)
+		}
+		all = append(all, recovered)
+	}
+	return all, nil
+}
+
+func (m *Member) newReplica(group uint32, machine machine, pool *rpc.Pool) *replica {
+	r := &replica{
+		group: group, machine: machine, pool: pool, snapshotEntries: m.options.SnapshotEntries,
+		logger: m.logger.With().Uint32("group", group).Logger(),
+		post:   func(input func(now time.Time)) bool { return m.host.Post(input) },
+		failed: m.fail,
 	}
-	credentials := m.options.Identity.Credentials()
-	m.pool = rpc.NewPool(m.options.Dialer, credentials)
-	m.mesh = rpc.NewServer(m.options.Mesh, credentials)
+	m.replicas = append(m.replicas, r)
+	return r
+}
+
+// fail stops the member after a failure of its disk.
+func (m *Member) fail(err error) {
+	m.logger.Error().Err(err).Msg("member stops")
+	go m.Kill()
 }
 
 // Start begins to serve.
 func (m *Member) Start() {
+	m.logger.Info().Str("member", m.ID()).Str("mesh", m.options.Advertise).Msg("member starts")
 	m.tasks.Go(func() {
 		if err := m.mesh.Serve(); err != nil && m.ctx.Err() == nil {
 			m.logger.Error().Err(err).Msg("stopped serving the mesh")
@@ -174,93 +211,97 @@
 	return m.admin.ServeTLS(m.options.Admin, "", "")
 }
 
-// run forms or rejoins the group and then becomes the control goroutine.
-func (m *Member) run(recovered wal.Recovered) {
-	if !formed(recovered) && len(m.options.Founders) > 0 {
-		if err := m.form(&recovered); err != nil {
-			if m.ctx.Err() == nil {
-				m.logger.Error().Err(err).Msg("cannot form the group")
-			}
+// run forms or rejoins the groups and then becomes the control goroutine.
+func (m *Member) run(recovered []wal.Recovered) {
+	for i, r := range m.replicas {
+		if formed(recovered[i]) || len(m.options.Founders) == 0 {
+			continue
+		}
+		if err := m.form(r, &recovered[i]); err != nil {
+			m.reportStartFailure(err)
 			return
 		}
 	}
 	if err := m.begin(recovered); err != nil {
-		m.logger.Error().Err(err).Msg("cannot start")
+		m.reportStartFailure(err)
 		return
 	}
-	m.tasks.Go(m.writeLoop)
+	for _, r := range m.replicas {
+		m.tasks.Go(func() { r.writeLoop(m.ctx) })
+	}
 	close(m.ready)
 	m.host.Run(m.ctx)
-	m.abandonProposals()
+	for _, r := range m.replicas {
+		r.abandon()
+	}
 }
 
-func (m *Member) form(recovered *wal.Recovered) error {
-	membership, founding, err := m.found(m.ctx)
-	if err != nil {
-		return err
-	}
-	if !founding {
-		m.logger.Info().Str("member", string(m.id)).Msg("the group exists; waiting for its leader")
-		return nil
-	}
-	recovered.Snapshot = raft.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: membership}
-	if err := m.wal.SaveSnapshot(recovered.Snapshot); err != nil {
-		return errors.Wrapf(ErrStorage, "%v", err)
+func (m *Member) reportStartFailure(err error) {
+	if m.ctx.Err() == nil {
+		m.logger.Error().Err(err).Msg("cannot start")
 	}
-	m.isFormed.Store(true)
-	return nil
 }
 
-func (m *Member) begin(recovered wal.Recovered) error {
+func (m *Member) begin(recovered []wal.Recovered) error {
 	now := time.Now()
-	if err := m.machines.restore(recovered.Snapshot.Data); err != nil {
-		return errors.Wrapf(ErrStorage, "%v", err)
-	}
-	m.applied = recovered.Snapshot.Index
-	m.snapshotIndex = recovered.Snapshot.Index
-	rng := rand.New(rand.NewSource(now.UnixNano()))
-	replica, err := raft.New(now, raft.Config{
-		ID: m.id, ElectionTimeout: m.options.ElectionTimeout, HeartbeatInterval: m.options.HeartbeatInterval,
-		MaxAppendBytes: m.options.MaxAppendBytes, Rand: rng,
-	}, raft.Restored{HardState: recovered.HardState, Snapshot: recovered.Snapshot, Entries: recovered.Entries})
-	if err != nil {
-		return errors.Wrapf(ErrStorage, "%v", err)
-	}
-	m.raft = replica
-	m.peers = newPeers(m.ctx, m.id, m.pool)
 	incarnation := uint64(now.UnixNano())
-	m.quarantine = quarantine.New(quarantine.Config{ID: string(m.id), Incarnation: incarnation})
+	m.quarantine = quarantine.New(quarantine.Config{ID: m.ID(), Incarnation: incarnation})
 	config := m.options.Relay
-	config.ID, config.Zone, config.Address = string(m.id), m.options.Zone, m.options.Advertise
-	config.Incarnation, config.Member, config.Rand, config.Keys = incarnation, true, rng, m.options.Keys
+	config.ID, config.Zone, config.Address = m.ID(), m.options.Zone, m.options.Advertise
+	config.Incarnation, config.Member, config.Keys = incarnation, true, m.options.Keys
+	config.Rand = rand.New(rand.NewSource(now.UnixNano()))
 	m.peer = relay.New(now, config)
 	m.host = mesh.NewHost(mesh.Options{
 		Peer: m.peer, Pool: m.pool, Logger: m.logger, Output: m.handleOutput, Tick: m.tick, AfterBatch: m.pump,
 	})
+	raftConfig := raft.Config{
+		ElectionTimeout: m.options.ElectionTimeout, HeartbeatInterval: m.options.HeartbeatInterval,
+		MaxAppendBytes: m.options.MaxAppendBytes,
+	}
+	for i, r := range m.replicas {
+		if err := r.begin(m.ctx, now, raftConfig, recovered[i]); err != nil {
+			return err
+		}
+	}
 	m.publishSource(now)
-	m.membershipChanged(now)
 	return nil
 }
 
-// tick lets time pass for the log and hands its freshness to the distribution tree.
+// tick lets time pass for the logs and hands the registry's freshness to the distribution tree.
 func (m *Member) tick(now time.Time) {
-	m.raft.Tick(now)
-	if age, ok := m.raft.ConfirmedAge(now); ok {
+	for _, r := range m.replicas {
+		r.raft.Tick(now)
+	}
+	if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 		m.peer.SetConfirmed(now, age)
 	}
 }
 
-func (m *Member) handleOutput(now time.Time, output relay.Output) {
-	if received, ok := output.(relay.CrashesReceived); ok {
-		m.observeReports(now, received.Reports)
+func (m *Member) pump(now time.Time) {
+	for _, r := range m.replicas {
+		r.pump(now)
+	}
+}
+
+// publishSource hands the registry's state to the distribution tree.
+func (m *Member) publishSource(now time.Time) {
+	state := m.registry.registry.State()
+	source := relay.Source{Latest: state.Latest, Stopped: state.Stopped, Held: state.Held}
+	m.peer.SetSource(now, source, m.registry.registry.Store())
+}
+
+// publishMembers tells the distribution tree who the members are.
+func (m *Member) publishMembers(now time.Time, membership raft.Membership) {
+	infos := make([]relay.MemberInfo, 0, len(membership.Members))
+	for _, member := range membership.Members {
+		infos = append(infos, relay.MemberInfo{ID: string(member.ID), Zone: member.Zone, Address: member.Address})
 	}
+	m.peer.SetMembers(now, infos)
 }
 
-// abandonProposals answers proposals that are still open when the member stops.
-func (m *Member) abandonProposals() {
-	for index, waiting := range m.proposals {
-		delete(m.proposals, index)
-		waiting.done <- &protocol.ProposeReply{Status: protocol.ProposeUncertain}
+func (m *Member) handleOutput(now time.Time, output relay.Output) {
+	if received, ok := output.(relay.CrashesReceived); ok {
+		m.observeReports(now, received.Reports)
 	}
 }
 
@@ -278,17 +319,25 @@
 
 // Step receives log messages of other members.
 func (m *Member) Step(frame *protocol.StepFrame) {
-	if m.running(m.ctx) != nil {
+	if int(frame.Group) >= len(m.replicas) || m.running(m.ctx) != nil {
 		return
 	}
-	m.host.Post(func(now time.Time) {
-		for _, message := range frame.Messages {
-			if err := m.raft.Step(now, message); err != nil {
-				m.logger.Debug().Err(err).Str("from", string(message.From)).Msg("ignored a log message")
-			}
-		}
-		m.isFormed.Store(true)
-	})
+	m.setFormed(frame.Group)
+	m.host.Post(func(now time.Time) { m.replicas[frame.Group].step(now, frame.Messages) })
+}
+
+// groupOf returns the group that a request is for.
+func (m *Member) groupOf(request *protocol.ProposeRequest) (*replica, error) {
+	switch {
+	case request.Target == protocol.TargetRegistry:
+		return m.replicas[registryGroup], nil
+	case request.Target == protocol.TargetLedger && len(m.ledgers) > 0:
+		return m.replicas[1+protocol.LedgerIndex(request.Key, len(m.ledgers))], nil
+	case request.Target == protocol.TargetMembership && int(request.Group) < len(m.replicas):
+		return m.replicas[request.Group], nil
+	default:
+		return nil, errors.Wrapf(protocol.ErrMalformed, "target %d, group %d", request.Target, request.Group)
+	}
 }
 
 // Propose commits a command and returns its result once it is applied.
@@ -296,17 +345,29 @@
 	if err := m.running(ctx); err != nil {
 		return &protocol.ProposeReply{Status: protocol.ProposeNotLeader, Detail: err.Error()}, nil
 	}
+	r, err := m.groupOf(request)
+	if err != nil {
+		return &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}, nil
+	}
 	done := make(chan *protocol.ProposeReply, 1)
-	if !m.host.Post(func(now time.Time) { m.propose(now, request, done) }) {
+	posted := m.host.Post(func(now time.Time) {
+		if request.Target == protocol.TargetMembership {
+			done <- r.proposeMembership(now, request.Command)
+			return
+		}
+		r.propose(now, request.Command, done)
+	})
+	if !posted {
 		return &protocol.ProposeReply{Status: protocol.ProposeNotLeader, Detail: ErrStopped.Error()}, nil
 	}
+	reply := &protocol.ProposeReply{Status: protocol.ProposeUncertain, Detail: ErrUncertain.Error()}
 	select {
-	case reply := <-done:
-		return reply, nil
+	case reply = <-done:
 	case <-m.ctx.Done():
 	case <-ctx.Done():
 	}
-	return &protocol.ProposeReply{Status: protocol.ProposeUncertain, Detail: ErrUncertain.Error()}, nil
+	reply.LedgerGroups = len(m.ledgers)
+	return reply, nil
 }
 
 // Follow serves the nodes that follow this member.
@@ -320,58 +381,51 @@
 // Done is closed when the member stops, also by itself after a failure of its disk.
 func (m *Member) Done() <-chan struct{} { return m.ctx.Done() }
 
-// ID returns the identity of the member's data folder.
-func (m *Member) ID() string { return string(m.id) }
+// ID returns the identity of the registry's folder, which names the member.
+func (m *Member) ID() string { return string(m.replicas[registryGroup].id) }
+
+// Leads reports whether this member takes itself for the leader of the registry's log, and its term.
+func (m *Member) Leads() (term uint64, leads bool) {
+	select {
+	case <-m.ready:
+	default:
+		return 0, false
+	}
+	_ = m.host.Query(m.ctx, func(time.Time) {
+		status := m.replicas[registryGroup].raft.Status()
+		term, leads = status.Term, status.Role == raft.RoleLeader
+	})
+	return term, leads
+}
 
 // Stop hands the leadership over and ends the member.
 func (m *Member) Stop(ctx context.Context) error {
-	if m.running(ctx) == nil {
-		m.handOver(ctx)
-	}
-	bounded, cancel := context.WithTimeout(ctx, memberStopTime)
+	bounded, cancel := context.WithTimeout(ctx, transferTime)
 	defer cancel()
-	_ = m.admin.Shutdown(bounded)
+	if m.running(bounded) == nil {
+		m.handOver(bounded)
+	}
+	closing, cancelClosing := context.WithTimeout(ctx, memberStopTime)
+	defer cancelClosing()
+	_ = m.admin.Shutdown(closing)
 	m.Kill()
 	return nil
 }
 
-// handOver transfers the leadership to the voter with the longest log.
+// handOver transfers the leadership of all logs.
 func (m *Member) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, transferTime)
-	defer cancel()
 	for ctx.Err() == nil {
 		leading := false
-		err := m.host.Query(ctx, func(now time.Time) { leading = m.transfer(now) })
+		err := m.host.Query(ctx, func(now time.Time) {
+			for _, r := range m.replicas {
+				leading = r.transfer(now) || leading
+			}
+		})
 		if err != nil || !leading {
 			return
 		}
-		pause(ctx, bootstrapPause/4)
-	}
-}
-
-// transfer reports whether this member still leads.
-func (m *Member) transfer(now time.Time) bool {
-	status := m.raft.Status()
-	if status.Role != raft.RoleLeader {
-		return false
-	}
-	var target raft.MemberID
-	var longest uint64
-	for _, id := range status.Membership.Voters() {
-		progress, ok := status.Progress[id]
-		if id == m.id || !ok || progress.Match < longest {
-			continue
-		}
-		target, longest = id, progress.Match
-	}
-	if target == "" {
-		return false
-	}
-	if err := m.raft.TransferLeadership(now, target); err != nil {
-		m.logger.Warn().Err(err).Msg("cannot hand over the leadership")
-		return false
+		pause(ctx, transferPause)
 	}
-	return true
 }
 
 func pause(ctx context.Context, duration time.Duration) {
@@ -390,24 +444,10 @@
 		m.mesh.Stop()
 		_ = m.admin.Close()
 		m.pool.Close()
+		m.ledgerPool.Close()
 		m.tasks.Wait()
-		if m.peers != nil {
-			m.peers.running.Wait()
+		for _, r := range m.replicas {
+			r.close()
 		}
-		_ = m.wal.Close()
 	})
 }
-
-// Leads reports whether this member takes itself for the leader, and its term.
-func (m *Member) Leads() (term uint64, leads bool) {
-	select {
-	case <-m.ready:
-	default:
-		return 0, false
-	}
-	_ = m.host.Query(m.ctx, func(time.Time) {
-		status := m.raft.Status()
-		term, leads = status.Term, status.Role == raft.RoleLeader
-	})
-	return term, leads
-}
--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+)
+
+// changePause is the wait before a change that must wait is tried again.
+const changePause = 50 * time.Millisecond
+
+// proposeMembership appends a membership change, unless it is already in effect. A reply of ProposeUncertain means that
+// the change is under way or must wait: ask again.
+func (r *replica) proposeMembership(now time.Time, command []byte) *protocol.ProposeReply {
+	var change raft.MembershipChange
+	if err := protocol.Unmarshal(command, &change); err != nil {
+		return &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}
+	}
+	status := r.raft.Status()
+	switch {
+	case status.Role != raft.RoleLeader:
+		return r.notLeader()
+	case !status.MembershipPending && inEffect(status.Membership, change):
+		return &protocol.ProposeReply{Status: protocol.ProposeApplied}
+	}
+	_, _, err := r.raft.ProposeMembership(now, change)
+	if errors.IsAny(err, raft.ErrUnknownMember, raft.ErrInvalidChange) {
+		return &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}
+	}
+	return r.uncertain()
+}
+
+// inEffect reports whether a membership already shows a change.
+func inEffect(membership raft.Membership, change raft.MembershipChange) bool {
+	member, ok := membership.Find(change.Member.ID)
+	switch change.Kind {
+	case raft.ChangeAddLearner:
+		return ok
+	case raft.ChangePromote:
+		return ok && !member.Learner
+	case raft.ChangeRemove:
+		return !ok
+	case raft.ChangeUpdate:
+		return ok && member.Address == change.Member.Address && member.Zone == change.Member.Zone
+	default:
+		return false
+	}
+}
+
+// AddMember adds a learner to all groups and promotes it once it has caught up.
+func (b backend) AddMember(ctx context.Context, r operator.AddMemberRequest) (operator.MembersAnswer, error) {
+	if err := b.addMember(ctx, r.ID, r.Address, r.Zone, r.Learner); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	return b.Members(ctx)
+}
+
+// RemoveMember removes a member from all groups.
+func (b backend) RemoveMember(ctx context.Context, r operator.RemoveMemberRequest) (operator.MembersAnswer, error) {
+	members, err := b.Members(ctx)
+	if err != nil {
+		return members, err
+	}
+	address := ""
+	for _, member := range members.Members {
+		if member.ID == r.ID {
+			address = member.Address
+		}
+	}
+	if address == "" {
+		// The request was sent again after the change took effect.
+		return members, nil
+	}
+	// The registry comes last: until then the operators' list shows the member, so that a request that is cut short
+	// can be sent again.
+	for group := len(b.member.replicas) - 1; group >= 0; group-- {
+		if err := b.removeFrom(ctx, uint32(group), address); err != nil {
+			return operator.MembersAnswer{}, err
+		}
+	}
+	return b.Members(ctx)
+}
+
+// ReplaceMember adds a member, waits until it holds and has synced everything that is committed, and only then removes
+// the old one: a second failure right after the repair loses nothing.
+func (b backend) ReplaceMember(ctx context.Context, r operator.ReplaceMemberRequest) (operator.MembersAnswer, error) {
+	if err := b.addMember(ctx, r.New, r.Address, r.Zone, false); err != nil {
+		return operator.MembersAnswer{}, err
+	}
+	return b.RemoveMember(ctx, operator.RemoveMemberRequest{RequestID: r.RequestID, ID: r.Old})
+}
+
+func (b backend) addMember(ctx context.Context, id, address, zone string, learner bool) error {
+	reply, err := b.member.identify(ctx, address)
+	if err != nil {
+		return &operator.Error{Kind: operator.ErrBadRequest, Message: "the new member does not answer: " + err.Error()}
+	}
+	if len(reply.Groups) != len(b.member.replicas) || reply.Groups[registryGroup].ID != id {
+		return &operator.Error{Kind: operator.ErrBadRequest, Message: "another member answers at " + address}
+	}
+	for group, described := range reply.Groups {
+		member := raft.Member{ID: raft.MemberID(described.ID), Address: address, Zone: zone, Learner: true}
+		change := raft.MembershipChange{Kind: raft.ChangeAddLearner, Member: member}
+		if err := b.change(ctx, uint32(group), change); err != nil {
+			return err
+		}
+	}
+	if learner {
+		return nil
+	}
+	for group, described := range reply.Groups {
+		change := raft.MembershipChange{
+			Kind: raft.ChangePromote, Member: raft.Member{ID: raft.MemberID(described.ID)},
+		}
+		if err := b.change(ctx, uint32(group), change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// removeFrom removes the member with an address from one group. Its identity differs between groups.
+func (b backend) removeFrom(ctx context.Context, group uint32, address string) error {
+	var id raft.MemberID
+	err := b.query(ctx, func(time.Time) {
+		for _, member := range b.member.replicas[group].raft.Status().Membership.Members {
+			if member.Address == address {
+				id = member.ID
+			}
+		}
+	})
+	if err != nil || id == "" {
+		return err
+	}
+	return b.change(ctx, group, raft.MembershipChange{Kind: raft.ChangeRemove, Member: raft.Member{ID: id}})
+}
+
+// change commits one membership change, through the leader of the group. A change that is already in effect succeeds,
+// so that requests can be sent again.
+func (b backend) change(ctx context.Context, group uint32, change raft.MembershipChange) error {
+	data, err := protocol.Marshal(change)
+	if err != nil {
+		return err
+	}
+	request := &protocol.ProposeRequest{Target: protocol.TargetMembership, Group: group, Command: data}
+	for ctx.Err() == nil {
+		reply, err := b.member.Propose(ctx, request)
+		if err == nil && reply.Status == protocol.ProposeNotLeader && reply.Leader != "" {
+			reply, err = b.proposeTo(ctx, reply.Leader, request)
+		}
+		switch {
+		case err != nil:
+		case reply.Status == protocol.ProposeApplied:
+			return nil
+		case reply.Status == protocol.ProposeRefused:
+			return &operator.Error{Kind: operator.ErrBadRequest, Message: reply.Detail}
+		}
+		pause(ctx, changePause)
+	}
+	return &operator.Error{Kind: operator.ErrMembershipBusy, Message: "the change was not committed in time"}
+}
+
+func (b backend) proposeTo(
+	ctx context.Context, leader string, request *protocol.ProposeRequest,
+) (*protocol.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	return b.member.pool.Propose(ctx, leader, request)
+}
--- a/control/operators.go
+++ b/control/operators.go
@@ -8,14 +8,11 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/protocol/operator"
-	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/registry"
 )
 
@@ -95,15 +92,15 @@
 // Status describes the group and the rollout.
 func (b backend) Status(ctx context.Context) (operator.Status, error) {
 	m := b.member
-	status := operator.Status{Member: string(m.id), ConfirmedAgeMs: operator.AgeUnknown, Keyring: m.options.Keys.Digest()}
+	status := operator.Status{Member: m.ID(), ConfirmedAgeMs: operator.AgeUnknown, Keyring: m.options.Keys.Digest()}
 	err := b.query(ctx, func(now time.Time) {
-		status.Leader = string(m.raft.Status().Leader)
-		if age, ok := m.raft.ConfirmedAge(now); ok {
+		status.Leader = string(m.replicas[registryGroup].raft.Status().Leader)
+		if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 			status.ConfirmedAgeMs = age.Milliseconds()
 		}
-		state := m.machines.registry.State()
+		state := m.registry.registry.State()
 		status.Latest = state.Latest
-		status.Staged = m.machines.registry.Staged()
+		status.Staged = m.registry.registry.Staged()
 		status.Zones = zoneStatuses(m.peer.Zones(), state)
 		status.Rollout = operator.RolloutOfAll(latestVersion(state), state.Stopped, status.Zones)
 	})
@@ -151,7 +148,7 @@
 	}
 	var answer operator.HistoryAnswer
 	err := b.query(ctx, func(time.Time) {
-		answer.Records = operator.NewestFirst(b.member.machines.registry.History(), limit)
+		answer.Records = operator.NewestFirst(b.member.registry.registry.History(), limit)
 	})
 	return answer, err
 }
@@ -159,7 +156,7 @@
 // Members lists the control members.
 func (b backend) Members(ctx context.Context) (operator.MembersAnswer, error) {
 	var status raft.Status
-	if err := b.query(ctx, func(time.Time) { status = b.member.raft.Status() }); err != nil {
+	if err := b.query(ctx, func(time.Time) { status = b.member.replicas[registryGroup].raft.Status() }); err != nil {
 		return operator.MembersAnswer{}, err
 	}
 	answer := operator.MembersAnswer{Term: status.Term, Commit: status.Commit}
@@ -182,107 +179,6 @@
 	return answer, nil
 }
 
-// AddMember adds a learner and promotes it once it has caught up.
-func (b backend) AddMember(ctx context.Context, r operator.AddMemberRequest) (operator.MembersAnswer, error) {
-	member := raft.Member{ID: raft.MemberID(r.ID), Address: r.Address, Zone: r.Zone, Learner: true}
-	if err := b.addMember(ctx, member, r.Learner); err != nil {
-		return operator.MembersAnswer{}, err
-	}
-	return b.Members(ctx)
-}
-
-// RemoveMember removes a member.
-func (b backend) RemoveMember(ctx context.Context, r operator.RemoveMemberRequest) (operator.MembersAnswer, error) {
-	if err := b.change(ctx, raft.MembershipChange{Kind: raft.ChangeRemove, Member: raft.Member{ID: raft.MemberID(r.ID)}}); err != nil {
-		return operator.MembersAnswer{}, err
-	}
-	return b.Members(ctx)
-}
-
-// ReplaceMember adds a member, waits until it holds and has synced everything that is committed, and only then removes
-// the old one: a second failure right after the repair loses nothing.
-func (b backend) ReplaceMember(ctx context.Context, r operator.ReplaceMemberRequest) (operator.MembersAnswer, error) {
-	member := raft.Member{ID: raft.MemberID(r.New), Address: r.Address, Zone: r.Zone, Learner: true}
-	if err := b.addMember(ctx, member, false); err != nil {
-		return operator.MembersAnswer{}, err
-	}
-	return b.RemoveMember(ctx, operator.RemoveMemberRequest{RequestID: r.RequestID, ID: r.Old})
-}
-
-func (b backend) addMember(ctx context.Context, member raft.Member, learner bool) error {
-	if err := b.change(ctx, raft.MembershipChange{Kind: raft.ChangeAddLearner, Member: member}); err != nil {
-		return err
-	}
-	if learner {
-		return nil
-	}
-	return b.change(ctx, raft.MembershipChange{Kind: raft.ChangePromote, Member: raft.Member{ID: member.ID}})
-}
-
-// changePause is the wait before a change that must wait is tried again.
-const changePause = 50 * time.Millisecond
-
-// change commits one membership change. A change that is already in effect succeeds, so that requests can be sent again.
-func (b backend) change(ctx context.Context, change raft.MembershipChange) error {
-	for {
-		done, err := b.tryChange(ctx, change)
-		if done || err != nil {
-			return err
-		}
-		pause(ctx, changePause)
-		if ctx.Err() != nil {
-			return &operator.Error{Kind: operator.ErrMembershipBusy, Message: "the change was not committed in time"}
-		}
-	}
-}
-
-func (b backend) tryChange(ctx context.Context, change raft.MembershipChange) (done bool, err error) {
-	var leader string
-	var proposeErr error
-	m := b.member
-	queryErr := b.query(ctx, func(now time.Time) {
-		status := m.raft.Status()
-		if status.Role != raft.RoleLeader {
-			proposeErr, leader = raft.ErrNotLeader, m.leaderAddress()
-			return
-		}
-		if !status.MembershipPending && inEffect(status.Membership, change) {
-			done = true
-			return
-		}
-		_, _, proposeErr = m.raft.ProposeMembership(now, change)
-	})
-	switch {
-	case queryErr != nil:
-		return false, queryErr
-	case errors.Is(proposeErr, raft.ErrNotLeader):
-		return false, b.notLeader(ctx, leader)
-	case errors.Is(proposeErr, raft.ErrUnknownMember):
-		return false, &operator.Error{Kind: operator.ErrNotFound, Message: proposeErr.Error()}
-	case errors.Is(proposeErr, raft.ErrInvalidChange):
-		return false, &operator.Error{Kind: operator.ErrBadRequest, Message: proposeErr.Error()}
-	}
-	// Any other error means that the change must wait for a pending one or for the learner.
-	return done, nil
-}
-
-// inEffect reports whether a membership already shows a change.
-func inEffect(membership raft.Membership, change raft.MembershipChange) bool {
-	member, ok := membership.Find(change.Member.ID)
-	switch change.Kind {
-	case raft.ChangeAddLearner:
-		return ok
-	case raft.ChangePromote:
-		return ok && !member.Learner
-	case raft.ChangeRemove:
-		return !ok
-	case raft.ChangeUpdate:
-		return ok && member.Address == change.Member.Address && member.Zone == change.Member.Zone
-	default:
-		return false
-	}
-}
-
 var verdictNames = map[quarantine.Verdict]string{
 	quarantine.Allowed: "allowed", quarantine.Alone: "isolated", quarantine.Refused: "quarantined",
 }
@@ -336,8 +232,5 @@
 		return operator.DumpAnswer{}, err
 	}
 	state, err := json.Marshal(dump)
-	return operator.DumpAnswer{Member: string(b.member.id), State: state}, err
+	return operator.DumpAnswer{Member: b.member.ID(), State: state}, err
 }
-
-// latestApproval is used by tests and the dump.
-func (m *Member) latestApproval() *bundle.Approval { return m.machines.registry.State().Latest }
--- a/control/peers.go
+++ b/control/peers.go
@@ -21,6 +21,7 @@
 
 // peers sends log messages to the other members. The control goroutine uses it; one goroutine per member sends.
 type peers struct {
+	group   uint32
 	self    raft.MemberID
 	pool    *rpc.Pool
 	ctx     context.Context
@@ -35,8 +36,8 @@
 	cancel  context.CancelFunc
 }
 
-func newPeers(ctx context.Context, self raft.MemberID, pool *rpc.Pool) *peers {
-	return &peers{self: self, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
+func newPeers(ctx context.Context, group uint32, self raft.MemberID, pool *rpc.Pool) *peers {
+	return &peers{group: group, self: self, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
 }
 
 // update starts and stops senders for a membership.
@@ -99,7 +100,7 @@
 		case <-stream.Context().Done():
 			return
 		case message := <-s.queue:
-			if err := stream.Send(s.frame(message)); err != nil {
+			if err := stream.Send(s.frame(p.group, message)); err != nil {
 				return
 			}
 		}
@@ -107,8 +108,8 @@
 }
 
 // frame gathers the messages that are already waiting.
-func (s *sender) frame(first raft.Message) *protocol.StepFrame {
-	frame := &protocol.StepFrame{Messages: []raft.Message{first}}
+func (s *sender) frame(group uint32, first raft.Message) *protocol.StepFrame {
+	frame := &protocol.StepFrame{Group: group, Messages: []raft.Message{first}}
 	for len(frame.Messages) < peerBatch {
 		select {
 		case next := <-s.queue:
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,369 @@
+package control
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/disk"
+	"sapphiregate.example/sapphiregate/state/wal"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+// replica is this member's copy of one log with its state machine: group 0 is the registry, the others are parts of the
+// ledger. Groups are apart so that irreversible calls do not delay approvals. The control goroutine owns a replica; a
+// goroutine of its own writes to the disk.
+type replica struct {
+	group   uint32
+	id      raft.MemberID
+	logger  zerolog.Logger
+	machine machine
+	log     *wal.Log
+	pool    *rpc.Pool
+	// post runs a function on the control goroutine; it returns false once the member has stopped.
+	post func(func(now time.Time)) bool
+	// failed stops the member.
+	failed func(error)
+	// applied is told that entries or a snapshot were applied; it may be nil.
+	applied func(now time.Time)
+	// membershipChanged is told of a new membership; it may be nil.
+	membershipChanged func(now time.Time, membership raft.Membership)
+	snapshotEntries   uint64
+
+	raft          *raft.Node
+	peers         *peers
+	membership    raft.Membership
+	proposals     map[uint64]proposal
+	writes        chan write
+	writing       bool
+	broken        bool
+	lastApplied   uint64
+	snapshotIndex uint64
+}
+
+// proposal waits for its log entry to be applied.
+type proposal struct {
+	term uint64
+	done chan *protocol.ProposeReply
+}
+
+// write is one batch for the writing goroutine.
+type write struct {
+	ready    raft.Ready
+	snapshot *raft.Snapshot
+}
+
+// writeQueueLength is one batch and one snapshot.
+const writeQueueLength = 2
+
+// open reads a replica's folder.
+func (r *replica) open(fs disk.FS) (wal.Recovered, error) {
+	log, recovered, err := wal.Open(fs)
+	if err != nil {
+		return recovered, errors.Wrapf(ErrStorage, "group %d: %v", r.group, err)
+	}
+	r.log = log
+	r.id = recovered.Identity
+	r.proposals = make(map[uint64]proposal)
+	r.writes = make(chan write, writeQueueLength)
+	return recovered, nil
+}
+
+// begin starts the log from its durable state.
+func (r *replica) begin(ctx context.Context, now time.Time, config raft.Config, recovered wal.Recovered) error {
+	if err := r.machine.restore(recovered.Snapshot.Data); err != nil {
+		return errors.Wrapf(ErrStorage, "%v", err)
+	}
+	r.lastApplied = recovered.Snapshot.Index
+	r.snapshotIndex = recovered.Snapshot.Index
+	config.ID = r.id
+	config.Rand = rand.New(rand.NewSource(now.UnixNano() + int64(r.group)))
+	node, err := raft.New(now, config, raft.Restored{
+		HardState: recovered.HardState, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
+	})
+	if err != nil {
+		return errors.Wrapf(ErrStorage, "group %d: %v", r.group, err)
+	}
+	r.raft = node
+	r.peers = newPeers(ctx, r.group, r.id, r.pool)
+	r.noteMembership(now)
+	return nil
+}
+
+func (r *replica) leads() bool { return r.raft.Status().Role == raft.RoleLeader }
+
+// leaderAddress returns the mesh address of the leader as far as this replica knows.
+func (r *replica) leaderAddress() string {
+	status := r.raft.Status()
+	if leader, ok := status.Membership.Find(status.Leader); ok {
+		return leader.Address
+	}
+	return ""
+}
+
+func (r *replica) notLeader() *protocol.ProposeReply {
+	return &protocol.ProposeReply{Status: protocol.ProposeNotLeader, Leader: r.leaderAddress()}
+}
+
+// propose appends a command to the log; done receives exactly one reply.
+func (r *replica) propose(now time.Time, command []byte, done chan *protocol.ProposeReply) {
+	if !r.leads() {
+		done <- r.notLeader()
+		return
+	}
+	entry, err := r.machine.prepare(now.UnixMilli(), command)
+	if err != nil {
+		done <- &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}
+		return
+	}
+	index, term, err := r.raft.Propose(now, entry)
+	switch {
+	case errors.IsAny(err, raft.ErrNotLeader, raft.ErrTransferring):
+		done <- r.notLeader()
+	case err != nil:
+		done <- &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}
+	default:
+		r.proposals[index] = proposal{term: term, done: done}
+	}
+}
+
+// step takes messages of other members.
+func (r *replica) step(now time.Time, messages []raft.Message) {
+	for _, message := range messages {
+		if err := r.raft.Step(now, message); err != nil {
+			r.logger.Debug().Err(err).Str("from", string(message.From)).Msg("ignored a log message")
+		}
+	}
+}
+
+// pump hands the next batch of the log to the writing goroutine. The disk never blocks the control goroutine; while a
+// write runs, further proposals gather and share the next synced write.
+func (r *replica) pump(now time.Time) {
+	for !r.writing && !r.broken && r.raft.HasReady() {
+		ready := r.raft.Ready()
+		r.peers.send(ready.Early)
+		if !ready.MustSync {
+			r.finish(now, ready)
+			continue
+		}
+		r.writing = true
+		r.writes <- write{ready: ready}
+	}
+	r.dropStaleProposals()
+}
+
+// finish completes a batch that is durable.
+func (r *replica) finish(now time.Time, ready raft.Ready) {
+	r.peers.send(ready.Messages)
+	if ready.Snapshot != nil {
+		r.install(now, *ready.Snapshot)
+	}
+	r.apply(now, ready.Committed)
+	r.raft.Advance(ready)
+	r.noteMembership(now)
+	r.compact()
+}
+
+func (r *replica) install(now time.Time, snapshot raft.Snapshot) {
+	if err := r.machine.restore(snapshot.Data); err != nil {
+		r.fail(errors.Wrapf(ErrStorage, "install snapshot: %v", err))
+		return
+	}
+	r.snapshotIndex = snapshot.Index
+	r.lastApplied = snapshot.Index
+	r.notify(now)
+}
+
+func (r *replica) apply(now time.Time, entries []raft.Entry) {
+	for _, entry := range entries {
+		r.lastApplied = entry.Index
+		if entry.Kind != raft.EntryCommand {
+			r.settle(entry, nil)
+			continue
+		}
+		result, err := r.machine.apply(entry.Index, entry.Data)
+		if err != nil {
+			// Every member refuses a malformed entry alike.
+			r.logger.Error().Err(err).Uint64("index", entry.Index).Msg("skipped a malformed log entry")
+		}
+		r.settle(entry, result)
+	}
+	if len(entries) > 0 {
+		r.notify(now)
+	}
+}
+
+func (r *replica) notify(now time.Time) {
+	if r.applied != nil {
+		r.applied(now)
+	}
+}
+
+// settle answers the proposer of an applied entry. Another term at its index means that the entry of that proposal was
+// replaced.
+func (r *replica) settle(entry raft.Entry, result []byte) {
+	waiting, ok := r.proposals[entry.Index]
+	if !ok {
+		return
+	}
+	delete(r.proposals, entry.Index)
+	if waiting.term != entry.Term || result == nil {
+		waiting.done <- r.uncertain()
+		return
+	}
+	waiting.done <- &protocol.ProposeReply{Status: protocol.ProposeApplied, Result: result}
+}
+
+func (r *replica) uncertain() *protocol.ProposeReply {
+	return &protocol.ProposeReply{Status: protocol.ProposeUncertain, Leader: r.leaderAddress()}
+}
+
+// dropStaleProposals answers proposals that this replica can no longer see through, because it does not lead any more.
+func (r *replica) dropStaleProposals() {
+	if len(r.proposals) > 0 && !r.leads() {
+		r.abandon()
+	}
+}
+
+// abandon answers all open proposals.
+func (r *replica) abandon() {
+	for index, waiting := range r.proposals {
+		delete(r.proposals, index)
+		waiting.done <- r.uncertain()
+	}
+}
+
+// noteMembership starts and stops the senders to other members.
+func (r *replica) noteMembership(now time.Time) {
+	membership := r.raft.Status().Membership
+	if sameMembers(membership, r.membership) {
+		return
+	}
+	r.membership = membership
+	r.peers.update(membership)
+	if r.membershipChanged != nil {
+		r.membershipChanged(now, membership)
+	}
+}
+
+func sameMembers(a, b raft.Membership) bool {
+	if len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		if a.Members[i] != b.Members[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// compact saves a snapshot after enough entries, so that the log and the time of a restart stay bounded.
+func (r *replica) compact() {
+	if r.broken || r.writing || r.lastApplied-r.snapshotIndex < r.snapshotEntries {
+		return
+	}
+	data, err := r.machine.snapshot()
+	if err != nil {
+		r.fail(errors.Wrapf(ErrStorage, "take snapshot: %v", err))
+		return
+	}
+	snapshot, err := r.raft.NewSnapshot(r.lastApplied, data)
+	if err != nil {
+		r.fail(errors.Wrapf(ErrStorage, "take snapshot: %v", err))
+		return
+	}
+	r.snapshotIndex = r.lastApplied
+	r.writing = true
+	r.writes <- write{snapshot: &snapshot}
+}
+
+// writeLoop is the only goroutine that writes to the replica's folder.
+func (r *replica) writeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-r.writes:
+			err := r.persist(job)
+			if !r.post(func(now time.Time) { r.written(now, job, err) }) {
+				return
+			}
+		}
+	}
+}
+
+func (r *replica) persist(job write) error {
+	if job.snapshot != nil {
+		return r.log.SaveSnapshot(*job.snapshot)
+	}
+	if job.ready.Snapshot != nil {
+		if err := r.log.SaveSnapshot(*job.ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	return r.log.Append(job.ready.HardState, job.ready.Entries)
+}
+
+func (r *replica) written(now time.Time, job write, err error) {
+	r.writing = false
+	switch {
+	case err != nil:
+		r.fail(errors.Wrapf(ErrStorage, "%v", err))
+	case job.snapshot == nil:
+		r.finish(now, job.ready)
+	default:
+		if err := r.raft.Compact(*job.snapshot); err != nil {
+			r.logger.Warn().Err(err).Msg("kept the log before a snapshot")
+		}
+	}
+}
+
+// fail stops the member: without its disk it can keep no promise.
+func (r *replica) fail(err error) {
+	if r.broken {
+		return
+	}
+	r.broken = true
+	r.failed(err)
+}
+
+// transfer hands the leadership to the voter with the longest log. It reports whether this replica still leads.
+func (r *replica) transfer(now time.Time) bool {
+	status := r.raft.Status()
+	if status.Role != raft.RoleLeader {
+		return false
+	}
+	var target raft.MemberID
+	var longest uint64
+	for _, id := range status.Membership.Voters() {
+		progress, ok := status.Progress[id]
+		if id == r.id || !ok || progress.Match < longest {
+			continue
+		}
+		target, longest = id, progress.Match
+	}
+	if target == "" {
+		return false
+	}
+	if err := r.raft.TransferLeadership(now, target); err != nil {
+		r.logger.Warn().Err(err).Msg("cannot hand over the leadership")
+		return false
+	}
+	return true
+}
+
+// close ends the replica after the control goroutine has ended.
+func (r *replica) close() {
+	if r.peers != nil {
+		r.peers.running.Wait()
+	}
+	if r.log != nil {
+		_ = r.log.Close()
+	}
+}
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -118,13 +118,10 @@
 	slices.SortStableFunc(current.routes, compareSpecificity)
 }
 
-// compareSpecificity puts routes with more conditions first and breaks ties by name, so that every node chooses alike.
+// compareSpecificity is the order that bundle validation judges ambiguity by; names break ties, so that every node
+// chooses alike.
 func compareSpecificity(a, b *Route) int {
-	return cmp.Or(
-		cmp.Compare(len(b.Match.Headers), len(a.Match.Headers)),
-		cmp.Compare(min(len(b.Match.Methods), 1), min(len(a.Match.Methods), 1)),
-		cmp.Compare(a.Name, b.Name),
-	)
+	return cmp.Or(a.Match.Compare(b.Match), cmp.Compare(a.Name, b.Name))
 }
 
 // Match returns the route of a request: an exact host before any host, then the longest path prefix, then the
--- /dev/null
+++ b/daemon/check.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/experiment/standin"
+	"sapphiregate.example/sapphiregate/invariant"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+const (
+	checkLookups      = 200
+	checkIrreversible = 20
+	checkTimeout      = 20 * time.Second
+	checkPause        = 200 * time.Microsecond
+	// stagingTime lets the parts reach the nodes ahead of the sign-off, as an operator's pause between the two does.
+	stagingTime = 200 * time.Millisecond
+)
+
+// errCheck means that dev --check saw a fault.
+var errCheck = errors.New("daemon: check failed")
+
+// check drives calls and one approval, prints what it saw, and fails on any fault.
+func (d *devDeployment) check(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	lookup, irreversible := d.exampleRoutes()
+	if err := d.checkLookups(ctx, out, lookup); err != nil {
+		return err
+	}
+	if err := d.checkIrreversible(ctx, out, irreversible); err != nil {
+		return err
+	}
+	if err := d.checkApproval(ctx, out); err != nil {
+		return err
+	}
+	for name, count := range invariant.Counts() {
+		if count > 0 {
+			return errors.Wrapf(errCheck, "invariant %s was violated %d times", name, count)
+		}
+	}
+	fmt.Fprintln(out, "Invariants: none violated.")
+	return nil
+}
+
+func (d *devDeployment) checkLookups(ctx context.Context, out io.Writer, route bundle.Route) error {
+	for i := range checkLookups {
+		node := d.spec.Nodes[i%len(d.spec.Nodes)]
+		answer, err := d.send(ctx, node.ID, route, uuid.NewString(), "")
+		if err != nil {
+			return err
+		}
+		if answer.outcome != protocol.OutcomeDone {
+			return errors.Wrapf(errCheck, "lookup through %s: outcome %q, %s", node.ID, answer.outcome, answer.reason)
+		}
+	}
+	fmt.Fprintf(out, "Lookups: %d of %d got their whole answer.\n", checkLookups, checkLookups)
+	return nil
+}
+
+// checkIrreversible sends each request twice through different nodes and compares with what the upstreams ran.
+func (d *devDeployment) checkIrreversible(ctx context.Context, out io.Writer, route bundle.Route) error {
+	for i := range checkIrreversible {
+		request, key := uuid.NewString(), uuid.Must(uuid.NewV7()).String()
+		var bodies []string
+		for turn := range 2 {
+			node := d.spec.Nodes[(i+5*turn)%len(d.spec.Nodes)]
+			answer, err := d.send(ctx, node.ID, route, request, key)
+			if err != nil {
+				return err
+			}
+			if answer.outcome != protocol.OutcomeDone {
+				return errors.Wrapf(errCheck, "irreversible call: outcome %q, %s", answer.outcome, answer.reason)
+			}
+			bodies = append(bodies, answer.body)
+		}
+		if bodies[0] != bodies[1] {
+			return errors.Wrapf(errCheck, "a resend got another answer than the first request")
+		}
+		if runs := d.runs(request); runs != 1 {
+			return errors.Wrapf(errCheck, "an irreversible request ran %d times", runs)
+		}
+	}
+	fmt.Fprintf(out, "Irreversible calls: %d sent twice each, every one ran once and both got the same answer.\n",
+		checkIrreversible)
+	return nil
+}
+
+func (d *devDeployment) runs(request string) int {
+	count := 0
+	for _, run := range d.truth.Runs() {
+		if run.Request == request {
+			count++
+		}
+	}
+	return count
+}
+
+// checkApproval approves a second version and measures when it is in force everywhere.
+func (d *devDeployment) checkApproval(ctx context.Context, out io.Writer) error {
+	changed, err := bundle.Load(d.bundlePath)
+	if err != nil {
+		return err
+	}
+	changed.Routes[0].DeadlineMs++
+	update, err := bundle.Complete(changed)
+	if err != nil {
+		return err
+	}
+	signed := experiment.Signed{
+		Bundle: changed, Approval: bundle.Approval{Version: 2, Digest: update.Target, Operator: devOperator},
+	}
+	leader, _ := d.local.Leader()
+	totalBefore, crossBefore := d.local.ControlBytes()
+	if err := d.local.Stage(ctx, leader, signed); err != nil {
+		return err
+	}
+	time.Sleep(stagingTime)
+	signedOff := time.Now()
+	verdict, err := d.local.SignOff(ctx, leader, signed)
+	if err != nil || !verdict.Accepted {
+		return errors.Wrapf(errCheck, "approval was not accepted: %s %v", verdict.Reason, err)
+	}
+	last, err := d.waitVersion(ctx, signed.Approval.Version)
+	if err != nil {
+		return err
+	}
+	total, cross := d.local.ControlBytes()
+	fmt.Fprintf(out, "Approval: version 2 in force on %d proxies %.1f ms after sign-off; %d control bytes, %d across zones, "+
+		"from staging to in force.\n", len(d.spec.Nodes), float64(last.Sub(signedOff).Microseconds())/1000,
+		total-totalBefore, cross-crossBefore)
+	return nil
+}
+
+// waitVersion returns the time of the last pointer swap.
+func (d *devDeployment) waitVersion(ctx context.Context, version uint64) (time.Time, error) {
+	var last time.Time
+	for _, node := range d.spec.Nodes {
+		for {
+			applied, ok := d.local.InForce(node.ID)
+			if ok && applied.Version >= version {
+				if applied.At.After(last) {
+					last = applied.At
+				}
+				break
+			}
+			if ctx.Err() != nil {
+				return last, errors.Wrapf(errCheck, "version %d is not in force on %s", version, node.ID)
+			}
+			time.Sleep(checkPause)
+		}
+	}
+	return last, nil
+}
+
+// checkedAnswer is what a caller saw.
+type checkedAnswer struct {
+	outcome protocol.Outcome
+	reason  string
+	body    string
+}
+
+func (d *devDeployment) send(
+	ctx context.Context, node string, route bundle.Route, request, key string,
+) (checkedAnswer, error) {
+	method := http.MethodGet
+	if len(route.Match.Methods) > 0 {
+		method = route.Match.Methods[0]
+	}
+	url := "http://" + d.local.Address(node).HTTP + route.Match.PathPrefix
+	outgoing, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(""))
+	if err != nil {
+		return checkedAnswer{}, err
+	}
+	outgoing.Host = route.Match.Host
+	for name, value := range route.Match.Headers {
+		outgoing.Header.Set(name, value)
+	}
+	outgoing.Header.Set(standin.HeaderRequest, request)
+	outgoing.Header.Set(standin.HeaderAttempt, uuid.NewString())
+	outgoing.Header.Set(standin.HeaderClass, string(route.Class))
+	if key != "" {
+		outgoing.Header.Set(protocol.HeaderKey, key)
+	}
+	response, err := http.DefaultClient.Do(outgoing)
+	if err != nil {
+		return checkedAnswer{}, errors.Wrapf(errCheck, "%v", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return checkedAnswer{}, errors.Wrapf(errCheck, "answer was cut: %v", err)
+	}
+	return checkedAnswer{
+		outcome: protocol.Outcome(response.Header.Get(protocol.HeaderOutcome)),
+		reason:  response.Header.Get(protocol.HeaderReason), body: string(body),
+	}, nil
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,13 +81,13 @@
 	if err != nil {
 		return control.Options{}, err
 	}
-	folder, err := disk.NewOS(loaded.DataFolder)
+	registryFolder, err := disk.NewOS(filepath.Join(loaded.DataFolder, "registry"))
 	if err != nil {
 		return control.Options{}, errors.Mark(err, errUsage)
 	}
 	options := control.Options{
 		Instance: loaded.Instance, Zone: loaded.Zone, Advertise: loaded.Advertise, AdvertiseAdmin: loaded.AdvertiseAdmin,
-		FS: folder, Keys: keys, Identity: identity, Logger: logger,
+		Registry: registryFolder, Keys: keys, Identity: identity, Logger: logger,
 		ElectionTimeout:   loaded.Limits.ElectionTimeout.Std(),
 		HeartbeatInterval: loaded.Limits.HeartbeatInterval.Std(),
 		MaxAppendBytes:    loaded.Limits.MaxAppendBytes,
@@ -96,7 +98,15 @@
 		},
 	}
 	for _, peer := range loaded.Peers {
-		options.Founders = append(options.Founders, control.Founder{Address: peer.Address, Zone: peer.Zone})
+		options.Founders = append(options.Founders,
+			control.Founder{Address: peer.Address, Zone: peer.Zone, Learner: peer.Learner})
+	}
+	for group := range loaded.LedgerGroups {
+		folder, err := disk.NewOS(filepath.Join(loaded.DataFolder, fmt.Sprintf("ledger-%d", group+1)))
+		if err != nil {
+			return control.Options{}, errors.Mark(err, errUsage)
+		}
+		options.Ledgers = append(options.Ledgers, folder)
 	}
 	return options, nil
 }
--- a/daemon/root.go
+++ b/daemon/root.go
@@ -73,6 +73,6 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newNodeCommand(), newControlCommand(), newSettingsCommand())
+	root.AddCommand(newNodeCommand(), newControlCommand(), newDevCommand(), newSettingsCommand())
 	return root
 }
--- a/local/local.go
+++ b/local/local.go
@@ -7,7 +7,6 @@
 	"crypto/ed25519"
 	"math/rand"
 	"net"
-	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -22,7 +21,6 @@
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
-	"sapphiregate.example/sapphiregate/state/disk"
 	"sapphiregate.example/sapphiregate/state/registry"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 	"sapphiregate.example/sapphiregate/transport/shape"
@@ -39,6 +37,9 @@
 	ErrNotInForce = errors.New("local: first bundle is not in force everywhere")
 )
 
+// kindLedger labels the traffic of irreversible calls' records, which is no configuration traffic.
+const kindLedger shape.Kind = "ledger"
+
 // pollPause is the time between two looks at a condition that a caller waits for.
 const pollPause = 5 * time.Millisecond
 
@@ -401,7 +402,3 @@
 	}
 	return slot.applied, true
 }
-
-func wipe(folder string) error { return os.RemoveAll(folder) }
-
-func openFolder(folder string) (disk.FS, error) { return disk.NewOS(folder) }
--- a/local/processes.go
+++ b/local/processes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +14,7 @@
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/disk"
 	"sapphiregate.example/sapphiregate/transport/shape"
 )
 
@@ -41,7 +44,11 @@
 	if slot.added {
 		founders = nil
 	}
-	folder, err := openFolder(slot.folder)
+	registryFolder, err := disk.NewOS(filepath.Join(slot.folder, "registry"))
+	if err != nil {
+		return err
+	}
+	ledgerFolder, err := disk.NewOS(filepath.Join(slot.folder, "ledger"))
 	if err != nil {
 		return err
 	}
@@ -50,9 +57,11 @@
 		return err
 	}
 	member, err := control.New(control.Options{
-		Instance: id, Zone: slot.spec.Zone, Mesh: listeners[0], Admin: listeners[1], Founders: founders, FS: folder,
-		Keys: d.keyring, Dialer: d.dialer(slot.spec.Zone, id, shape.KindControl),
-		Logger: d.options.Logger.With().Str("process", id).Logger(), Relay: d.options.Relay,
+		Instance: id, Zone: slot.spec.Zone, Mesh: listeners[0], Admin: listeners[1], Founders: founders,
+		Registry: registryFolder, Ledgers: []disk.FS{ledgerFolder}, Keys: d.keyring,
+		Dialer:       d.dialer(slot.spec.Zone, id, shape.KindControl),
+		LedgerDialer: d.dialer(slot.spec.Zone, id, kindLedger),
+		Logger:       d.options.Logger.With().Str("process", id).Logger(), Relay: d.options.Relay,
 	})
 	if err != nil {
 		return err
@@ -115,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	return wipe(slot.folder)
+	return os.RemoveAll(slot.folder)
 }
 
 // ReplaceMember puts a new member into the place of an old one.
@@ -242,6 +251,7 @@
 		ID: id, Zone: slot.spec.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
 		Members: members, Keys: d.keyring,
 		ControlDialer: d.dialer(slot.spec.Zone, id, shape.KindControl),
+		LedgerDialer:  d.dialer(slot.spec.Zone, id, kindLedger),
 		CallDialer:    d.dialer(slot.spec.Zone, id, shape.KindCall),
 		ZoneDelay:     func(string) time.Duration { return d.spec.Profile.ZoneDelay },
 		Policy:        d.options.Policy,
--- a/node/control.go
+++ b/node/control.go
@@ -25,7 +25,7 @@
 		queue:       admission.New(admission.Config{Slots: 1}),
 		waiting:     make(map[uint64]chan admission.Verdict),
 		running:     make(map[uint64]*runningCall),
-		ledger:      &ledgerClient{pool: n.controlPool, members: func() []string { return n.options.Members }},
+		ledger:      &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
 		service: func(name string) (bundle.Service, bool) {
 			current := n.snapshot.Load()
 			if current == nil {
--- a/node/ledger.go
+++ b/node/ledger.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,13 +21,16 @@
 	ledgerRetryDelay     = 20 * time.Millisecond
 )
 
-// ledgerClient sends commands to the leader of the control members. Commands are idempotent, so a lost answer is
-// asked for again by sending the command again. It is safe for concurrent use.
+// ledgerClient sends commands to the leaders of the ledger groups. Commands are idempotent, so a lost answer is asked
+// for again by sending the command again. It is safe for concurrent use.
 type ledgerClient struct {
 	pool *rpc.Pool
 	// members returns the known addresses of control members.
 	members func() []string
-	leader  atomic.Pointer[string]
+
+	mu sync.Mutex
+	// leaders is indexed by ledger group; its length is learned from replies.
+	leaders []string
 }
 
 // do commits a command and returns its result. It tries until the context ends.
@@ -38,20 +41,16 @@
 	}
 	request := &protocol.ProposeRequest{Target: protocol.TargetLedger, Key: key, Command: data}
 	for turn := 0; ; turn++ {
-		address := c.choose(turn)
+		address := c.choose(key, turn)
 		if address == "" {
 			return ledger.Result{}, errors.Wrap(errLedger, "no control member is known")
 		}
 		reply, err := c.attempt(ctx, address, request)
+		c.learn(key, address, reply)
 		if err == nil && reply.Status == protocol.ProposeApplied {
-			c.leader.Store(&address)
 			var result ledger.Result
-			if err := protocol.Unmarshal(reply.Result, &result); err != nil {
-				return ledger.Result{}, err
-			}
-			return result, nil
+			return result, protocol.Unmarshal(reply.Result, &result)
 		}
-		c.learn(reply)
 		if ctx.Err() != nil {
 			return ledger.Result{}, errors.Wrapf(errLedger, "%v", ctx.Err())
 		}
@@ -69,10 +68,14 @@
 	return c.pool.Propose(ctx, address, request)
 }
 
-// choose returns the leader if it is known, otherwise the members in turn.
-func (c *ledgerClient) choose(turn int) string {
-	if leader := c.leader.Load(); leader != nil {
-		return *leader
+// choose returns the leader of the key's group if it is known, otherwise the members in turn.
+func (c *ledgerClient) choose(key string, turn int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.leaders) > 0 {
+		if leader := c.leaders[protocol.LedgerIndex(key, len(c.leaders))]; leader != "" {
+			return leader
+		}
 	}
 	members := c.members()
 	if len(members) == 0 {
@@ -81,13 +84,25 @@
 	return members[turn%len(members)]
 }
 
-// learn keeps the leader that a member named, and forgets one that gave no useful answer.
-func (c *ledgerClient) learn(reply *protocol.ProposeReply) {
-	if reply != nil && reply.Status == protocol.ProposeNotLeader && reply.Leader != "" {
-		c.leader.Store(&reply.Leader)
+// learn keeps the leader that answered or that a member named, and forgets one that gave no useful answer.
+func (c *ledgerClient) learn(key, address string, reply *protocol.ProposeReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply != nil && reply.LedgerGroups > 0 && reply.LedgerGroups != len(c.leaders) {
+		c.leaders = make([]string, reply.LedgerGroups)
+	}
+	if len(c.leaders) == 0 {
 		return
 	}
-	c.leader.Store(nil)
+	leader := ""
+	switch {
+	case reply == nil:
+	case reply.Status == protocol.ProposeApplied:
+		leader = address
+	case reply.Status == protocol.ProposeNotLeader:
+		leader = reply.Leader
+	}
+	c.leaders[protocol.LedgerIndex(key, len(c.leaders))] = leader
 }
 
 func sleep(ctx context.Context, duration time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc/credentials"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
@@ -42,8 +43,9 @@
 	Keys relay.Verifier
 	// Identity secures connections between processes; nil switches TLS off.
 	Identity *rpc.Identity
-	// ControlDialer and CallDialer open connections; nil dials TCP.
+	// ControlDialer, LedgerDialer and CallDialer open connections; nil dials TCP.
 	ControlDialer rpc.Dialer
+	LedgerDialer  rpc.Dialer
 	CallDialer    rpc.Dialer
 	// ZoneDelay returns the one-way delay to a zone; nil means no delay.
 	ZoneDelay func(zone string) time.Duration
@@ -87,6 +89,7 @@
 	metrics    *metrics
 
 	controlPool *rpc.Pool
+	ledgerPool  *rpc.Pool
 	calls       *rpc.Pool
 	mesh        *rpc.Server
 	callers     *http.Server
@@ -136,16 +139,14 @@
 }
 
 func (n *Node) connect() {
-	if n.options.Identity == nil {
-		n.controlPool = rpc.NewPool(n.options.ControlDialer, nil)
-		n.calls = rpc.NewPool(n.options.CallDialer, nil)
-		n.mesh = rpc.NewServer(n.options.Mesh, nil)
-		return
+	var transport credentials.TransportCredentials
+	if n.options.Identity != nil {
+		transport = n.options.Identity.Credentials()
 	}
-	credentials := n.options.Identity.Credentials()
-	n.controlPool = rpc.NewPool(n.options.ControlDialer, credentials)
-	n.calls = rpc.NewPool(n.options.CallDialer, credentials)
-	n.mesh = rpc.NewServer(n.options.Mesh, credentials)
+	n.controlPool = rpc.NewPool(n.options.ControlDialer, transport)
+	n.ledgerPool = rpc.NewPool(n.options.LedgerDialer, transport)
+	n.calls = rpc.NewPool(n.options.CallDialer, transport)
+	n.mesh = rpc.NewServer(n.options.Mesh, transport)
 }
 
 func (n *Node) relayConfig() relay.Config {
@@ -215,6 +216,7 @@
 	_ = n.callers.Close()
 	_ = n.admin.Close()
 	n.controlPool.Close()
+	n.ledgerPool.Close()
 	n.calls.Close()
 	n.tasks.Wait()
 }
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "github.com/cespare/xxhash/v2"
+
 // Target names the replicated state machine that a command is for.
 type Target uint8
 
@@ -7,6 +9,8 @@
 const (
 	TargetRegistry Target = iota + 1
 	TargetLedger
+	// TargetMembership is the membership of one group; the command is a raft.MembershipChange.
+	TargetMembership
 )
 
 // ProposeRequest asks a control member to commit a command. Key selects the ledger group.
@@ -14,6 +18,8 @@
 	Target  Target `cbor:"1,keyasint"`
 	Key     string `cbor:"2,keyasint,omitempty"`
 	Command []byte `cbor:"3,keyasint"`
+	// Group selects the log of a membership change.
+	Group uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // ProposeStatus tells what became of a proposal.
@@ -37,18 +43,29 @@
 	// Leader is the mesh address of the leader as far as this member knows.
 	Leader string `cbor:"3,keyasint,omitempty"`
 	Detail string `cbor:"4,keyasint,omitempty"`
+	// LedgerGroups is the number of ledger groups, so that callers can remember the leader of each.
+	LedgerGroups int `cbor:"5,keyasint,omitempty"`
 }
 
 // IdentifyRequest asks a control member who it is.
 type IdentifyRequest struct{}
 
-// IdentifyReply describes a control member.
-type IdentifyReply struct {
-	// ID is the random identity of the member's data folder.
+// GroupIdentity describes a member's replica of one log.
+type GroupIdentity struct {
+	// ID is the random identity of the replica's folder.
 	ID string `cbor:"1,keyasint"`
-	// Formed tells that the member belongs to a group; a member with an empty log does not.
+	// Formed tells that the replica belongs to a group; one with an empty log does not.
 	Formed bool `cbor:"2,keyasint,omitempty"`
+}
+
+// IdentifyReply describes a control member.
+type IdentifyReply struct {
+	// Groups is indexed by group; the registry's identity names the member.
+	Groups []GroupIdentity `cbor:"1,keyasint"`
 	// Admin is the address of the member's operator API.
 	Admin string `cbor:"3,keyasint,omitempty"`
 	Zone  string `cbor:"4,keyasint,omitempty"`
 }
+
+// LedgerIndex spreads the keys of irreversible calls over the ledger groups.
+func LedgerIndex(key string, groups int) int { return int(xxhash.Sum64String(key) % uint64(groups)) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,6 +34,7 @@
 	minSnapshotEntries   = 100
 	maxSnapshotEntries   = 10_000_000
 	maxDirectFollowers   = 1_000
+	maxLedgerGroups      = 64
 	maxJoinsPerSecond    = 10_000
 	minLedgerBytes       = 16 << 20
 	maxLedgerBytes       = 64 << 30
@@ -125,6 +126,7 @@
 	c.between("limits.snapshot_entries", int64(l.SnapshotEntries), minSnapshotEntries, maxSnapshotEntries)
 	c.between("limits.direct_followers", int64(l.DirectFollowers), 1, maxDirectFollowers)
 	c.between("limits.joins_per_second", int64(l.JoinsPerSecond), 1, maxJoinsPerSecond)
+	c.between("ledger_groups", int64(s.LedgerGroups), 1, maxLedgerGroups)
 	c.between("limits.max_ledger_bytes", int64(l.MaxLedgerBytes), minLedgerBytes, maxLedgerBytes)
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -55,6 +55,7 @@
 	defaultMaxAppendBytes    = 1 << 20
 	defaultSnapshotEntries   = 10_000
 	defaultDirectFollowers   = 32
+	defaultLedgerGroups      = 1
 	defaultJoinsPerSecond    = 50
 	defaultMaxLedgerBytes    = 512 << 20
 )
@@ -81,7 +82,7 @@
 
 // DefaultControl returns the defaults of a control process.
 func DefaultControl() Control {
-	return Control{Limits: ControlLimits{
+	return Control{LedgerGroups: defaultLedgerGroups, Limits: ControlLimits{
 		ElectionTimeout:   Duration(defaultElectionTimeout),
 		HeartbeatInterval: Duration(defaultHeartbeatInterval),
 		MaxAppendBytes:    defaultMaxAppendBytes,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,6 +60,8 @@
 	Zone    string `json:"zone"`
 	// Admin is the address of the member's operator API.
 	Admin string `json:"admin"`
+	// Learner marks a member that replicates without a vote.
+	Learner bool `json:"learner,omitempty"`
 }
 
 // ControlLimits bounds the resources of a control process.
@@ -93,6 +95,9 @@
 	Keyring string `json:"keyring"`
 	// Peers lists all members of the first start, including this one. It is read only while the data folder is empty.
 	Peers []Peer `json:"peers,omitempty"`
+	// LedgerGroups is the number of logs that irreversible calls are spread over. It must be the same on all members and
+	// cannot be changed later.
+	LedgerGroups int `json:"ledger_groups"`
 	// Join lists mesh addresses of existing members; a member that is added later has Join instead of Peers.
 	Join       []string            `json:"join,omitempty"`
 	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
