--- a/coordination/relay/bench_test.go
+++ b/coordination/relay/bench_test.go
@@ -148,6 +148,7 @@
 	b := newBench(tb)
 	held := bundle.NewStore()
 	var base bundle.Digest
+	wholeBytes := 0
 	rollout := func(version int) {
 		tb.StopTimer()
 		parts, manifest, err := bundle.Split(bundleOf(version, benchServices))
@@ -158,6 +159,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		data, err := relay.Pack(update)
 		Expect(err).NotTo(HaveOccurred())
+		if base.IsZero() {
+			wholeBytes = len(data)
+		}
 		held.Retain(whole.Target)
 		a := bundle.Approval{Version: uint64(version), Digest: whole.Target, Operator: "ana"}
 		a.Signature = signature(a)
@@ -174,6 +178,7 @@
 	tb.StopTimer()
 	Expect(b.peer.Status().InForce).To(BeNumerically("==", tb.N+1))
 	b.report(tb)
+	tb.ReportMetric(float64(wholeBytes), "whole-B")
 }
 
 // BenchmarkJoin is the join of a node with empty memory that takes over the whole table.
--- a/coordination/relay/spread.go
+++ b/coordination/relay/spread.go
@@ -108,6 +108,9 @@
 // refute answers a record about this node that the node did not publish.
 func (p *Peer) refute(r endpoints.Record) {
 	own := p.spread.own
+	if r.Incarnation > own.Incarnation {
+		p.stats.Superseded++
+	}
 	if r.Incarnation != own.Incarnation || r.Compare(own) <= 0 {
 		return
 	}
--- a/coordination/relay/status.go
+++ b/coordination/relay/status.go
@@ -41,8 +41,11 @@
 	JoinsAccepted, JoinsRedirected, JoinsDelayed uint64
 	ParentChanges                                uint64
 	Suspected, Refuted                           uint64
-	Comparisons                                  uint64
-	PartsSent, PartsReceived, PartsDuplicate     uint64
-	Fetches                                      uint64
-	CorruptMessages                              uint64
+	// Superseded counts records of this node with a greater incarnation: another process runs under the same ID, or the
+	// incarnation went down at the last start. The node's own announcements are without effect then.
+	Superseded                               uint64
+	Comparisons                              uint64
+	PartsSent, PartsReceived, PartsDuplicate uint64
+	Fetches                                  uint64
+	CorruptMessages                          uint64
 }
