--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -16,6 +16,9 @@
 	ID      string
 	Zone    string
 	Learner bool
+	// IP is the loopback address that the process listens on. Each process has its own, because on a shared address an
+	// outgoing connection could take the port of a process that is down.
+	IP string
 }
 
 // NodeSpec describes a node and the service of the upstream beside it. Service is empty for a node without upstream.
@@ -23,6 +26,8 @@
 	ID      string
 	Zone    string
 	Service string
+	// IP is the loopback address that the process listens on, as in MemberSpec.
+	IP string
 }
 
 // Signed is a bundle with its approval. A Deployment signs the approval with the operator's key from the Spec if the
@@ -111,7 +116,7 @@
 	StartMember(ctx context.Context, member string) error
 	// WipeMember erases the data folder of a member that is down.
 	WipeMember(member string) error
-	// ReplaceMember replaces a member by a new one in the same zone and returns the new identifier.
+	// ReplaceMember replaces a member by a new one in the same zone, on the same IP, and returns the new identifier.
 	ReplaceMember(ctx context.Context, member string) (string, error)
 
 	// CutZone and CutProcess partition a zone or process silently in both directions; the Heal methods end it.
--- a/experiment/profile.go
+++ b/experiment/profile.go
@@ -121,11 +121,11 @@
 	return nodes
 }
 
-// Shape sets the profile's links on a network.
-func (p Profile) Shape(n *shape.Network) {
+// Shape sets the profile's links on a network. It adds the properties of extra to the links between zones.
+func (p Profile) Shape(n *shape.Network, extra shape.Link) {
 	for i, a := range p.Zones {
 		for _, b := range p.Zones[i+1:] {
-			n.SetLink(a, b, p.zoneLink())
+			n.SetLink(a, b, p.zoneLink().Plus(extra))
 		}
 		n.SetLink(a, CallerZone, shape.Link{Delay: p.CallerDelay})
 	}
--- a/experiment/standin/truth.go
+++ b/experiment/standin/truth.go
@@ -1,4 +1,91 @@
 package standin
 
-// Truth is the ground truth of all upstreams of one experiment.
-type Truth struct{}
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// Run is one execution of a request on an upstream. It begins when the request takes a slot.
+type Run struct {
+	// Request is the identifier that all attempts of a call share; Attempt is the identifier of one attempt.
+	Request  string
+	Attempt  string
+	Class    bundle.Class
+	Upstream string
+	Node     string
+	Receipt  string
+	Start    time.Time
+	End      time.Time
+	// Finished reports that the work was completed, whether or not the answer reached anyone.
+	Finished bool
+	// Crashed reports that the upstream crashed during the run.
+	Crashed bool
+}
+
+// LateWork is a request that reached an upstream after it announced that it is leaving.
+type LateWork struct {
+	Upstream string
+	Attempt  string
+	After    time.Duration
+}
+
+// Truth is the ground truth of all upstreams of one experiment. It is safe for concurrent use.
+type Truth struct {
+	mu          sync.Mutex
+	runs        []Run
+	late        []LateWork
+	wrongNested []string
+}
+
+// begin records the start of a run and returns its index.
+func (t *Truth) begin(run Run) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+	return len(t.runs) - 1
+}
+
+func (t *Truth) end(index int, finished, crashed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run := &t.runs[index]
+	run.End = time.Now()
+	run.Finished = finished
+	run.Crashed = crashed
+}
+
+func (t *Truth) addLate(work LateWork) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.late = append(t.late, work)
+}
+
+func (t *Truth) addWrongNested(request string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrongNested = append(t.wrongNested, request)
+}
+
+// Runs returns a copy of all runs. A run that has not ended has a zero End.
+func (t *Truth) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.runs)
+}
+
+// Late returns the requests that arrived after an upstream announced that it is leaving.
+func (t *Truth) Late() []LateWork {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.late)
+}
+
+// WrongNested returns the nested calls whose answer was complete but belonged to another request or was altered.
+func (t *Truth) WrongNested() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.wrongNested)
+}
--- a/transport/shape/shape.go
+++ b/transport/shape/shape.go
@@ -86,7 +86,7 @@
 	if from.Zone == to.Zone {
 		return l
 	}
-	return l.plus(s.extra[from.Zone]).plus(s.extra[to.Zone])
+	return l.Plus(s.extra[from.Zone]).Plus(s.extra[to.Zone])
 }
 
 // cut returns the mode of the partition between two endpoints, or zero.
@@ -101,7 +101,8 @@
 	return mode
 }
 
-func (l Link) plus(other Link) Link {
+// Plus returns a link with the properties of both.
+func (l Link) Plus(other Link) Link {
 	return Link{
 		Delay:      l.Delay + other.Delay,
 		Jitter:     l.Jitter + other.Jitter,
