Show the state of the traffic decisions

The daemons dump their state on request and export metrics, for which the packages had no access. Balancer, queue and ledger return their state; outcomes, reasons, statuses and verdicts have names. Checked by the tests of the packages.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -36,6 +36,8 @@
 	ReasonQueueFull
 	// ReasonDraining means that the upstream is leaving.
 	ReasonDraining
+
+	reasonCount = iota
 )
 
 // Verdict is the decision on one call.
@@ -94,8 +96,6 @@
 	wait = Verdict{Action: Wait}
 )
 
-func shed(reason Reason) Verdict { return Verdict{Action: Shed, Reason: reason} }
-
 // Queue holds the slots and the waiting calls of one upstream.
 type Queue struct {
 	config   Config
@@ -131,16 +131,16 @@
 	c := newCall(t, now)
 	switch {
 	case q.draining:
-		return shed(ReasonDraining)
+		return q.shed(c, ReasonDraining)
 	case c.remaining(now) <= q.need(c, now):
-		return shed(ReasonDeadline)
+		return q.shed(c, ReasonDeadline)
 	case q.mayStart(c):
 		q.start(c, now)
 		return run
 	case c.remaining(now) < q.need(c, now)+q.expectedWait(c, now):
-		return shed(ReasonDeadline)
+		return q.shed(c, ReasonDeadline)
 	case !q.makeRoom(c, now):
-		return shed(ReasonQueueFull)
+		return q.shed(c, ReasonQueueFull)
 	}
 	q.enqueue(c)
 	q.reserve(now)
@@ -217,6 +217,12 @@
 // Resize changes the number of slots; call Expire next to receive the decisions that follow.
 func (q *Queue) Resize(slots int) { q.config.Slots = max(1, slots) }
 
+// shed counts a refused call and returns its verdict.
+func (q *Queue) shed(c *call, reason Reason) Verdict {
+	q.class(c).shed[reason]++
+	return Verdict{Action: Shed, Reason: reason}
+}
+
 func (q *Queue) class(c *call) *class { return &q.classes[c.class] }
 
 // need returns the time that a call is expected to run.
@@ -280,11 +286,12 @@
 
 func (q *Queue) evict(c *call, reason Reason, now time.Time) {
 	q.remove(c, now)
-	q.pending = append(q.pending, Decision{ID: c.id, Verdict: shed(reason)})
+	q.pending = append(q.pending, Decision{ID: c.id, Verdict: q.shed(c, reason)})
 }
 
 func (q *Queue) start(c *call, now time.Time) {
 	q.running[c.id] = c
+	q.class(c).started++
 	if c.alone && q.reserved == nil {
 		q.reserved, q.since = c, now
 	}
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -178,7 +178,10 @@
 		q.Drain()
 		Expect(q.Offer(at(11), lookup(3))).To(Equal(shed(admission.ReasonDraining)))
 		Expect(q.Expire(at(11))).To(Equal(decided(shed(admission.ReasonDraining), 2)))
-		Expect(q.Load().InFlight).To(Equal(1))
+		status := q.Status()
+		Expect(status.Running).To(Equal(1))
+		Expect(status.Classes[1].Started).To(BeEquivalentTo(2))
+		Expect(status.Classes[1].Shed).To(Equal(map[admission.Reason]uint64{admission.ReasonDraining: 2}))
 		Expect(q.Finish(at(20), 1, 0)).To(BeEmpty())
 	})
 
--- a/coordination/admission/class.go
+++ b/coordination/admission/class.go
@@ -56,6 +56,8 @@
 	alone      list.List // in order of arrival
 	byDeadline deadlineHeap
 	service    estimate
+	started    uint64
+	shed       [reasonCount]uint64
 }
 
 func (q *class) listOf(c *call) *list.List {
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -151,6 +151,7 @@
 		for _, target := range targets {
 			h.Done(h.now, target, balance.Report{Outcome: balance.ConnectFailed})
 		}
+		Expect(h.Status(h.now)[0].EjectedFor).To(Equal(balance.DefaultEjectBase))
 		h.Update(h.now, endpointsIn("a", 2), nil)
 		h.now = h.now.Add(balance.DefaultEjectBase)
 		Expect(h.counts(100, fine)["a-0"]).To(BeNumerically(">", 20))
--- a/coordination/quarantine/entry.go
+++ b/coordination/quarantine/entry.go
@@ -73,3 +73,15 @@
 	result.Upstreams = slices.Compact(result.Upstreams)
 	return result
 }
+
+// String names the verdict in logs and tables.
+func (v Verdict) String() string {
+	switch v {
+	case Allowed:
+		return "allowed"
+	case Alone:
+		return "alone"
+	default:
+		return "refused"
+	}
+}
--- a/state/ledger/ledger_test.go
+++ b/state/ledger/ledger_test.go
@@ -186,6 +186,7 @@
 			Expect(apply(a.record(startMs, ledger.Answer{Body: make([]byte, size)}))).To(Equal(ledger.Done))
 		}
 		Expect(apply(attempt{"more", "a", 1, 9}.claim(startMs))).To(Equal(ledger.Full))
+		Expect(l.Stats()).To(Equal(ledger.Stats{NowMs: startMs, Done: 3, Answers: 1, AnswerBytes: 90, Executors: 1}))
 		for key, dropped := range map[string]bool{"0": true, "1": true, "2": false} {
 			Expect(l.Apply(query(key, startMs)).Answer.Dropped).To(Equal(dropped), key)
 		}
--- /dev/null
+++ b/state/ledger/status.go
@@ -0,0 +1,57 @@
+package ledger
+
+// Stats describes the size of a ledger, for metrics and the state dump.
+type Stats struct {
+	NowMs       int64
+	Claimed     int
+	Done        int
+	Released    int
+	Answers     int
+	AnswerBytes int
+	Executors   int
+}
+
+// Stats counts the keys that are held. It visits all of them and is meant for the state dump, not for each command.
+func (l *Ledger) Stats() Stats {
+	stats := Stats{
+		NowMs:       l.nowMs,
+		Answers:     len(l.answers.byKey),
+		AnswerBytes: l.answers.total,
+		Executors:   len(l.executors.list),
+	}
+	for _, e := range l.entries {
+		switch e.status {
+		case Claimed:
+			stats.Claimed++
+		case Done:
+			stats.Done++
+		case Released:
+			stats.Released++
+		}
+	}
+	return stats
+}
+
+// String names the status in logs.
+func (s Status) String() string {
+	switch s {
+	case Granted:
+		return "granted"
+	case Claimed:
+		return "claimed"
+	case Done:
+		return "done"
+	case Released:
+		return "released"
+	case KeyReused:
+		return "key-reused"
+	case Expired:
+		return "expired"
+	case Absent:
+		return "absent"
+	case Full:
+		return "full"
+	default:
+		return "invalid"
+	}
+}
