--- a/state/disk/disk_test.go
+++ b/state/disk/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,6 +11,11 @@
 	"sapphiregate.example/sapphiregate/state/disk"
 )
 
+func TestDisk(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "disk")
+}
+
 func open(fs disk.FS, name string) disk.File {
 	file, err := fs.Open(name)
 	Expect(err).NotTo(HaveOccurred())
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"math/rand"
+	"os"
 	"reflect"
 	"testing"
 
@@ -17,6 +19,21 @@
 	"sapphiregate.example/sapphiregate/state/wal"
 )
 
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestWAL(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wal")
+}
+
 func entries(first, count, term uint64) []raft.Entry {
 	var list []raft.Entry
 	for index := first; index < first+count; index++ {
