Run experiments on real nodes and members, and forward operators' requests to the leader

Cause: convergence counted the staging of the parts, which happens ahead of the sign-off, and an operator's request at a follower cost a redirect. Change: a Deployment stages and approves in two steps, and a follower forwards a request to the leader.

--- a/cmd/sapphirectl/main.go
+++ b/cmd/sapphirectl/main.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"sapphiregate.example/sapphiregate/ctl"
+	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/local"
 )
 
 func main() { os.Exit(run()) }
@@ -15,5 +17,7 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return ctl.Execute(ctx, ctl.NewRoot())
+	root := ctl.NewRoot()
+	root.AddCommand(experiment.NewCommandWith(local.Factory))
+	return ctl.Execute(ctx, root)
 }
--- a/control/operators.go
+++ b/control/operators.go
@@ -43,16 +43,23 @@
 	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stop: &r.Stop})
 }
 
-// decide commits a registry command.
+// decide commits a registry command, through the leader if this member is not the one.
 func (b backend) decide(ctx context.Context, command registry.Command) (operator.Decision, error) {
 	data, err := registry.EncodeCommand(command)
 	if err != nil {
 		return operator.Decision{}, &operator.Error{Kind: operator.ErrBadRequest, Message: err.Error()}
 	}
-	reply, err := b.member.Propose(ctx, &protocol.ProposeRequest{Target: protocol.TargetRegistry, Command: data})
+	request := &protocol.ProposeRequest{Target: protocol.TargetRegistry, Command: data}
+	reply, err := b.member.Propose(ctx, request)
 	if err != nil {
 		return operator.Decision{}, err
 	}
+	if reply.Status == protocol.ProposeNotLeader && reply.Leader != "" {
+		reply, err = b.member.pool.Propose(ctx, reply.Leader, request)
+		if err != nil {
+			return operator.Decision{}, &operator.Error{Kind: operator.ErrOutcomeUnknown, Message: err.Error()}
+		}
+	}
 	switch reply.Status {
 	case protocol.ProposeApplied:
 		var result registry.Result
--- a/daemon/check.go
+++ b/daemon/check.go
@@ -122,12 +122,12 @@
 	}
 	leader, _ := d.local.Leader()
 	totalBefore, crossBefore := d.local.ControlBytes()
-	if err := d.local.Stage(ctx, leader, signed); err != nil {
-		return err
+	if verdict, err := d.local.Stage(ctx, leader, signed); err != nil || !verdict.Accepted {
+		return errors.Wrapf(errCheck, "bundle was not staged: %s %v", verdict.Reason, err)
 	}
 	time.Sleep(stagingTime)
 	signedOff := time.Now()
-	verdict, err := d.local.SignOff(ctx, leader, signed)
+	verdict, err := d.local.Approve(ctx, leader, signed)
 	if err != nil || !verdict.Accepted {
 		return errors.Wrapf(errCheck, "approval was not accepted: %s %v", verdict.Reason, err)
 	}
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -127,8 +127,11 @@
 	// SlowZone adds to every link into and out of the zone; a zero link ends it.
 	SlowZone(zone string, add shape.Link)
 
-	// Approve stages the bundle and submits its approval through a member. An error means that the answer was lost
-	// or that the member had no quorum; the approval may still be accepted.
+	// Stage sends a bundle's parts through a member ahead of its approval; a refusal is a verdict. An error means that
+	// the answer was lost or that the member had no quorum.
+	Stage(ctx context.Context, member string, s Signed) (Verdict, error)
+	// Approve submits the approval of a staged bundle through a member. An error means that the answer was lost or that
+	// the member had no quorum; the approval may still be accepted.
 	Approve(ctx context.Context, member string, s Signed) (Verdict, error)
 	// InForce returns what a node has in force, or false if it is down or holds nothing.
 	InForce(node string) (Applied, bool)
--- a/experiment/fake_test.go
+++ b/experiment/fake_test.go
@@ -283,6 +283,10 @@
 	return n.applied, n.up && n.applied.Version > 0
 }
 
+func (d *fakeDeployment) Stage(context.Context, string, Signed) (Verdict, error) {
+	return Verdict{Accepted: true}, nil
+}
+
 func (d *fakeDeployment) Approve(_ context.Context, member string, s Signed) (Verdict, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/local/local.go
+++ b/local/local.go
@@ -7,6 +7,7 @@
 	"crypto/ed25519"
 	"math/rand"
 	"net"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
@@ -119,6 +121,15 @@
 	return d, nil
 }
 
+// Factory builds deployments for experiments. Only errors are logged, since the report says the rest.
+func Factory(spec experiment.Spec) (experiment.Deployment, error) {
+	logger, err := logging.New(os.Stderr, "text", "error")
+	if err != nil {
+		return nil, err
+	}
+	return New(spec, Options{Logger: logger})
+}
+
 func (d *Deployment) addMember(spec experiment.MemberSpec) *memberSlot {
 	slot := &memberSlot{spec: spec, ip: d.addresses.take(), folder: filepath.Join(d.spec.DataFolder, spec.ID)}
 	d.members[spec.ID] = slot
@@ -170,7 +181,10 @@
 func (d *Deployment) approveInitial(ctx context.Context) error {
 	for {
 		leader, _ := d.Leader()
-		verdict, err := d.Approve(ctx, leader, d.spec.Initial)
+		verdict, err := d.Stage(ctx, leader, d.spec.Initial)
+		if err == nil && verdict.Accepted {
+			verdict, err = d.Approve(ctx, leader, d.spec.Initial)
+		}
 		switch {
 		case err == nil && verdict.Accepted:
 			return nil
@@ -311,14 +325,6 @@
 	}
 }
 
-// Approve stages a bundle and approves it through a member.
-func (d *Deployment) Approve(ctx context.Context, member string, signed experiment.Signed) (experiment.Verdict, error) {
-	if err := d.Stage(ctx, member, signed); err != nil {
-		return verdictOf(err)
-	}
-	return d.SignOff(ctx, member, signed)
-}
-
 // operatorClient returns a client of one member. Operators sit beside the member that they talk to.
 func (d *Deployment) operatorClient(member string) (*operator.Client, error) {
 	d.mu.Lock()
@@ -340,30 +346,28 @@
 }
 
 // Stage sends a bundle's parts to the members ahead of its approval.
-func (d *Deployment) Stage(ctx context.Context, member string, signed experiment.Signed) error {
+func (d *Deployment) Stage(ctx context.Context, member string, signed experiment.Signed) (experiment.Verdict, error) {
 	client, err := d.operatorClient(member)
 	if err != nil {
-		return err
+		return experiment.Verdict{}, err
 	}
 	update, err := bundle.Complete(signed.Bundle)
 	if err != nil {
-		return err
+		return experiment.Verdict{}, err
 	}
 	encoded, err := registry.EncodeUpdate(update)
 	if err != nil {
-		return err
+		return experiment.Verdict{}, err
 	}
 	_, err = client.Stage(ctx, operator.StageRequest{
 		RequestID: operator.NewRequestID(), Operator: signed.Approval.Operator, Version: signed.Approval.Version,
 		Digest: update.Target, Update: encoded,
 	})
-	return err
+	return verdictOf(err)
 }
 
-// SignOff approves a staged bundle.
-func (d *Deployment) SignOff(
-	ctx context.Context, member string, signed experiment.Signed,
-) (experiment.Verdict, error) {
+// Approve submits the approval of a staged bundle.
+func (d *Deployment) Approve(ctx context.Context, member string, signed experiment.Signed) (experiment.Verdict, error) {
 	client, err := d.operatorClient(member)
 	if err != nil {
 		return experiment.Verdict{}, err
