Confirm with the ledger before an irreversible request is reported as not run

Cause: a resend that was shed was answered not-run although an earlier attempt under the same key may have run; the caller would then send the promotion again under a new key. Change: a refusal of a request with an idempotency key is reported as not-run only after the ledger has no claim under that key; a recorded answer is passed on instead, and an unreachable ledger gives unknown. An expired key gives unknown. A claim that no member accepted is not counted as uncertain.

--- a/node/answer.go
+++ b/node/answer.go
@@ -49,10 +49,65 @@
 	protocol.ReasonTooDeep:     "the chain of calls is too deep",
 }
 
-// refuse answers a request that was not run.
-func (n *Node) refuse(w http.ResponseWriter, reason protocol.Reason) {
+// refuse answers a request that this node did not let in. A request with an idempotency key may have run at an earlier
+// attempt, so the ledger is asked before the caller is told that it was not run.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason protocol.Reason) {
 	n.metrics.refusals.Add(string(reason), 1)
-	writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
+	key := r.Header.Get(protocol.HeaderKey)
+	if key == "" || len(key) > maxKeyBytes {
+		writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
+		return
+	}
+	answer := n.confirmNotRun(r.Context(), ledger.Query{Key: key}, reason)
+	if answer.head.Outcome == protocol.OutcomeUnknown {
+		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(key))
+	}
+	if answer.head.Outcome == protocol.OutcomeDone {
+		writeRecorded(w, answer)
+		return
+	}
+	writeVerdict(w, answer.head.Outcome, answer.head.Reason, refusalCode(reason))
+}
+
+// confirm asks the ledger before an irreversible call is reported as not run: an earlier attempt of the caller under
+// the same key may have run.
+func (c *ingressCall) confirm(ctx context.Context, answer *reply) *reply {
+	if c.route.Class != bundle.ClassIrreversible || answer.head.Outcome != protocol.OutcomeNotRun ||
+		answer.head.Reason == protocol.ReasonKeyReused {
+		return answer
+	}
+	answer.finish()
+	query := ledger.Query{Key: c.head.Key, Route: c.head.Route, RequestDigest: c.head.RequestDigest}
+	return c.node.confirmNotRun(context.WithoutCancel(ctx), query, answer.head.Reason)
+}
+
+// confirmNotRun turns a refusal into what the ledger knows: the recorded answer, "unknown" if an attempt holds the claim
+// or the ledger cannot be asked, or "not run". An attempt that still waits elsewhere without a claim is not seen; it
+// ends with its caller's connection or its deadline.
+func (n *Node) confirmNotRun(ctx context.Context, query ledger.Query, reason protocol.Reason) *reply {
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	result, err := n.executor.ledger.do(ctx, query.Key, ledger.Command{Query: &query})
+	if err != nil {
+		return uncertain(protocol.ReasonLedger)
+	}
+	switch result.Status {
+	case ledger.Absent, ledger.Released:
+		return refusal(reason)
+	case ledger.Done:
+		return answerReply(result.Answer)
+	case ledger.KeyReused:
+		return refusal(protocol.ReasonKeyReused)
+	case ledger.Expired:
+		return uncertain(protocol.ReasonKeyExpired)
+	default:
+		return uncertain(protocol.ReasonInProgress)
+	}
+}
+
+func outcomeURL(key string) string {
+	target := url.URL{Path: PathOutcome, RawQuery: url.Values{"key": {key}}.Encode()}
+	return target.String()
 }
 
 func refusalCode(reason protocol.Reason) int {
@@ -94,14 +149,24 @@
 
 func (c *ingressCall) writeUnknown(w http.ResponseWriter, answer *reply) {
 	if c.route.Class == bundle.ClassIrreversible {
-		target := url.URL{Path: PathOutcome, RawQuery: url.Values{"key": {c.head.Key}}.Encode()}
-		w.Header().Set(protocol.HeaderOutcomeURL, target.String())
+		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(c.head.Key))
 	}
-	status := http.StatusBadGateway
-	if answer.head.Reason == protocol.ReasonDeadline {
-		status = http.StatusGatewayTimeout
+	writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, unknownCode(answer.head.Reason))
+}
+
+func unknownCode(reason protocol.Reason) int {
+	switch reason {
+	case protocol.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case protocol.ReasonLedger:
+		return http.StatusServiceUnavailable
+	case protocol.ReasonKeyExpired:
+		return http.StatusBadRequest
+	case protocol.ReasonInProgress:
+		return http.StatusConflict
+	default:
+		return http.StatusBadGateway
 	}
-	writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, status)
 }
 
 // writeAnswer passes on a whole answer. The caller's connection is aborted if a streamed answer is cut, so that no
@@ -174,7 +239,7 @@
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
-		n.refuse(w, protocol.ReasonKeyMissing)
+		writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalCode(protocol.ReasonKeyMissing))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), outcomeTimeout)
@@ -184,7 +249,7 @@
 	case err != nil:
 		writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable)
 	case result.Status == ledger.Done:
-		n.writeRecorded(w, result.Answer)
+		writeRecorded(w, answerReply(result.Answer))
 	case result.Status == ledger.Released:
 		writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict)
 	default:
@@ -193,8 +258,8 @@
 	}
 }
 
-func (n *Node) writeRecorded(w http.ResponseWriter, answer *ledger.Answer) {
-	recorded := answerReply(answer)
+// writeRecorded passes on an answer from the ledger.
+func writeRecorded(w http.ResponseWriter, recorded *reply) {
 	for name, values := range recorded.head.Header {
 		w.Header()[name] = values
 	}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -54,7 +54,7 @@
 	started := time.Now()
 	done, open := n.gate.enter()
 	if !open {
-		n.refuse(w, protocol.ReasonDraining)
+		n.refuse(w, r, protocol.ReasonDraining)
 		return
 	}
 	defer done()
@@ -64,12 +64,12 @@
 	}
 	call, reason := n.prepare(started, r)
 	if reason != protocol.ReasonNone {
-		n.refuse(w, reason)
+		n.refuse(w, r, reason)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	answer := call.forward(ctx)
+	answer := call.confirm(ctx, call.forward(ctx))
 	defer answer.finish()
 	n.metrics.count(call.route.Class, answer.head.Outcome)
 	call.write(w, answer)
--- a/node/ledger.go
+++ b/node/ledger.go
@@ -15,6 +15,9 @@
 // errLedger means that the ledger gave no answer: the command may or may not be committed.
 var errLedger = errors.New("node: ledger gave no answer")
 
+// errNotProposed means that no member accepted the command: it was surely not proposed.
+var errNotProposed = errors.New("node: no control member accepted the command")
+
 const (
 	// ledgerAttemptTimeout bounds one proposal, so that a leader that was cut off is given up for another member.
 	ledgerAttemptTimeout = time.Second
@@ -40,10 +43,11 @@
 		return ledger.Result{}, err
 	}
 	request := &protocol.ProposeRequest{Target: protocol.TargetLedger, Key: key, Command: data}
+	uncertain := false
 	for turn := 0; ; turn++ {
 		address := c.choose(key, turn)
 		if address == "" {
-			return ledger.Result{}, errors.Wrap(errLedger, "no control member is known")
+			return ledger.Result{}, errors.Wrap(errNotProposed, "none is known")
 		}
 		reply, err := c.attempt(ctx, address, request)
 		c.learn(key, address, reply)
@@ -51,8 +55,13 @@
 			var result ledger.Result
 			return result, protocol.Unmarshal(reply.Result, &result)
 		}
+		uncertain = uncertain || err != nil || reply.Status == protocol.ProposeUncertain
 		if ctx.Err() != nil {
-			return ledger.Result{}, errors.Wrapf(errLedger, "%v", ctx.Err())
+			cause := errNotProposed
+			if uncertain {
+				cause = errLedger
+			}
+			return ledger.Result{}, errors.Wrapf(cause, "%v", ctx.Err())
 		}
 		if turn > 0 {
 			sleep(ctx, ledgerRetryDelay)
--- a/node/once.go
+++ b/node/once.go
@@ -142,7 +142,7 @@
 	for _, output := range outputs {
 		switch output := output.(type) {
 		case execution.SendClaim:
-			c.send(ledger.Command{Claim: &output.Claim}, c.machine.ClaimResult, c.machine.ClaimFailed)
+			c.send(ledger.Command{Claim: &output.Claim}, c.machine.ClaimResult, c.claimFailed)
 		case execution.SendQuery:
 			c.send(ledger.Command{Query: &output.Query}, c.machine.QueryResult, nil)
 		case execution.SendRecord:
@@ -162,7 +162,7 @@
 // send commits a command in the background and delivers its result.
 func (c *onceCall) send(
 	command ledger.Command,
-	deliver func(time.Time, ledger.Result) []execution.Output, fail func(time.Time) []execution.Output,
+	deliver func(time.Time, ledger.Result) []execution.Output, fail func(error) onceEvent,
 ) {
 	go func() {
 		ctx, cancel := context.WithTimeout(c.executor.ctx, ledgerTimeout)
@@ -172,11 +172,18 @@
 		case err == nil:
 			c.post(func(now time.Time) []execution.Output { return deliver(now, result) })
 		case fail != nil:
-			c.post(fail)
+			c.post(fail(err))
 		}
 	}()
 }
 
+func (c *onceCall) claimFailed(err error) onceEvent {
+	if errors.Is(err, errNotProposed) {
+		return c.machine.ClaimRefused
+	}
+	return c.machine.ClaimFailed
+}
+
 // start runs the call on the upstream, unless the machine no longer allows it.
 func (c *onceCall) start() {
 	now := time.Now()
@@ -250,6 +257,10 @@
 	reason := onceReasons[output.Reason]
 	switch output.Outcome {
 	case execution.OutcomeNotRun:
+		if reason == protocol.ReasonKeyExpired {
+			// What ran under this key is no longer known.
+			return uncertain(reason)
+		}
 		return refusal(reason)
 	case execution.OutcomeUnknown:
 		return uncertain(reason)
