--- a/coordination/relay/fault_test.go
+++ b/coordination/relay/fault_test.go
@@ -90,10 +90,8 @@
 func (s *sim) expectRecovery() {
 	s.heal()
 	last := s.approve(s.stage(bundleOf(1000, 12)))
-	inForce := s.runUntil(15*time.Second, s.allInForce(last))
-	Expect(s.allInForce(last)()).To(BeTrue())
-	tables := s.runUntil(60*time.Second, s.sameTables)
-	Expect(s.sameTables()).To(BeTrue())
+	inForce := s.await(15*time.Second, s.allInForce(last))
+	tables := s.await(60*time.Second, s.sameTables)
 	s.run(s.now + 100*time.Second) // A node that follows another zone returns within 45 s; then its counts are held.
 	s.checkTree(0)
 	Expect(s.hosts["m0"].peer.Status().Total.Versions).To(HaveLen(1))
@@ -115,7 +113,9 @@
 
 	// Rapid shrinks a schedule that fails.
 	It("are survived in generated schedules", func() {
+		defer RegisterFailHandler(Fail)
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			RegisterFailHandler(func(message string, _ ...int) { t.Fatal(message) })
 			s := faulty(rapid.Int64().Draw(t, "seed"), 5)
 			schedule := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 				return fault{
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -167,7 +167,8 @@
 		s.Approved = &approval
 	}
 	if p.parent != nil {
-		s.Parent, s.ParentZone = p.parent.remote.ID, p.parent.remote.Zone
+		remote := p.parent.remote
+		s.Parent, s.ParentIncarnation, s.ParentZone = remote.ID, remote.Incarnation, remote.Zone
 	}
 	for _, child := range p.children() {
 		s.Children = append(s.Children, child.remote.ID)
