--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -162,11 +162,11 @@
 		n.tickLeader()
 		return
 	}
-	n.tickPoll()
 	if !n.now.Before(n.electionDeadline) {
 		n.leader = ""
 		n.startPreVote()
 	}
+	n.tickPoll()
 }
 
 func (n *Node) tickLeader() {
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -235,11 +235,12 @@
 // Ready is one batch of work for the caller. At most one Ready is outstanding.
 type Ready struct {
 	HardState HardState
-	// MustSync is set if HardState, Entries or Snapshot must be durable before Messages are sent.
+	// MustSync is set if HardState, Entries or Snapshot must be durable before Messages are sent. Otherwise nothing needs
+	// to be written: a commit index that has advanced is learned again after a restart.
 	MustSync bool
 	Entries  []Entry
 	Snapshot *Snapshot
-	// Committed lists entries to apply, in order. It is empty when Snapshot is set.
+	// Committed lists entries to apply, in order: one batch of about MaxAppendBytes. It is empty when Snapshot is set.
 	Committed []Entry
 	// Early may be sent before the write.
 	Early []Message
