Let heartbeats and appends pass during a slow write

While a Ready is outstanding, a leader sent nothing, so that a write slower than the election timeout cost the leadership. TakeEarly returns what may be sent before the write. The simulations use it.

--- a/coordination/raft/cluster_test.go
+++ b/coordination/raft/cluster_test.go
@@ -212,6 +212,7 @@
 			}
 		}
 		if c.now < m.readyAt {
+			c.send(m.node.TakeEarly())
 			return
 		}
 		c.finish(m, *m.ready)
--- a/coordination/raft/exhaustive_test.go
+++ b/coordination/raft/exhaustive_test.go
@@ -153,10 +153,11 @@
 		w.network = append(w.network, r.Early...)
 		if r.MustSync {
 			w.writing[i] = &r
-			return
+			break
 		}
 		w.persist(i, r)
 	}
+	w.network = append(w.network, w.nodes[i].TakeEarly()...)
 }
 
 func (w *world) persist(i int, r raft.Ready) {
--- a/coordination/raft/ready.go
+++ b/coordination/raft/ready.go
@@ -23,9 +23,7 @@
 	if !n.check(!n.readyPending, "Ready before Advance", map[string]any{}) {
 		return Ready{}
 	}
-	if n.role == RoleLeader && n.leading.replicate {
-		n.replicateAll()
-	}
+	n.replicatePending()
 	r := Ready{
 		HardState: HardState{Term: n.term, Vote: n.vote, Commit: n.commit},
 		MustSync:  n.mustSync(),
@@ -46,6 +44,24 @@
 	return r
 }
 
+func (n *Node) replicatePending() {
+	if n.role == RoleLeader && n.leading.replicate {
+		n.replicateAll()
+	}
+}
+
+// TakeEarly returns messages that may be sent at once although a Ready is outstanding. A caller that writes in another
+// goroutine uses it to keep heartbeats and new entries flowing during a slow write.
+func (n *Node) TakeEarly() []Message {
+	if n.hardStateChanged() {
+		return nil
+	}
+	n.replicatePending()
+	early := n.early
+	n.early = nil
+	return early
+}
+
 // Advance reports that a batch was persisted, sent and applied.
 func (n *Node) Advance(r Ready) {
 	if !n.check(n.readyPending, "Advance without Ready", map[string]any{}) {
