Clone the state in the exhaustive check of raft instead of replaying it

Each schedule replayed its prefix, which took most of the time. The bound rises to 42 steps and five choices of message.

--- a/coordination/raft/exhaustive_test.go
+++ b/coordination/raft/exhaustive_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -18,7 +20,7 @@
 // message, loses or duplicates one, crashes a member (which loses its unfinished write), starts an election or takes the
 // next step of the script early.
 const (
-	maxScheduleSteps  = 36
+	maxScheduleSteps  = 42
 	defaultDeviations = 2
 	// deviationsVariable raises the number of deviations, for runs outside of CI.
 	deviationsVariable = "SAPPHIREGATE_RAFT_DEVIATIONS"
@@ -42,6 +44,7 @@
 	proposed byte
 	leaders  map[uint64]int
 	history  []raft.Entry
+	path     []operation
 }
 
 var ids = []raft.MemberID{"a", "b", "c"}
@@ -56,9 +59,22 @@
 	for w.position == 0 || len(w.network) > 0 {
 		w.apply(w.options()[0])
 	}
+	w.path = nil
 	return w
 }
 
+func (w *world) clone() *world {
+	c := *w
+	for i, node := range w.nodes {
+		c.nodes[i] = node.Clone()
+	}
+	c.network = slices.Clone(w.network)
+	c.leaders = maps.Clone(w.leaders)
+	c.history = slices.Clone(w.history)
+	c.path = slices.Clone(w.path)
+	return &c
+}
+
 // zeros replaces randomness, which only affects timeouts here. Seeding a real source took a fifth of the run.
 type zeros struct{}
 
@@ -79,7 +95,7 @@
 			list = append(list, operation{'w', i})
 		}
 	}
-	for i := range min(len(w.network), 4) {
+	for i := range min(len(w.network), 5) {
 		list = append(list, operation{'d', i})
 	}
 	if w.position < len(script) {
@@ -98,6 +114,12 @@
 }
 
 func (w *world) apply(o operation) {
+	w.path = append(w.path, o)
+	defer func() {
+		if failure := recover(); failure != nil {
+			panic(fmt.Sprintf("%v\nschedule: %v", failure, w.path))
+		}
+	}()
 	if w.position < len(script) && o == script[w.position] {
 		w.position++
 	}
@@ -109,7 +131,7 @@
 	case 'd', '2':
 		m := w.network[o.target]
 		if o.kind == 'd' {
-			w.network = append(append([]raft.Message(nil), w.network[:o.target]...), w.network[o.target+1:]...)
+			w.network = slices.Delete(w.network, o.target, o.target+1)
 		}
 		must(w.nodes[m.To[0]-'a'].Step(w.now, m))
 	case 'x':
@@ -216,30 +238,16 @@
 	committed int
 }
 
-// explore follows a prefix, then the default, and tries each deviation on the way.
-func (s *search) explore(prefix []operation, left int) {
-	path := append([]operation(nil), prefix...)
-	defer func() {
-		if failure := recover(); failure != nil {
-			panic(fmt.Sprintf("%v\nschedule: %c", failure, path))
-		}
-	}()
-	w := newWorld()
-	for _, o := range path {
-		w.apply(o)
-	}
-	if len(prefix) > 0 && !s.visit(w.fingerprint(left)) {
-		return
-	}
-	for len(path) < maxScheduleSteps {
+// explore follows the default from a state, and tries each deviation on the way.
+func (s *search) explore(w *world, left int) {
+	for len(w.path) < maxScheduleSteps {
 		options := w.options()
 		if len(options) == 0 {
 			break
 		}
 		if left > 0 {
-			s.deviate(path, options[1:], left-1)
+			s.deviate(w, options[1:], left-1)
 		}
-		path = append(path, options[0])
 		w.apply(options[0])
 	}
 	s.mutex.Lock()
@@ -248,15 +256,21 @@
 	s.mutex.Unlock()
 }
 
-func (s *search) deviate(path, options []operation, left int) {
+func (s *search) deviate(w *world, options []operation, left int) {
 	var group sync.WaitGroup
 	for _, o := range options {
-		next := append(append([]operation(nil), path...), o)
+		next := w.clone()
+		try := func() {
+			next.apply(o)
+			if s.visit(next.fingerprint(left)) {
+				s.explore(next, left)
+			}
+		}
 		if left < defaultDeviations-1 {
-			s.explore(next, left)
+			try()
 			continue
 		}
-		group.Go(func() { s.explore(next, left) })
+		group.Go(try)
 	}
 	group.Wait()
 }
@@ -281,7 +295,7 @@
 		}
 	}
 	s := &search{visited: map[uint64]bool{}}
-	s.explore(nil, deviations)
+	s.explore(newWorld(), deviations)
 	t.Logf("%d schedules with up to %d deviations, %d entries committed", s.schedules, deviations, s.committed)
 	if s.schedules < 1000 || s.committed < s.schedules {
 		t.Error("the schedules hardly exercise the group")
--- a/coordination/raft/export_test.go
+++ b/coordination/raft/export_test.go
@@ -10,6 +10,25 @@
 // Entries returns the entries that the log holds.
 func (n *Node) Entries() []Entry { return n.log.entries }
 
+// Clone returns an independent copy. It shares only the random source.
+func (n *Node) Clone() *Node {
+	c := *n
+	c.log.entries = slices.Clone(n.log.entries)
+	c.memberships = slices.Clone(n.memberships)
+	c.votes = maps.Clone(n.votes)
+	c.leading.rounds = slices.Clone(n.leading.rounds)
+	c.leading.progress = maps.Clone(n.leading.progress)
+	for id, p := range c.leading.progress {
+		copied := *p
+		copied.inflight = slices.Clone(p.inflight)
+		c.leading.progress[id] = &copied
+	}
+	c.freshness.waiting = slices.Clone(n.freshness.waiting)
+	c.freshness.polls = slices.Clone(n.freshness.polls)
+	c.early, c.after = slices.Clone(n.early), slices.Clone(n.after)
+	return &c
+}
+
 // Fingerprint describes all state that decides how the node reacts, except for time.
 func (n *Node) Fingerprint() string {
 	var b strings.Builder
