--- a/cmd/sapphirectl/main.go
+++ b/cmd/sapphirectl/main.go
@@ -9,6 +9,7 @@
 
 	"sapphiregate.example/sapphiregate/ctl"
 	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/experiment/slope"
 	"sapphiregate.example/sapphiregate/local"
 )
 
@@ -18,6 +19,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := ctl.NewRoot()
-	root.AddCommand(experiment.NewCommandWith(local.Factory))
+	experiments := experiment.NewCommandWith(local.Factory)
+	experiments.AddCommand(slope.NewCommand(local.Factory))
+	root.AddCommand(experiments)
 	return ctl.Execute(ctx, root)
 }
