Claim an irreversible call before it takes a slot

Cause: a call held its slot during the quorum commit of its claim, about two zone round trips, in which the upstream ran nothing. Change: the claim comes first and the slot after it; the calls in between are bounded like a queue, and a call that gets no slot gives its claim back. A stopping node waits until answers are recorded, and answers requests on kept connections with Connection: close before it closes them.

--- a/node/announce.go
+++ b/node/announce.go
@@ -122,3 +122,21 @@
 		sleep(ctx, idleCheckInterval)
 	}
 }
+
+// settle waits until no call is in flight and the answers of irreversible calls are recorded.
+func (e *executor) settle(ctx context.Context) error {
+	if err := e.idle(ctx); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.background.Wait()
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/node/executor.go
+++ b/node/executor.go
@@ -42,6 +42,8 @@
 	waiting  map[uint64]chan admission.Verdict
 	running  map[uint64]*runningCall
 	nextID   uint64
+	// claiming counts the irreversible calls between claim and slot.
+	claiming int
 	expiry   *time.Timer
 	// crashCheck is open while a broken connection is being explained.
 	crashCheck *crashCheck
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -54,6 +54,7 @@
 	started := time.Now()
 	done, open := n.gate.enter()
 	if !open {
+		w.Header().Set("Connection", "close")
 		n.refuse(w, r, protocol.ReasonDraining)
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/credentials"
 
@@ -70,6 +70,8 @@
 	callerIdleTimeout = 2 * time.Minute
 	// departureTime lets the announcement of a leaving node spread before it closes its listener.
 	departureTime = 300 * time.Millisecond
+	// lingerTime lets callers notice that this node leaves before it closes their connections.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Node is one running node.
@@ -188,17 +190,17 @@
 	sleep(ctx, departureTime)
 	err := n.gate.drain(ctx)
 	if err == nil {
-		err = n.executor.idle(ctx)
+		err = n.executor.settle(ctx)
 	}
+	// Connections that callers keep open are answered with "Connection: close" for a while, since closing an idle
+	// connection can meet a request that is already on its way.
+	sleep(ctx, lingerTime)
 	if err == nil {
 		err = n.callers.Shutdown(ctx)
 	}
 	n.mesh.GracefulStop(shortly(ctx))
 	n.Kill()
-	if err != nil {
-		return fmt.Errorf("node: stop gave up on requests in flight: %w", err)
-	}
-	return nil
+	return errors.Wrap(err, "node: stop gave up on requests in flight")
 }
 
 // shortly bounds the wait for Follow streams of children, which do not end by themselves.
--- a/node/once.go
+++ b/node/once.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sapphiregate.example/sapphiregate/coordination/execution"
+	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/ledger"
 	"sapphiregate.example/sapphiregate/transport/web"
@@ -39,30 +40,34 @@
 	head     *protocol.CallHead
 	body     *requestBody
 	deadline time.Time
-	slot     *place
 	machine  *execution.Machine
 	events   chan onceEvent
 	finished chan struct{}
 	answered chan *reply
-	// started and service belong to the driving goroutine.
+
+	// The fields below belong to the driving goroutine.
+	slot    *place
 	started time.Time
 	service time.Duration
+	// refused is why the call was not admitted after its claim was granted.
+	refused protocol.Reason
 }
 
-// runOnce runs an irreversible call at most once.
+// runOnce runs an irreversible call at most once. The claim comes before the slot: a slot that waits for a quorum commit
+// across zones would leave the upstream idle for that time.
 func (e *executor) runOnce(
 	ctx context.Context, head *protocol.CallHead, body *requestBody, deadline time.Time,
 ) *reply {
 	if !body.whole() {
 		return refusal(protocol.ReasonTooLarge)
 	}
-	slot, reason := e.admit(ctx, head, deadline)
-	if slot == nil {
+	attempt, reason := e.beginClaim(head)
+	if reason != protocol.ReasonNone {
 		return refusal(reason)
 	}
 	call := &onceCall{
-		executor: e, head: head, body: body, deadline: deadline, slot: slot,
-		machine:  execution.New(execution.Config{Claim: e.claim(head, slot.id), Deadline: deadline}),
+		executor: e, head: head, body: body, deadline: deadline,
+		machine:  execution.New(execution.Config{Claim: e.claim(head, attempt), Deadline: deadline}),
 		events:   make(chan onceEvent, onceEventsLength),
 		finished: make(chan struct{}),
 		answered: make(chan *reply, 1),
@@ -81,6 +86,31 @@
 	return call.lastAnswer()
 }
 
+// beginClaim returns the number of a new attempt, or why the call is refused. The calls between claim and slot are
+// bounded like a queue, so that an overload is refused before it reaches the ledger.
+func (e *executor) beginClaim(head *protocol.CallHead) (uint64, protocol.Reason) {
+	if e.quarantine.Verdict(time.Now(), quarantine.Fingerprint(head.Fingerprint)) == quarantine.Refused {
+		return 0, protocol.ReasonQuarantined
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if reason := e.unavailable(head); reason != protocol.ReasonNone {
+		return 0, reason
+	}
+	if e.claiming >= e.queueConfig().QueueLimit {
+		return 0, protocol.ReasonShed
+	}
+	e.claiming++
+	e.nextID++
+	return e.nextID, protocol.ReasonNone
+}
+
+func (e *executor) endClaim() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claiming--
+}
+
 func (e *executor) claim(head *protocol.CallHead, attempt uint64) ledger.Claim {
 	return ledger.Claim{
 		Key: head.Key, Route: head.Route, RequestDigest: head.RequestDigest,
@@ -104,18 +134,28 @@
 	}
 }
 
-// post hands an input to the driving goroutine; it is dropped once the call is finished.
-func (c *onceCall) post(event onceEvent) {
+// post hands an input to the driving goroutine. It returns false once the call is finished.
+func (c *onceCall) post(event onceEvent) bool {
 	select {
 	case c.events <- event:
+		return true
 	case <-c.finished:
+		return false
 	}
 }
 
 // drive carries out what the machine asks for until it is closed.
 func (c *onceCall) drive() {
 	defer close(c.finished)
-	defer c.executor.release(c.slot, 0)
+	defer c.freeSlot()
+	claiming := true
+	endClaim := func() {
+		if claiming {
+			claiming = false
+			c.executor.endClaim()
+		}
+	}
+	defer endClaim()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	outputs := c.machine.Admitted(time.Now())
@@ -124,6 +164,9 @@
 		if c.machine.Closed() {
 			return
 		}
+		if !c.started.IsZero() {
+			endClaim()
+		}
 		if wake, ok := c.machine.Wake(); ok {
 			timer.Reset(max(time.Until(wake), 0))
 		}
@@ -138,6 +181,13 @@
 	}
 }
 
+func (c *onceCall) freeSlot() {
+	if c.slot != nil {
+		c.executor.release(c.slot, c.service)
+		c.slot = nil
+	}
+}
+
 func (c *onceCall) carryOut(outputs []execution.Output) {
 	for _, output := range outputs {
 		switch output := output.(type) {
@@ -150,11 +200,11 @@
 		case execution.SendRelease:
 			c.send(ledger.Command{Release: &output.Release}, c.machine.ReleaseAck, nil)
 		case execution.RunUpstream:
-			c.start()
+			c.takeSlot()
 		case execution.Reply:
 			c.answered <- c.reply(output)
 		case execution.FreeSlot:
-			c.executor.release(c.slot, c.service)
+			c.freeSlot()
 		}
 	}
 }
@@ -184,34 +234,52 @@
 	return c.machine.ClaimFailed
 }
 
-// start runs the call on the upstream, unless the machine no longer allows it.
-func (c *onceCall) start() {
-	now := time.Now()
+// takeSlot waits for a slot and then runs the call on the upstream.
+func (c *onceCall) takeSlot() {
+	go func() {
+		ctx, cancel := context.WithDeadline(c.executor.ctx, c.deadline)
+		defer cancel()
+		slot, reason := c.executor.admit(ctx, c.head, c.deadline)
+		posted := c.post(func(now time.Time) []execution.Output { return c.start(now, slot, reason) })
+		if !posted && slot != nil {
+			c.executor.release(slot, 0)
+		}
+	}()
+}
+
+// start writes the request, unless the call was not admitted or the machine no longer allows it.
+func (c *onceCall) start(now time.Time, slot *place, reason protocol.Reason) []execution.Output {
+	c.slot = slot
+	if slot == nil {
+		c.refused = reason
+		return c.machine.UpstreamRefused(now)
+	}
 	if !c.machine.Written(now) {
-		c.carryOut(c.machine.UpstreamFailed(now))
-		return
+		c.freeSlot()
+		return c.machine.UpstreamFailed(now)
 	}
 	c.started = now
 	go func() {
-		event := c.callUpstream()
+		event := c.callUpstream(slot)
 		c.post(func(now time.Time) []execution.Output {
 			c.service = now.Sub(c.started)
 			return event(now)
 		})
 	}()
+	return nil
 }
 
 // callUpstream sends the request once and returns the machine's input.
-func (c *onceCall) callUpstream() onceEvent {
+func (c *onceCall) callUpstream(slot *place) onceEvent {
 	ctx, cancel := context.WithDeadline(c.executor.ctx, c.deadline.Add(lateAnswerTime))
 	defer cancel()
-	answer, err := c.slot.upstream.client.Do(ctx, upstreamRequest(c.head, c.body, c.deadline, true))
+	answer, err := slot.upstream.client.Do(ctx, upstreamRequest(c.head, c.body, c.deadline, true))
 	if errors.Is(err, web.ErrNotWritten) {
-		c.executor.startCrashCheck(c.slot)
+		c.executor.startCrashCheck(slot)
 		return c.machine.UpstreamRefused
 	}
 	if err != nil {
-		c.executor.explainBreak(ctx, c.slot)
+		c.executor.explainBreak(ctx, slot)
 		return c.machine.UpstreamFailed
 	}
 	defer answer.Response.Body.Close()
@@ -220,7 +288,7 @@
 	}
 	body, err := readWhole(answer.Response.Body)
 	if err != nil {
-		c.executor.explainBreak(ctx, c.slot)
+		c.executor.explainBreak(ctx, slot)
 		return c.machine.UpstreamFailed
 	}
 	c.executor.succeeded(c.head)
@@ -255,6 +323,9 @@
 
 func (c *onceCall) reply(output execution.Reply) *reply {
 	reason := onceReasons[output.Reason]
+	if output.Reason == execution.ReasonUpstream && c.refused != protocol.ReasonNone {
+		reason = c.refused
+	}
 	switch output.Outcome {
 	case execution.OutcomeNotRun:
 		if reason == protocol.ReasonKeyExpired {
