--- a/coordination/endpoints/table.go
+++ b/coordination/endpoints/table.go
@@ -68,13 +68,16 @@
 	var removed []Record
 	for id, since := range t.leaving {
 		if now.Sub(since) >= RemoveAfter {
-			removed = append(removed, t.remove(id))
+			removed = append(removed, t.entries[id].record)
 		}
 	}
+	slices.SortFunc(removed, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+	for _, r := range removed {
+		t.remove(r.ID)
+	}
 	for len(t.expiry) > 0 && !now.Before(t.expiry[0].until) {
 		t.dropOldestTombstone()
 	}
-	slices.SortFunc(removed, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	return removed
 }
 
@@ -159,14 +162,13 @@
 	return text
 }
 
-func (t *Table) remove(id string) Record {
+func (t *Table) remove(id string) {
 	held := t.entries[id]
 	t.toggle(held)
 	delete(t.entries, id)
 	delete(t.leaving, id)
 	t.addTombstone(held.record)
 	t.version++
-	return held.record
 }
 
 // addTombstone keeps at most as many tombstones as records; when the set is full, the oldest makes room.
--- a/coordination/relay/fault_test.go
+++ b/coordination/relay/fault_test.go
@@ -42,7 +42,7 @@
 	case 0, 1:
 		s.restart(h, length/2)
 	case 2:
-		for _, c := range h.links {
+		for _, c := range h.sorted() {
 			s.breakLink(c)
 		}
 	case 3:
--- a/coordination/relay/sim_test.go
+++ b/coordination/relay/sim_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"testing"
@@ -250,11 +251,20 @@
 	h.peer.SetConfirmed(s.local(h), 20*time.Millisecond)
 }
 
+// sorted returns the links in a fixed order, so that every run draws the same random numbers.
+func (h *host) sorted() []*conn {
+	var conns []*conn
+	for _, id := range slices.Sorted(maps.Keys(h.links)) {
+		conns = append(conns, h.links[id])
+	}
+	return conns
+}
+
 func (s *sim) kill(h *host) {
 	h.alive = false
 	h.lastHeld[h.inForce] = s.now
 	reset := s.rng.Intn(2) == 0 // Otherwise the other sides notice only the silence.
-	for _, c := range h.links {
+	for _, c := range h.sorted() {
 		c.closed = true
 		if reset {
 			s.breakLink(c)
