--- a/state/wal/record.go
+++ b/state/wal/record.go
@@ -138,6 +138,7 @@
 	if r.hs.Commit > last {
 		return false, errors.Wrapf(ErrCorrupt, "commit index %d is after the last entry %d", r.hs.Commit, last)
 	}
+	r.hs.Commit = max(r.hs.Commit, s.Index)
 	return needsReset, nil
 }
 
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -492,8 +492,10 @@
 	reset := uint64(0)
 	if !matches {
 		reset = s.Index
-		l.hs.Commit = min(l.hs.Commit, s.Index)
+		l.hs.Commit = 0
 	}
+	// A log that says that the snapshot was committed makes a lost snapshot file evident.
+	l.hs.Commit = max(l.hs.Commit, s.Index)
 	if err := l.roll(reset); err != nil {
 		return err
 	}
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -83,6 +83,9 @@
 		Expect(recovered.Snapshot.Data).To(Equal([]byte("b")))
 		names, _ := fake.List()
 		Expect(names).To(HaveLen(3), "identity, one segment, one snapshot")
+		Expect(fake.Remove(names[2])).To(Succeed())
+		_, _, err := wal.Open(fake)
+		Expect(err).To(MatchError(wal.ErrCorrupt), "the snapshot is lost")
 	})
 
 	// Guards against dropping an acknowledged record, or reading a changed one, after any single flipped bit.
@@ -225,6 +228,8 @@
 }
 
 func same(a, b state) bool {
+	// A snapshot implies that its entries are committed.
+	a.hs.Commit, b.hs.Commit = max(a.hs.Commit, a.snapshot.Index), max(b.hs.Commit, b.snapshot.Index)
 	return a.hs == b.hs && a.snapshot.Index == b.snapshot.Index && a.snapshot.Term == b.snapshot.Term &&
 		len(a.entries) == len(b.entries) && (len(a.entries) == 0 || reflect.DeepEqual(a.entries, b.entries))
 }
