Make the exhaustive check of raft independent of the order of goroutines

Two runs differed by one committed entry: the fingerprint left out clocks, rounds, message contents and the number of steps left, so that the first of several similar states decided the continuation.

--- a/coordination/raft/exhaustive_test.go
+++ b/coordination/raft/exhaustive_test.go
@@ -217,15 +217,16 @@
 	}
 }
 
-// fingerprint identifies the state, so that schedules that meet in it are continued once.
+// fingerprint identifies the state, so that schedules that meet in it are continued once. It covers everything that
+// decides the continuation, so that the order in which goroutines find a state does not matter.
 func (w *world) fingerprint(left int) uint64 {
 	hash := fnv.New64a()
-	fmt.Fprint(hash, left, w.position, w.leaders, w.history)
+	fmt.Fprint(hash, left, len(w.path), w.now, w.position, w.leaders, w.history)
 	for i, node := range w.nodes {
-		fmt.Fprint(hash, node.Fingerprint(), w.disks[i].HardState, len(w.disks[i].Entries), w.writing[i] != nil)
+		fmt.Fprint(hash, node.Fingerprint(), w.disks[i], w.writing[i])
 	}
 	for _, m := range w.network {
-		fmt.Fprint(hash, m.From, m.To, m.Type, m.Term, m.Index, m.LogTerm, m.Commit, len(m.Entries), m.Reject, m.Hint, m.Round)
+		fmt.Fprint(hash, m)
 	}
 	return hash.Sum64()
 }
--- a/coordination/raft/export_test.go
+++ b/coordination/raft/export_test.go
@@ -29,16 +29,17 @@
 	return &c
 }
 
-// Fingerprint describes all state that decides how the node reacts, except for time.
+// Fingerprint describes all state that decides how the node reacts.
 func (n *Node) Fingerprint() string {
 	var b strings.Builder
-	fmt.Fprint(&b, n.role, n.term, n.vote, n.leader, n.hearsLeader(), n.commit, n.applied, n.log.stable, n.log.offset, n.votes)
+	fmt.Fprint(&b, n.role, n.term, n.vote, n.leader, n.hearsLeader(), n.commit, n.applied, n.log.stable, n.votes,
+		n.leading.round, n.leading.nextHeartbeat, n.now, n.electionDeadline, n.freshness)
 	for _, entry := range n.log.entries {
 		fmt.Fprint(&b, " ", entry.Term, entry.Kind, string(entry.Data))
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.leading.progress)) {
 		p := n.leading.progress[id]
-		fmt.Fprint(&b, " ", p.match, p.next, p.state, p.paused, p.inflight, p.sentCommit)
+		fmt.Fprint(&b, " ", p.match, p.next, p.state, p.paused, p.inflight, p.sentCommit, p.answered, p.sendRound, p.contact)
 	}
 	return b.String()
 }
