--- a/control/operators.go
+++ b/control/operators.go
@@ -166,6 +166,14 @@
 	if err := b.query(ctx, func(time.Time) { status = b.member.replicas[registryGroup].raft.Status() }); err != nil {
 		return operator.MembersAnswer{}, err
 	}
+	if status.Role != raft.RoleLeader {
+		// Only the leader knows how far the others are; without one, this member's own view is better than none.
+		if leader, ok := status.Membership.Find(status.Leader); ok {
+			if reply, err := b.member.identify(ctx, leader.Address); err == nil {
+				return operator.MembersAnswer{}, &operator.Error{Kind: operator.ErrNotLeader, Leader: reply.Admin}
+			}
+		}
+	}
 	answer := operator.MembersAnswer{Term: status.Term, Commit: status.Commit}
 	for _, member := range status.Membership.Members {
 		described := operator.Member{
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -56,7 +56,7 @@
 	process := node.New(node.Options{
 		ID: loaded.Instance, Zone: loaded.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
 		Advertise: loaded.Advertise, Members: loaded.Join, Keys: keys, Identity: identity,
-		ZoneDelay: zoneDelays(loaded.ZoneDelays), Logger: logger,
+		ZoneDelay: zoneDelays(loaded.ZoneDelays), Logger: logger, Limits: nodeLimits(loaded),
 	})
 	process.Start()
 	logger.Info().Str("instance", loaded.Instance).Str("callers", loaded.Callers).Msg("node started")
@@ -73,6 +73,17 @@
 	return process.Stop(stopping)
 }
 
+func nodeLimits(loaded settings.Node) node.Limits {
+	limits := node.Limits{
+		MaxCalls: loaded.Limits.MaxCalls, MaxHeaderBytes: loaded.Limits.MaxHeaderBytes,
+		MaxBodyBytes: loaded.Limits.MaxBodyBytes,
+	}
+	if loaded.Upstream != nil {
+		limits.HealthInterval = loaded.Upstream.HealthInterval.Std()
+	}
+	return limits
+}
+
 func announcementOf(u settings.Upstream) node.Announcement {
 	return node.Announcement{
 		Service: u.Service, Address: u.Address, Slots: u.Slots, Connections: u.Connections,
--- /dev/null
+++ b/daemon/process_test.go
@@ -0,0 +1,232 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "daemon")
+}
+
+const patience = 30 * time.Second
+
+// authority signs the certificates of a test.
+type authority struct {
+	folder      string
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(folder string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	Expect(err).NotTo(HaveOccurred())
+	certificate, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	writePEM(filepath.Join(folder, "ca.pem"), "CERTIFICATE", der)
+	return &authority{folder: folder, certificate: certificate, key: key}
+}
+
+// issue writes the certificate and key of one process.
+func (a *authority) issue(name string) map[string]string {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		IPAddresses: []net.IP{net.ParseIP("127.0.0.1")}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	Expect(err).NotTo(HaveOccurred())
+	encoded, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	files := map[string]string{
+		"certificate": filepath.Join(a.folder, name+".pem"), "key": filepath.Join(a.folder, name+".key"),
+		"ca": filepath.Join(a.folder, "ca.pem"),
+	}
+	writePEM(files["certificate"], "CERTIFICATE", der)
+	writePEM(files["key"], "EC PRIVATE KEY", encoded)
+	return files
+}
+
+func writePEM(file, kind string, der []byte) {
+	Expect(os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
+}
+
+// freeAddress returns a loopback address that no process listens on.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// build compiles a command of this module.
+func build(folder, name string) string {
+	binary := filepath.Join(folder, name)
+	output, err := exec.Command("go", "build", "-o", binary, "sapphiregate.example/sapphiregate/cmd/"+name).CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+	return binary
+}
+
+// start runs a process until the end of the test.
+func start(binary string, arguments ...string) *exec.Cmd {
+	command := exec.Command(binary, arguments...)
+	command.Stdout, command.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(command.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return command
+}
+
+func writeSettings(folder, name string, content map[string]any) string {
+	data, err := json.Marshal(content)
+	Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(folder, name+".json")
+	Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
+	return file
+}
+
+const testBundle = `{
+  "services": [{"name": "promotion"}],
+  "routes": [{
+    "name": "promote", "match": {"path_prefix": "/promotions", "methods": ["POST"]}, "service": "promotion",
+    "class": "irreversible", "deadline_ms": 5000
+  }]
+}`
+
+var _ = Describe("Processes", func() {
+	// Guards the whole path between processes that share nothing: settings files, mutual TLS, the founding of the
+	// group, sign-off by the command line, and calls through the node; a control process and a node die on the way.
+	It("bring a signed bundle into force and run an irreversible call once", func() {
+		folder := GinkgoT().TempDir()
+		daemon, ctl := build(folder, "sapphiregate"), build(folder, "sapphirectl")
+		certificates := newAuthority(folder)
+		run := func(arguments ...string) (string, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			output, err := exec.CommandContext(ctx, ctl, arguments...).CombinedOutput()
+			return string(output), err
+		}
+		output, err := run("keys", "generate", "ana", "--folder", folder)
+		Expect(err).NotTo(HaveOccurred(), output)
+		keyFiles, err := filepath.Glob(filepath.Join(folder, "ana*"))
+		Expect(err).NotTo(HaveOccurred())
+		privateKey, keyring := keyFiles[0], keyFiles[0]
+		for _, file := range keyFiles {
+			if strings.Contains(file, "key.json") || strings.HasSuffix(file, ".key") {
+				privateKey = file
+			} else {
+				keyring = file
+			}
+		}
+
+		var mesh, admin []string
+		var peers []map[string]any
+		for i := range 3 {
+			mesh, admin = append(mesh, freeAddress()), append(admin, freeAddress())
+			peers = append(peers, map[string]any{"address": mesh[i], "zone": fmt.Sprintf("zone-%d", i), "admin": admin[i]})
+		}
+		var controls []*exec.Cmd
+		for i := range 3 {
+			name := fmt.Sprintf("control-%d", i)
+			file := writeSettings(folder, name, map[string]any{
+				"instance": name, "zone": fmt.Sprintf("zone-%d", i), "mesh": mesh[i], "admin": admin[i],
+				"data_folder": filepath.Join(folder, name), "tls": certificates.issue(name), "keyring": keyring, "peers": peers,
+			})
+			controls = append(controls, start(daemon, "control", "--settings", file))
+		}
+
+		var runs atomic.Int64
+		upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, "promotion %d", runs.Add(1))
+		}))
+		DeferCleanup(upstream.Close)
+		var callers []string
+		var nodes []*exec.Cmd
+		for i := range 2 {
+			name := fmt.Sprintf("node-%d", i)
+			callers = append(callers, freeAddress())
+			file := writeSettings(folder, name, map[string]any{
+				"instance": name, "zone": fmt.Sprintf("zone-%d", i), "callers": callers[i], "mesh": freeAddress(),
+				"admin": freeAddress(), "join": mesh, "tls": certificates.issue(name), "keyring": keyring,
+				"upstream": map[string]any{"service": "promotion", "address": upstream.Listener.Addr().String(), "slots": 4},
+			})
+			nodes = append(nodes, start(daemon, "node", "--settings", file))
+		}
+
+		Expect(os.MkdirAll(filepath.Join(folder, "bundle"), 0o700)).To(Succeed())
+		Expect(os.WriteFile(filepath.Join(folder, "bundle", "all.json"), []byte(testBundle), 0o600)).To(Succeed())
+		operator := certificates.issue("operator")
+		access := []string{
+			"--control", strings.Join(admin, ","), "--key", privateKey, "--tls-cert", operator["certificate"],
+			"--tls-key", operator["key"], "--tls-ca", operator["ca"],
+		}
+		approve := func(version string) (string, error) {
+			return run(append([]string{"approve", filepath.Join(folder, "bundle"), "--version", version}, access...)...)
+		}
+		Eventually(func() error { _, err := approve("1"); return err }).WithTimeout(patience).Should(Succeed())
+		output, err = run("status", "--control", strings.Join(admin, ","), "--insecure")
+		Expect(err).To(HaveOccurred(), "operators without a certificate must be refused: "+output)
+
+		promote := func(node int, key string) (int, string) {
+			request, err := http.NewRequest(http.MethodPost, "http://"+callers[node]+"/promotions", strings.NewReader("belt"))
+			Expect(err).NotTo(HaveOccurred())
+			request.Header.Set("Idempotency-Key", key)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return 0, err.Error()
+			}
+			defer response.Body.Close()
+			body, _ := io.ReadAll(response.Body)
+			return response.StatusCode, string(bytes.TrimSpace(body))
+		}
+		Eventually(func() string { _, body := promote(0, "first"); return body }).
+			WithTimeout(patience).Should(Equal("promotion 1"))
+
+		// The answer survives the leader and the node that the caller used.
+		Expect(controls[0].Process.Kill()).To(Succeed())
+		Expect(nodes[0].Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(nodes[0].Wait()).To(Succeed(), "a planned stop must exit with 0")
+		Eventually(func() string { _, body := promote(1, "first"); return body }).
+			WithTimeout(patience).Should(Equal("promotion 1"))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+		Eventually(func() error { _, err := approve("1"); return err }).WithTimeout(patience).
+			Should(Succeed(), "a resent approval must get the first answer from the remaining members")
+	})
+})
--- a/node/control.go
+++ b/node/control.go
@@ -22,10 +22,12 @@
 		logger:      logging.Part(n.options.Logger, "executor"),
 		quarantine:  n.quarantine,
 		metrics:     n.metrics,
-		queue:       admission.New(admission.Config{Slots: 1}),
-		waiting:     make(map[uint64]chan admission.Verdict),
-		running:     make(map[uint64]*runningCall),
-		ledger:      &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
+
+		healthInterval: n.options.Limits.HealthInterval,
+		queue:          admission.New(admission.Config{Slots: 1}),
+		waiting:        make(map[uint64]chan admission.Verdict),
+		running:        make(map[uint64]*runningCall),
+		ledger:         &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
 		service: func(name string) (bundle.Service, bool) {
 			current := n.snapshot.Load()
 			if current == nil {
--- a/node/crash.go
+++ b/node/crash.go
@@ -96,6 +96,7 @@
 // upstream that died.
 func (e *executor) watch() {
 	failures := 0
+	var accepting time.Time
 	for e.ctx.Err() == nil {
 		e.mu.Lock()
 		current, state := e.upstream, e.state
@@ -103,10 +104,10 @@
 		switch state {
 		case upstreamServing:
 			failures = e.watchServing(current, failures)
-			sleep(e.ctx, watchInterval)
+			sleep(e.ctx, e.healthInterval)
 		case upstreamDown:
 			failures = 0
-			e.watchDown(current)
+			accepting = e.watchDown(current, accepting)
 			sleep(e.ctx, probeInterval)
 		default:
 			failures = 0
@@ -129,18 +130,27 @@
 	return failures
 }
 
-func (e *executor) watchDown(current *upstream) {
+// watchDown puts an upstream back into service that accepts connections and reports itself healthy, or has accepted
+// connections for healthPatience. It returns since when connections are accepted.
+func (e *executor) watchDown(current *upstream, accepting time.Time) time.Time {
 	if !current.accepts(e.ctx) {
-		return
+		return time.Time{}
+	}
+	if accepting.IsZero() {
+		accepting = time.Now()
+	}
+	if !current.healthy(e.ctx) && time.Since(accepting) < healthPatience {
+		return accepting
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.upstream != current || e.state != upstreamDown {
-		return
+		return time.Time{}
 	}
 	e.state = upstreamServing
 	e.logger.Info().Msg("upstream accepts connections again")
 	e.announceState(endpoints.Serving)
+	return time.Time{}
 }
 
 // announceState publishes the upstream. The lock is held.
--- a/node/executor.go
+++ b/node/executor.go
@@ -28,8 +28,9 @@
 	// announce publishes the state of the upstream.
 	announce func(endpoints.Record)
 	// publish spreads crash reports and clearances.
-	publish func(quarantine.Report)
-	metrics *metrics
+	publish        func(quarantine.Report)
+	metrics        *metrics
+	healthInterval time.Duration
 	// background holds what outlives its caller: recording answers and probing.
 	background sync.WaitGroup
 	ctx        context.Context
--- a/node/gate.go
+++ b/node/gate.go
@@ -3,25 +3,33 @@
 import (
 	"context"
 	"sync"
+
+	"sapphiregate.example/sapphiregate/protocol"
 )
 
 // gate counts the callers' requests in this process, so that a stop can wait for them.
 type gate struct {
+	// limit bounds the requests inside.
+	limit int
+
 	mu     sync.Mutex
 	closed bool
 	count  int
 	empty  chan struct{}
 }
 
-// enter returns false once the gate is closed; otherwise the returned function must be called at the end.
-func (g *gate) enter() (func(), bool) {
+// enter lets a request in, or says why not. The caller must call leave at the end of a request that was let in.
+func (g *gate) enter() protocol.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
-		return nil, false
+	switch {
+	case g.closed:
+		return protocol.ReasonDraining
+	case g.count >= g.limit:
+		return protocol.ReasonShed
 	}
 	g.count++
-	return g.leave, true
+	return protocol.ReasonNone
 }
 
 func (g *gate) leave() {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -26,8 +26,6 @@
 const (
 	// bufferedBytes is the largest body of a repeatable request that is held for a retry; longer ones are streamed.
 	bufferedBytes = 64 << 10
-	// defaultMaxBody bounds request bodies of routes that set no bound.
-	defaultMaxBody = 1 << 20
 	// maxKeyBytes bounds the idempotency key, which the ledger keeps for days.
 	maxKeyBytes = 256
 	// maxAttemptsInFlight is the first attempt and one hedge.
@@ -52,13 +50,14 @@
 // ServeHTTP takes callers' requests.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	done, open := n.gate.enter()
-	if !open {
-		w.Header().Set("Connection", "close")
-		n.refuse(w, r, protocol.ReasonDraining)
+	if reason := n.gate.enter(); reason != protocol.ReasonNone {
+		if reason == protocol.ReasonDraining {
+			w.Header().Set("Connection", "close")
+		}
+		n.refuse(w, r, reason)
 		return
 	}
-	defer done()
+	defer n.gate.leave()
 	if r.URL.Path == PathOutcome {
 		n.serveOutcome(w, r)
 		return
@@ -140,7 +139,7 @@
 func (c *ingressCall) readBody(r *http.Request) protocol.Reason {
 	limit := c.route.MaxBodyBytes
 	if limit == 0 {
-		limit = defaultMaxBody
+		limit = c.node.options.Limits.MaxBodyBytes
 	}
 	if r.ContentLength > limit {
 		return protocol.ReasonTooLarge
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand"
 	"net"
@@ -50,6 +51,7 @@
 	// ZoneDelay returns the one-way delay to a zone; nil means no delay.
 	ZoneDelay func(zone string) time.Duration
 	Policy    balance.Policy
+	Limits    Limits
 	Logger    zerolog.Logger
 	// OnApplied is told of every pointer swap, on the control goroutine; it may be nil.
 	OnApplied func(approval bundle.Approval, b *bundle.Bundle, at time.Time)
@@ -57,6 +59,33 @@
 	Relay relay.Config
 }
 
+// Limits bounds the resources of a node. Zero fields take the defaults.
+type Limits struct {
+	// MaxCalls bounds the callers' requests in flight.
+	MaxCalls int
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes int
+	// MaxBodyBytes bounds the bodies on routes without a bound of their own.
+	MaxBodyBytes int64
+	// HealthInterval is the time between two looks at a serving upstream, which find a crash while there are no calls.
+	HealthInterval time.Duration
+}
+
+// The defaults of Limits.
+const (
+	defaultMaxCalls       = 10_000
+	defaultMaxBodyBytes   = 1 << 20
+	defaultHealthInterval = time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	l.MaxCalls = cmp.Or(l.MaxCalls, defaultMaxCalls)
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, protocol.MaxHeaderBytes)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes)
+	l.HealthInterval = cmp.Or(l.HealthInterval, defaultHealthInterval)
+	return l
+}
+
 func (o *Options) zoneDelay(zone string) time.Duration {
 	if o.ZoneDelay == nil || zone == o.Zone {
 		return 0
@@ -113,7 +142,9 @@
 	if options.Advertise == "" {
 		options.Advertise = options.Mesh.Addr().String()
 	}
+	options.Limits = options.Limits.withDefaults()
 	n := &Node{
+		gate:        gate{limit: options.Limits.MaxCalls},
 		options:     options,
 		id:          options.ID,
 		incarnation: uint64(now.UnixNano()),
@@ -134,7 +165,7 @@
 	n.mesh.ServeNode(n)
 	n.callers = &http.Server{
 		Handler: n, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: protocol.MaxHeaderBytes,
+		MaxHeaderBytes: options.Limits.MaxHeaderBytes,
 	}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	return n
--- a/node/once.go
+++ b/node/once.go
@@ -23,8 +23,6 @@
 	lateAnswerTime = 10 * time.Second
 	// maxOnceAnswerBytes bounds the answer of an irreversible call, which is held in memory until it is recorded.
 	maxOnceAnswerBytes = 16 << 20
-	// onceEventsLength is more than the inputs that can be outstanding for one call.
-	onceEventsLength = 16
 )
 
 // errAnswerTooLarge reports an answer beyond maxOnceAnswerBytes.
@@ -41,6 +39,7 @@
 	body     *requestBody
 	deadline time.Time
 	machine  *execution.Machine
+	// events is not buffered: an input that was taken is always handled, so that no slot is lost with it.
 	events   chan onceEvent
 	finished chan struct{}
 	answered chan *reply
@@ -68,7 +67,7 @@
 	call := &onceCall{
 		executor: e, head: head, body: body, deadline: deadline,
 		machine:  execution.New(execution.Config{Claim: e.claim(head, attempt), Deadline: deadline}),
-		events:   make(chan onceEvent, onceEventsLength),
+		events:   make(chan onceEvent),
 		finished: make(chan struct{}),
 		answered: make(chan *reply, 1),
 	}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,8 +74,9 @@
 	// probeInterval is the time between two probes of an upstream that refuses connections.
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
-	// watchInterval is the time between two probes of a serving upstream, which find a crash while there are no calls.
-	watchInterval = time.Second
+	// healthPatience bounds how long a bad health report keeps an upstream that accepts connections out of service:
+	// health reports lag or mislead.
+	healthPatience = 5 * time.Second
 	// watchFailures tolerates a connection that is lost or slow to open on a busy instance.
 	watchFailures = 2
 )
@@ -103,6 +105,20 @@
 	return u.client.Probe(ctx) == nil
 }
 
+// healthy asks the upstream's health page, if it has one.
+func (u *upstream) healthy(ctx context.Context) bool {
+	if u.announcement.HealthPath == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	status, _, err := u.client.Get(ctx, u.announcement.HealthPath, maxReportBytes)
+	return err == nil && status < http.StatusMultipleChoices
+}
+
+// maxReportBytes bounds the pages that an upstream reports on itself.
+const maxReportBytes = 4 << 10
+
 // selfReport reads the upstream's own load page for the dump. Decisions use only what the node knows at first hand,
 // since load pages lag or mislead.
 func (u *upstream) selfReport(ctx context.Context) json.RawMessage {
@@ -111,7 +127,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	const maxReportBytes = 4 << 10
 	_, body, err := u.client.Get(ctx, u.announcement.LoadPath, maxReportBytes)
 	if err != nil || !json.Valid(body) {
 		return nil
--- a/settings/check.go
+++ b/settings/check.go
@@ -117,7 +117,6 @@
 	c.path("keyring", s.Keyring)
 	c.peers(s)
 	c.joins(s.Join)
-	c.delays(s.ZoneDelays)
 	l := s.Limits
 	c.during("limits.election_timeout", l.ElectionTimeout, minElectionTimeout, maxElectionTimeout)
 	c.during("limits.heartbeat_interval", l.HeartbeatInterval, minHeartbeatInterval,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,7 +99,6 @@
 	// cannot be changed later.
 	LedgerGroups int `json:"ledger_groups"`
 	// Join lists mesh addresses of existing members; a member that is added later has Join instead of Peers.
-	Join       []string            `json:"join,omitempty"`
-	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
-	Limits     ControlLimits       `json:"limits"`
+	Join   []string      `json:"join,omitempty"`
+	Limits ControlLimits `json:"limits"`
 }
