Make shaped links and verdicts independent of machine load

On a machine with load 20, the dispatcher's sleeping system calls held scheduler slots, connection storms queued on one lock, callers without shedding used up 20,000 file descriptors, and requests that had not reached a node counted as cut.

--- a/experiment/load/load.go
+++ b/experiment/load/load.go
@@ -75,8 +75,10 @@
 	ID         string
 	Node       string
 	Start, End time.Time
-	Outcome    Outcome
-	Status     int
+	// Sent is when the request was written to the connection, or zero.
+	Sent    time.Time
+	Outcome Outcome
+	Status  int
 	// Receipt identifies the run that the answer claims.
 	Receipt string
 	// Wrong describes a complete answer that was altered or belongs to another request.
--- a/experiment/load/send.go
+++ b/experiment/load/send.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +25,15 @@
 // send makes one attempt and judges its answer.
 func (g *Generator) send(ctx context.Context, call *Call, a arrival, node Node, ordinal int) Attempt {
 	attempt := Attempt{ID: fmt.Sprintf("%s#%d", call.Request, ordinal), Node: node.ID, Start: time.Now()}
-	connections := 0
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections++ }}
+	var connections atomic.Int64
+	var sent atomic.Pointer[time.Time]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connections.Add(1) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			now := time.Now()
+			sent.Store(&now)
+		},
+	}
 	// The last send may use all the time that is left.
 	if ordinal < g.options.MaxSends-1 {
 		var cancel context.CancelFunc
@@ -44,7 +52,10 @@
 		attempt.fail(ctx, err)
 	}
 	attempt.End = time.Now()
-	attempt.Replayed = connections > 1
+	attempt.Replayed = connections.Load() > 1
+	if at := sent.Load(); at != nil {
+		attempt.Sent = *at
+	}
 	return attempt
 }
 
--- a/transport/shape/dispatcher.go
+++ b/transport/shape/dispatcher.go
@@ -3,39 +3,54 @@
 import (
 	"container/heap"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// timerSlop covers the lateness of runtime timers on an idle Linux process, which wait in whole milliseconds.
-const timerSlop = 1500 * time.Microsecond
+// alarm wakes one waiting goroutine after a time that can be changed while it waits.
+type alarm interface {
+	// set replaces the time of the next wake-up.
+	set(d time.Duration)
+	// wait returns after the time that was set last. It may return early.
+	wait()
+	close()
+}
 
-// maxNap bounds how long the dispatcher is deaf to new events.
-const maxNap = 250 * time.Microsecond
+// atOnce wakes the waiter without a wait.
+const atOnce = time.Nanosecond
 
-// sleepFunc waits about d, or less if wake receives. It may return early.
-type sleepFunc func(d time.Duration, wake <-chan struct{})
+// timerAlarm uses a runtime timer. On an idle Linux process these are late by up to a millisecond.
+type timerAlarm struct {
+	timer *time.Timer
+	now   chan struct{}
+}
 
-// sleepPrecisely uses the kernel's timer for the last part of a wait, because it is late by well under 0.1 ms.
-func sleepPrecisely(d time.Duration, wake <-chan struct{}) {
-	if d > 2*timerSlop {
-		sleepByTimer(d-timerSlop, wake)
+func newTimerAlarm() alarm {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timerAlarm{timer, make(chan struct{}, 1)}
+}
+
+// set needs no timer for atOnce, because fake time stands still when a test ends.
+func (a timerAlarm) set(d time.Duration) {
+	if d > atOnce {
+		a.timer.Reset(d)
 		return
 	}
-	ts := syscall.NsecToTimespec(int64(min(d, maxNap)))
-	_ = syscall.Nanosleep(&ts, nil)
+	select {
+	case a.now <- struct{}{}:
+	default:
+	}
 }
 
-// sleepByTimer uses only runtime timers.
-func sleepByTimer(d time.Duration, wake <-chan struct{}) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+func (a timerAlarm) wait() {
 	select {
-	case <-timer.C:
-	case <-wake:
+	case <-a.timer.C:
+	case <-a.now:
 	}
 }
 
+func (a timerAlarm) close() { a.timer.Stop() }
+
 type event struct {
 	at   time.Time
 	fire func()
@@ -57,16 +72,16 @@
 
 // dispatcher runs short functions at exact times on one goroutine for all connections.
 type dispatcher struct {
-	sleep sleepFunc
-	wake  chan struct{}
+	// alarm is set with the mutex held, so that it always belongs to the first event.
+	alarm alarm
 
 	mu     sync.Mutex
 	events eventHeap
 	closed bool
 }
 
-func newDispatcher(sleep sleepFunc) *dispatcher {
-	d := &dispatcher{sleep: sleep, wake: make(chan struct{}, 1)}
+func newDispatcher(a alarm) *dispatcher {
+	d := &dispatcher{alarm: a}
 	go d.run()
 	return d
 }
@@ -74,53 +89,48 @@
 // at schedules fire, which must not block.
 func (d *dispatcher) at(t time.Time, fire func()) {
 	d.mu.Lock()
-	first := len(d.events) == 0 || t.Before(d.events[0].at)
-	heap.Push(&d.events, event{t, fire})
-	d.mu.Unlock()
-	if first {
-		d.signal()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	if len(d.events) == 0 || t.Before(d.events[0].at) {
+		d.alarm.set(max(time.Until(t), atOnce))
 	}
+	heap.Push(&d.events, event{t, fire})
 }
 
 func (d *dispatcher) close() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.closed = true
-	d.mu.Unlock()
-	d.signal()
-}
-
-func (d *dispatcher) signal() {
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+	d.alarm.set(atOnce)
 }
 
 func (d *dispatcher) run() {
+	defer d.alarm.close()
 	for {
-		fire, wait, closed := d.next()
+		fire, closed := d.next()
 		switch {
 		case closed:
 			return
 		case fire != nil:
 			fire()
-		case wait > 0:
-			d.sleep(wait, d.wake)
 		default:
-			<-d.wake
+			d.alarm.wait()
 		}
 	}
 }
 
-// next returns the function that is due, or the time until one is; zero means that nothing is scheduled.
-func (d *dispatcher) next() (fire func(), wait time.Duration, closed bool) {
+// next returns the function that is due, or sets the alarm for the first event.
+func (d *dispatcher) next() (fire func(), closed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed || len(d.events) == 0 {
-		return nil, 0, d.closed
+		return nil, d.closed
 	}
 	if wait := time.Until(d.events[0].at); wait > 0 {
-		return nil, wait, false
+		d.alarm.set(wait)
+		return nil, false
 	}
-	return heap.Pop(&d.events).(event).fire, 0, false
+	return heap.Pop(&d.events).(event).fire, false
 }
--- a/transport/shape/shape.go
+++ b/transport/shape/shape.go
@@ -5,8 +5,8 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"hash/fnv"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -128,12 +128,12 @@
 }
 
 // NewNetwork returns a network without delays. Close releases its goroutine.
-func NewNetwork(seed int64) *Network { return newNetwork(seed, sleepPrecisely) }
+func NewNetwork(seed int64) *Network { return newNetwork(seed, newPreciseAlarm()) }
 
-func newNetwork(seed int64, sleep sleepFunc) *Network {
+func newNetwork(seed int64, a alarm) *Network {
 	n := &Network{
 		seed:      seed,
-		clock:     newDispatcher(sleep),
+		clock:     newDispatcher(a),
 		addresses: make(map[string]Endpoint),
 		counts:    make(map[countKey]*atomic.Int64),
 		conns:     make(map[*conn]struct{}),
@@ -302,30 +302,44 @@
 
 // Wrap shapes both directions of a connection that the local endpoint opened.
 func (n *Network) Wrap(raw net.Conn, local, remote Endpoint, kind Kind) net.Conn {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	c := newConn(n, raw, local, remote)
-	c.out = n.lane(local, remote, kind)
-	c.in = n.lane(remote, local, kind)
-	if n.closed {
+	n.mu.Lock()
+	n.sequence[local]++
+	ordinal := n.sequence[local]
+	c.out = &lane{from: local, to: remote, count: n.counter(local, remote, kind)}
+	c.in = &lane{from: remote, to: local, count: n.counter(remote, local, kind)}
+	n.mu.Unlock()
+	// Many connections open at once, so that this work is kept out of the lock.
+	c.out.rng = n.laneRand(c.out, ordinal)
+	c.in.rng = n.laneRand(c.in, ordinal)
+	n.mu.Lock()
+	n.conns[c] = struct{}{}
+	closed := n.closed
+	n.mu.Unlock()
+	if closed {
 		_ = raw.Close()
 	}
-	n.conns[c] = struct{}{}
 	go c.receive()
 	return c
 }
 
-// lane returns a new direction. Its seed depends on the ordinal of the connection from that endpoint only, so that
-// connections elsewhere do not change it.
-func (n *Network) lane(from, to Endpoint, kind Kind) *lane {
+func (n *Network) counter(from, to Endpoint, kind Kind) *atomic.Int64 {
 	key := countKey{pair{from.Zone, to.Zone}, kind}
 	if n.counts[key] == nil {
 		n.counts[key] = new(atomic.Int64)
 	}
-	n.sequence[from]++
+	return n.counts[key]
+}
+
+// laneRand returns the generator of one direction. It depends on the ordinal among the connections of the process that
+// opened it only, so that connections elsewhere do not change it.
+func (n *Network) laneRand(l *lane, ordinal int64) *rand.Rand {
 	hash := fnv.New64a()
-	fmt.Fprint(hash, n.seed, from, to, kind, n.sequence[from])
-	return &lane{from: from, to: to, count: n.counts[key], rng: rand.New(rand.NewPCG(uint64(n.seed), hash.Sum64()))}
+	for _, text := range []string{l.from.Zone, l.from.Process, l.to.Zone, l.to.Process} {
+		_, _ = io.WriteString(hash, text)
+		_, _ = hash.Write([]byte{0})
+	}
+	return rand.New(rand.NewPCG(uint64(n.seed), hash.Sum64()+uint64(ordinal)))
 }
 
 func (n *Network) endpoint(address string) Endpoint {
