Accept pointer swaps that arrive while a deployment closes

A node that reports a swap after Close would have sent on a closed channel and ended the process. Swaps now go through a queue that ignores late ones.

--- a/experiment/runner.go
+++ b/experiment/runner.go
@@ -111,19 +111,62 @@
 	defer os.RemoveAll(folder)
 	r := newRunner(c)
 	defer r.network.Close()
-	applied := make(chan Applied, appliedBuffer)
-	checked := make(chan struct{})
-	go func() {
-		defer close(checked)
-		for a := range applied {
-			r.versions.apply(a)
+	applied := newAppliedQueue(r.versions)
+	return r.run(ctx, c, folder, applied.add, applied.finish)
+}
+
+// appliedQueue checks pointer swaps on a goroutine of its own, so that nodes do not wait for the checks.
+type appliedQueue struct {
+	versions *versionLog
+	queue    chan Applied
+	done     chan struct{}
+	checked  chan struct{}
+}
+
+func newAppliedQueue(v *versionLog) *appliedQueue {
+	q := &appliedQueue{
+		versions: v, queue: make(chan Applied, appliedBuffer), done: make(chan struct{}), checked: make(chan struct{}),
+	}
+	go q.run()
+	return q
+}
+
+// add ignores swaps after finish, which a deployment that is closing may still report.
+func (q *appliedQueue) add(a Applied) {
+	select {
+	case <-q.done:
+	case q.queue <- a:
+	}
+}
+
+func (q *appliedQueue) run() {
+	defer close(q.checked)
+	for {
+		select {
+		case a := <-q.queue:
+			q.versions.apply(a)
+		case <-q.done:
+			q.drain()
+			return
 		}
-	}()
-	result, err := r.run(ctx, c, folder, func(a Applied) { applied <- a }, func() {
-		close(applied)
-		<-checked
-	})
-	return result, err
+	}
+}
+
+func (q *appliedQueue) drain() {
+	for {
+		select {
+		case a := <-q.queue:
+			q.versions.apply(a)
+		default:
+			return
+		}
+	}
+}
+
+// finish returns when all swaps so far are checked.
+func (q *appliedQueue) finish() {
+	close(q.done)
+	<-q.checked
 }
 
 func newRunner(c Config) *runner {
