Let a replica without a membership answer its leader

Cause: a founder that saw another one already formed started empty, without the addresses of the others. Ruled out: calls left in flight, the ledger client, a slow disk. Change: streams name the sender's address, and a replica without a membership answers there. Heartbeats also go out while a write runs.

--- a/control/member.go
+++ b/control/member.go
@@ -171,7 +171,7 @@
 
 func (m *Member) newReplica(group uint32, machine machine, pool *rpc.Pool) *replica {
 	r := &replica{
-		group: group, machine: machine, pool: pool, snapshotEntries: m.options.SnapshotEntries,
+		group: group, machine: machine, pool: pool, address: m.options.Advertise, snapshotEntries: m.options.SnapshotEntries,
 		logger: m.logger.With().Uint32("group", group).Logger(),
 		post:   func(input func(now time.Time)) bool { return m.host.Post(input) },
 		failed: m.fail,
@@ -318,12 +318,12 @@
 }
 
 // Step receives log messages of other members.
-func (m *Member) Step(frame *protocol.StepFrame) {
+func (m *Member) Step(address string, frame *protocol.StepFrame) {
 	if int(frame.Group) >= len(m.replicas) || m.running(m.ctx) != nil {
 		return
 	}
 	m.setFormed(frame.Group)
-	m.host.Post(func(now time.Time) { m.replicas[frame.Group].step(now, frame.Messages) })
+	m.host.Post(func(now time.Time) { m.replicas[frame.Group].step(now, address, frame.Messages) })
 }
 
 // groupOf returns the group that a request is for.
--- a/control/peers.go
+++ b/control/peers.go
@@ -23,6 +23,7 @@
 type peers struct {
 	group   uint32
 	self    raft.MemberID
+	address string
 	pool    *rpc.Pool
 	ctx     context.Context
 	senders map[raft.MemberID]*sender
@@ -36,8 +37,8 @@
 	cancel  context.CancelFunc
 }
 
-func newPeers(ctx context.Context, group uint32, self raft.MemberID, pool *rpc.Pool) *peers {
-	return &peers{group: group, self: self, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
+func newPeers(ctx context.Context, group uint32, self raft.MemberID, address string, pool *rpc.Pool) *peers {
+	return &peers{group: group, self: self, address: address, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
 }
 
 // update starts and stops senders for a membership.
@@ -50,14 +51,20 @@
 		}
 	}
 	for _, member := range membership.Members {
-		if member.ID == p.self || p.senders[member.ID] != nil {
-			continue
-		}
-		ctx, cancel := context.WithCancel(p.ctx)
-		s := &sender{address: member.Address, queue: make(chan raft.Message, peerQueueLength), cancel: cancel}
-		p.senders[member.ID] = s
-		p.running.Go(func() { p.run(ctx, s) })
+		p.learn(member.ID, member.Address)
+	}
+}
+
+// learn starts a sender to a member unless there is one. A replica without a membership, such as one that was just
+// added or that founds its group after the others, learns from the messages that it gets where to send its answers.
+func (p *peers) learn(id raft.MemberID, address string) {
+	if id == p.self || address == "" || p.senders[id] != nil {
+		return
 	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	s := &sender{address: address, queue: make(chan raft.Message, peerQueueLength), cancel: cancel}
+	p.senders[id] = s
+	p.running.Go(func() { p.run(ctx, s) })
 }
 
 // send queues messages; it drops those of a member that does not keep up.
@@ -93,6 +100,7 @@
 	if err != nil {
 		return
 	}
+	address := p.address
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,7 +108,9 @@
 		case <-stream.Context().Done():
 			return
 		case message := <-s.queue:
-			if err := stream.Send(s.frame(p.group, message)); err != nil {
+			frame := s.frame(p.group, message)
+			frame.Address, address = address, ""
+			if err := stream.Send(frame); err != nil {
 				return
 			}
 		}
--- a/control/replica.go
+++ b/control/replica.go
@@ -23,6 +23,8 @@
 	id      raft.MemberID
 	logger  zerolog.Logger
 	machine machine
+	// address is this member's mesh address.
+	address string
 	log     *wal.Log
 	pool    *rpc.Pool
 	// post runs a function on the control goroutine; it returns false once the member has stopped.
@@ -90,7 +92,7 @@
 		return errors.Wrapf(ErrStorage, "group %d: %v", r.group, err)
 	}
 	r.raft = node
-	r.peers = newPeers(ctx, r.group, r.id, r.pool)
+	r.peers = newPeers(ctx, r.group, r.id, r.address, r.pool)
 	r.noteMembership(now)
 	return nil
 }
@@ -132,9 +134,12 @@
 	}
 }
 
-// step takes messages of other members.
-func (r *replica) step(now time.Time, messages []raft.Message) {
+// step takes messages of the member at an address.
+func (r *replica) step(now time.Time, address string, messages []raft.Message) {
 	for _, message := range messages {
+		if len(r.membership.Members) == 0 {
+			r.peers.learn(message.From, address)
+		}
 		if err := r.raft.Step(now, message); err != nil {
 			r.logger.Debug().Err(err).Str("from", string(message.From)).Msg("ignored a log message")
 		}
@@ -154,6 +159,10 @@
 		r.writing = true
 		r.writes <- write{ready: ready}
 	}
+	if r.writing && !r.broken {
+		// A slow write must not stop heartbeats.
+		r.peers.send(r.raft.TakeEarly())
+	}
 	r.dropStaleProposals()
 }
 
--- a/protocol/mesh.go
+++ b/protocol/mesh.go
@@ -15,6 +15,9 @@
 type StepFrame struct {
 	Group    uint32         `cbor:"1,keyasint,omitempty"`
 	Messages []raft.Message `cbor:"2,keyasint"`
+	// Address is the sender's mesh address, in the first frame of a stream. A member that has no membership yet needs it
+	// to answer.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // StepAck ends a stream of StepFrame.
--- a/transport/rpc/service.go
+++ b/transport/rpc/service.go
@@ -46,7 +46,8 @@
 
 // Stepper receives messages of the replicated logs.
 type Stepper interface {
-	Step(frame *protocol.StepFrame)
+	// Step takes a frame of the member at the given mesh address.
+	Step(address string, frame *protocol.StepFrame)
 }
 
 const (
@@ -130,11 +131,15 @@
 }
 
 func receiveSteps(stepper Stepper, stream StepServerStream) error {
+	address := ""
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		stepper.Step(frame)
+		if frame.Address != "" {
+			address = frame.Address
+		}
+		stepper.Step(address, frame)
 	}
 }
