Add the baseline deployment local/naive and select it by Spec.Baseline

Change: package local/naive implements experiment.Deployment with one control process without a disk. It pushes the whole bundle and the list of upstreams as JSON over HTTP every second; proxies forward round robin and retry idempotent calls blindly. local.Factory returns it when Spec.Baseline is set. The address code of package local moved to local/loopback, which both use.

--- a/local/local.go
+++ b/local/local.go
@@ -19,6 +19,8 @@
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/local/loopback"
+	"sapphiregate.example/sapphiregate/local/naive"
 	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol/operator"
@@ -59,7 +61,7 @@
 
 	spec      experiment.Spec
 	options   Options
-	addresses *addresses
+	addresses *loopback.Addresses
 	keyring   *bundle.Keyring
 
 	mu      sync.Mutex
@@ -81,8 +83,8 @@
 	running *control.Member
 }
 
-func (s *memberSlot) mesh() string  { return withPort(s.ip, portMesh) }
-func (s *memberSlot) admin() string { return withPort(s.ip, portAdmin) }
+func (s *memberSlot) mesh() string  { return loopback.WithPort(s.ip, loopback.PortMesh) }
+func (s *memberSlot) admin() string { return loopback.WithPort(s.ip, loopback.PortAdmin) }
 
 // nodeSlot is the instance of a node.
 type nodeSlot struct {
@@ -94,7 +96,7 @@
 
 // New prepares a deployment.
 func New(spec experiment.Spec, options Options) (*Deployment, error) {
-	addresses, err := newAddresses()
+	addresses, err := loopback.New()
 	if err != nil {
 		return nil, err
 	}
@@ -112,17 +114,21 @@
 		d.addMember(member)
 	}
 	for _, described := range spec.Nodes {
-		slot := &nodeSlot{spec: described, ip: addresses.take()}
+		slot := &nodeSlot{spec: described, ip: addresses.Take()}
 		d.nodes[described.ID] = slot
-		for _, port := range []int{portCallers, portMesh, portAdmin} {
-			d.register(withPort(slot.ip, port), described.Zone, described.ID)
+		for _, port := range []int{loopback.PortCallers, loopback.PortMesh, loopback.PortAdmin} {
+			d.register(loopback.WithPort(slot.ip, port), described.Zone, described.ID)
 		}
 	}
 	return d, nil
 }
 
-// Factory builds deployments for experiments. Only errors are logged, since the report says the rest.
+// Factory builds deployments for experiments: the baseline if the spec asks for it. Only errors are logged, since the
+// report says the rest.
 func Factory(spec experiment.Spec) (experiment.Deployment, error) {
+	if spec.Baseline {
+		return naive.New(spec)
+	}
 	logger, err := logging.New(os.Stderr, "text", "error")
 	if err != nil {
 		return nil, err
@@ -131,7 +137,7 @@
 }
 
 func (d *Deployment) addMember(spec experiment.MemberSpec) *memberSlot {
-	slot := &memberSlot{spec: spec, ip: d.addresses.take(), folder: filepath.Join(d.spec.DataFolder, spec.ID)}
+	slot := &memberSlot{spec: spec, ip: d.addresses.Take(), folder: filepath.Join(d.spec.DataFolder, spec.ID)}
 	d.members[spec.ID] = slot
 	d.order = append(d.order, spec.ID)
 	d.register(slot.mesh(), spec.Zone, spec.ID)
@@ -245,7 +251,7 @@
 		group.Go(process.Kill)
 	}
 	group.Wait()
-	d.addresses.release()
+	d.addresses.Release()
 	return nil
 }
 
@@ -257,7 +263,7 @@
 	if slot == nil {
 		return experiment.NodeAddress{}
 	}
-	return experiment.NodeAddress{HTTP: withPort(slot.ip, portCallers), Admin: withPort(slot.ip, portAdmin)}
+	return experiment.NodeAddress{HTTP: loopback.WithPort(slot.ip, loopback.PortCallers), Admin: loopback.WithPort(slot.ip, loopback.PortAdmin)}
 }
 
 // AdminAddresses returns the operator API addresses of the members.
@@ -297,34 +303,6 @@
 	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
 }
 
-// listen opens the ports of a process; a port of a process that has just died may take a moment to become free.
-func listen(ctx context.Context, ip string, ports ...int) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, port := range ports {
-		listener, err := listenOne(ctx, withPort(ip, port))
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return nil, err
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
-
-func listenOne(ctx context.Context, address string) (net.Listener, error) {
-	for {
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return listener, nil
-		}
-		if pauseErr := pause(ctx); pauseErr != nil {
-			return nil, errors.Wrapf(err, "local: listen on %s", address)
-		}
-	}
-}
-
 // operatorClient returns a client of one member. Operators sit beside the member that they talk to.
 func (d *Deployment) operatorClient(member string) (*operator.Client, error) {
 	d.mu.Lock()
--- /dev/null
+++ b/local/naive/naive.go
@@ -0,0 +1,426 @@
+// Package naive is the baseline that experiments compare with: one control process without a disk that pushes whole
+// bundles, and proxies that forward round robin with blind retries.
+package naive
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/local/loopback"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/transport/shape"
+)
+
+// Errors of this package.
+var (
+	// ErrUnknownProcess reports a member or node that does not exist.
+	ErrUnknownProcess = errors.New("naive: unknown process")
+	// ErrRunning and ErrDown report a process that is not in the state that the operation needs.
+	ErrRunning = errors.New("naive: process is running")
+	ErrDown    = errors.New("naive: process is down")
+)
+
+const (
+	// kindOperator labels the traffic between an operator and the control process beside it, which is no configuration
+	// traffic.
+	kindOperator shape.Kind = "operator"
+	// pollPause is the time between two looks at a condition that a caller waits for.
+	pollPause = 5 * time.Millisecond
+)
+
+// member is the instance of a control member. Only the first member runs the control process; the others merely stand
+// for the places from which operators reach it.
+type member struct {
+	spec    experiment.MemberSpec
+	running bool
+	control *controller
+}
+
+// instance is the instance of a node.
+type instance struct {
+	spec    experiment.NodeSpec
+	ip      string
+	running *proxy
+}
+
+func (i *instance) admin() string { return loopback.WithPort(i.ip, loopback.PortAdmin) }
+
+// Deployment implements experiment.Deployment.
+type Deployment struct {
+	experiment.NetworkFaults
+
+	spec      experiment.Spec
+	addresses *loopback.Addresses
+	keyring   *bundle.Keyring
+	controlIP string
+	nodes     map[string]*instance
+
+	mu       sync.Mutex
+	members  []*member
+	replaced int
+}
+
+var _ experiment.Deployment = (*Deployment)(nil)
+
+// New prepares a deployment.
+func New(spec experiment.Spec) (*Deployment, error) {
+	addresses, err := loopback.New()
+	if err != nil {
+		return nil, err
+	}
+	keys := make(map[string][]ed25519.PublicKey, len(spec.Operators))
+	for name, key := range spec.Operators {
+		keys[name] = []ed25519.PublicKey{key.Public().(ed25519.PublicKey)}
+	}
+	d := &Deployment{
+		NetworkFaults: experiment.NetworkFaults{Network: spec.Network},
+
+		spec: spec, addresses: addresses, keyring: bundle.NewKeyring(keys), controlIP: addresses.Take(),
+		nodes: make(map[string]*instance),
+	}
+	for _, described := range spec.Members {
+		d.members = append(d.members, &member{spec: described})
+	}
+	d.registerControl()
+	for _, described := range spec.Nodes {
+		slot := &instance{spec: described, ip: addresses.Take()}
+		d.nodes[described.ID] = slot
+		for _, port := range []int{loopback.PortCallers, loopback.PortAdmin} {
+			endpoint := shape.Endpoint{Zone: described.Zone, Process: described.ID}
+			spec.Network.Register(loopback.WithPort(slot.ip, port), endpoint)
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) control() string { return loopback.WithPort(d.controlIP, loopback.PortMesh) }
+
+// registerControl names the first member as the process at the control address.
+func (d *Deployment) registerControl() {
+	first := d.members[0].spec
+	d.spec.Network.Register(d.control(), shape.Endpoint{Zone: first.Zone, Process: first.ID})
+}
+
+// Start starts all processes and returns when the first bundle is in force on every node.
+func (d *Deployment) Start(ctx context.Context) error {
+	for _, id := range d.Members() {
+		if err := d.StartMember(ctx, id); err != nil {
+			return err
+		}
+	}
+	for _, described := range d.spec.Nodes {
+		if err := d.StartNode(ctx, described.ID); err != nil {
+			return err
+		}
+	}
+	if d.spec.Initial.Bundle == nil {
+		return nil
+	}
+	if err := d.approveInitial(ctx); err != nil {
+		return err
+	}
+	for !d.allInForce() {
+		if err := pause(ctx); err != nil {
+			return errors.Wrap(err, "naive: first bundle is not in force everywhere")
+		}
+	}
+	return nil
+}
+
+// approveInitial repeats the approval while answers are lost, as on a busy machine.
+func (d *Deployment) approveInitial(ctx context.Context) error {
+	for {
+		verdict, err := d.Approve(ctx, d.Members()[0], d.spec.Initial)
+		if err == nil && !verdict.Accepted {
+			return errors.Newf("naive: first bundle was refused: %s", verdict.Reason)
+		}
+		if err == nil {
+			return nil
+		}
+		if pauseErr := pause(ctx); pauseErr != nil {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pollPause):
+		return nil
+	}
+}
+
+func (d *Deployment) allInForce() bool {
+	for id := range d.nodes {
+		if _, ok := d.InForce(id); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends all processes at once.
+func (d *Deployment) Close() error {
+	for _, id := range d.Members() {
+		_ = d.KillMember(id) // A member that is down needs no end.
+	}
+	var group sync.WaitGroup
+	for id := range d.nodes {
+		group.Go(func() { _ = d.KillNode(id) })
+	}
+	group.Wait()
+	d.addresses.Release()
+	return nil
+}
+
+// Address returns the addresses of a node.
+func (d *Deployment) Address(id string) experiment.NodeAddress {
+	slot := d.nodes[id]
+	if slot == nil {
+		return experiment.NodeAddress{}
+	}
+	return experiment.NodeAddress{HTTP: loopback.WithPort(slot.ip, loopback.PortCallers), Admin: slot.admin()}
+}
+
+// Members returns the identifiers of the current members.
+func (d *Deployment) Members() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	for _, m := range d.members {
+		list = append(list, m.spec.ID)
+	}
+	return list
+}
+
+// Leader returns the first member while it runs.
+func (d *Deployment) Leader() (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.members[0].running {
+		return "", false
+	}
+	return d.members[0].spec.ID, true
+}
+
+// find returns the position of a member that runs or is down, as asked for. The lock is held.
+func (d *Deployment) find(id string, running bool) (int, error) {
+	for i, m := range d.members {
+		switch {
+		case m.spec.ID != id:
+			continue
+		case running && !m.running:
+			return 0, errors.Wrapf(ErrDown, "%s", id)
+		case !running && m.running:
+			return 0, errors.Wrapf(ErrRunning, "%s", id)
+		}
+		return i, nil
+	}
+	return 0, errors.Wrapf(ErrUnknownProcess, "%s", id)
+}
+
+// StartMember starts a member with empty memory.
+func (d *Deployment) StartMember(ctx context.Context, id string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	position, err := d.find(id, false)
+	if err != nil {
+		return err
+	}
+	m := d.members[position]
+	if position == 0 {
+		listeners, err := loopback.Listen(ctx, d.controlIP, loopback.PortMesh)
+		if err != nil {
+			return err
+		}
+		var proxies []string
+		for _, slot := range d.nodes {
+			proxies = append(proxies, slot.admin())
+		}
+		dial := d.spec.Network.Dialer(shape.Endpoint{Zone: m.spec.Zone, Process: id}, shape.KindControl)
+		m.control = startController(listeners[0], dial, d.keyring, proxies)
+	}
+	m.running = true
+	return nil
+}
+
+// takeMember marks a member as down and returns its process, or nil if it runs none.
+func (d *Deployment) takeMember(id string) (*controller, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	position, err := d.find(id, true)
+	if err != nil {
+		return nil, err
+	}
+	m := d.members[position]
+	process := m.control
+	m.running, m.control = false, nil
+	return process, nil
+}
+
+// StopMember stops a member gracefully.
+func (d *Deployment) StopMember(ctx context.Context, id string) error {
+	process, err := d.takeMember(id)
+	if err != nil || process == nil {
+		return err
+	}
+	return process.stop(ctx)
+}
+
+// KillMember ends a member at once.
+func (d *Deployment) KillMember(id string) error {
+	process, err := d.takeMember(id)
+	if err != nil || process == nil {
+		return err
+	}
+	process.kill()
+	d.spec.Network.Abort(id)
+	return nil
+}
+
+// WipeMember does nothing to a member that is down, since members have no data folder.
+func (d *Deployment) WipeMember(id string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, err := d.find(id, false)
+	return err
+}
+
+// ReplaceMember ends a member and starts a new one with empty memory on the same address.
+func (d *Deployment) ReplaceMember(ctx context.Context, id string) (string, error) {
+	if err := d.KillMember(id); err != nil && !errors.Is(err, ErrDown) {
+		return "", err
+	}
+	d.mu.Lock()
+	position, err := d.find(id, false)
+	if err != nil {
+		d.mu.Unlock()
+		return "", err
+	}
+	d.replaced++
+	spec := d.members[position].spec
+	spec.ID = fmt.Sprintf("%s-r%d", id, d.replaced)
+	d.members[position] = &member{spec: spec}
+	d.registerControl()
+	d.mu.Unlock()
+	return spec.ID, d.StartMember(ctx, spec.ID)
+}
+
+// StartNode starts a node with empty memory.
+func (d *Deployment) StartNode(ctx context.Context, id string) error {
+	slot := d.nodes[id]
+	if slot == nil {
+		return errors.Wrapf(ErrUnknownProcess, "%s", id)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slot.running != nil {
+		return errors.Wrapf(ErrRunning, "%s", id)
+	}
+	listeners, err := loopback.Listen(ctx, slot.ip, loopback.PortCallers, loopback.PortAdmin)
+	if err != nil {
+		return err
+	}
+	slot.running = startProxy(listeners[0], listeners[1], proxyOptions{
+		spec: slot.spec, control: d.control(), admin: slot.admin(), network: d.spec.Network,
+		zoneDelay: d.spec.Profile.ZoneDelay, onApplied: d.spec.OnApplied,
+	})
+	return nil
+}
+
+// takeNode marks a node as down and returns its process.
+func (d *Deployment) takeNode(id string) (*proxy, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slot := d.nodes[id]
+	if slot == nil {
+		return nil, errors.Wrapf(ErrUnknownProcess, "%s", id)
+	}
+	if slot.running == nil {
+		return nil, errors.Wrapf(ErrDown, "%s", id)
+	}
+	process := slot.running
+	slot.running = nil
+	process.close()
+	return process, nil
+}
+
+// StopNode stops a node gracefully.
+func (d *Deployment) StopNode(ctx context.Context, id string) error {
+	process, err := d.takeNode(id)
+	if err != nil {
+		return err
+	}
+	defer process.calls.CloseIdleConnections()
+	return process.stop(ctx)
+}
+
+// KillNode ends a node at once.
+func (d *Deployment) KillNode(id string) error {
+	process, err := d.takeNode(id)
+	if err != nil {
+		return err
+	}
+	process.kill()
+	process.calls.CloseIdleConnections()
+	d.spec.Network.Abort(id)
+	return nil
+}
+
+// Stage only checks that the member runs, since an approval carries the whole bundle.
+func (d *Deployment) Stage(_ context.Context, id string, _ experiment.Signed) (experiment.Verdict, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, err := d.find(id, true)
+	return experiment.Verdict{Accepted: err == nil}, err
+}
+
+// Approve sends a bundle with its approval from the place of a member to the control process.
+func (d *Deployment) Approve(ctx context.Context, id string, s experiment.Signed) (experiment.Verdict, error) {
+	d.mu.Lock()
+	position, err := d.find(id, true)
+	zone := d.members[position].spec.Zone
+	d.mu.Unlock()
+	if err != nil {
+		return experiment.Verdict{}, err
+	}
+	approval := s.Approval
+	if len(approval.Signature) == 0 {
+		approval = bundle.Sign(d.spec.Operators[approval.Operator], approval)
+	}
+	kind := shape.KindControl
+	if position == 0 {
+		kind = kindOperator
+	}
+	local := shape.Endpoint{Zone: zone, Process: id}
+	transport := &http.Transport{DialContext: d.spec.Network.Dialer(local, kind)}
+	defer transport.CloseIdleConnections()
+	var verdict experiment.Verdict
+	err = send(ctx, &http.Client{Transport: transport}, http.MethodPost, "http://"+d.control()+pathApprove,
+		release{Approval: approval, Bundle: s.Bundle}, &verdict)
+	return verdict, err
+}
+
+// InForce returns what a node has in force.
+func (d *Deployment) InForce(id string) (experiment.Applied, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	slot := d.nodes[id]
+	if slot == nil || slot.running == nil {
+		return experiment.Applied{}, false
+	}
+	current := slot.running.current.Load()
+	if current == nil {
+		return experiment.Applied{}, false
+	}
+	return current.applied, true
+}
--- /dev/null
+++ b/local/naive/process.go
@@ -0,0 +1,128 @@
+package naive
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/transport/shape"
+)
+
+// Paths of the control process and of the proxies' administration addresses.
+const (
+	pathApprove   = "/v1/approve"
+	pathHeartbeat = "/v1/heartbeat"
+	pathBundle    = "/v1/bundle"
+	pathUpstreams = "/v1/upstreams"
+)
+
+const (
+	// interval is the time between two pushes to a proxy and between two heartbeats of a proxy.
+	interval = time.Second
+	// requestTimeout bounds one push or heartbeat.
+	requestTimeout = time.Second
+	// expiry is the age at which announcements and heartbeats that were not repeated are dropped.
+	expiry = 3 * interval
+	// maxControlBytes bounds the body of a control request.
+	maxControlBytes = 64 << 20
+)
+
+// process is what the control process and the proxies have in common.
+type process struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	client  *http.Client
+	servers []*http.Server
+	loops   sync.WaitGroup
+}
+
+func newProcess(dial shape.DialFunc) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &process{ctx: ctx, cancel: cancel, client: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+}
+
+func (p *process) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	p.servers = append(p.servers, server)
+	p.loops.Go(func() { _ = server.Serve(listener) })
+}
+
+// repeat runs step at once, every interval and after each wake-up, until the process ends.
+func (p *process) repeat(wake <-chan struct{}, step func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for p.ctx.Err() == nil {
+		step()
+		select {
+		case <-ticker.C:
+		case <-wake:
+		case <-p.ctx.Done():
+		}
+	}
+}
+
+// stop completes the requests in flight and ends the process.
+func (p *process) stop(ctx context.Context) error {
+	var err error
+	for _, server := range p.servers {
+		err = errors.CombineErrors(err, server.Shutdown(ctx))
+	}
+	p.kill()
+	return err
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.cancel()
+	for _, server := range p.servers {
+		_ = server.Close()
+	}
+	p.loops.Wait()
+	p.client.CloseIdleConnections()
+}
+
+// send sends a value as JSON and decodes the answer into result, unless that is nil.
+func send(ctx context.Context, client *http.Client, method, url string, value, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode/100 != 2 {
+		return errors.Newf("naive: %s answered %d: %s", url, response.StatusCode, bytes.TrimSpace(answer))
+	}
+	if result == nil {
+		return nil
+	}
+	return json.Unmarshal(answer, result)
+}
+
+// receive decodes the JSON body of a request, or answers with status 400.
+func receive(w http.ResponseWriter, r *http.Request, value any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBytes)).Decode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- a/local/processes.go
+++ b/local/processes.go
@@ -11,6 +11,7 @@
 
 	"sapphiregate.example/sapphiregate/control"
 	"sapphiregate.example/sapphiregate/experiment"
+	"sapphiregate.example/sapphiregate/local/loopback"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
@@ -52,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listen(ctx, slot.ip, portMesh, portAdmin)
+	listeners, err := loopback.Listen(ctx, slot.ip, loopback.PortMesh, loopback.PortAdmin)
 	if err != nil {
 		return err
 	}
@@ -243,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listen(ctx, slot.ip, portCallers, portMesh, portAdmin)
+	listeners, err := loopback.Listen(ctx, slot.ip, loopback.PortCallers, loopback.PortMesh, loopback.PortAdmin)
 	if err != nil {
 		return err
 	}
