Hedge only while no executor has shown that it has the call

Change: an executor sends a progress frame after 20 ms, and the ingress hedges only if it has seen neither progress nor an answer. Attempts leave the zone delay for the way back.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -9,10 +9,6 @@
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
-// hedgeShare is the part of the remaining time after which a second attempt is made while the first has not answered.
-// A silent partition then costs half of the time and not the whole deadline.
-const hedgeShare = 2
-
 // Config describes a call.
 type Config struct {
 	Class      bundle.Class
@@ -75,20 +71,16 @@
 	c.pending++
 }
 
-// HedgeAfter returns when a second attempt may be made beside the first. Irreversible calls never have two attempts in
-// flight.
-func (c *Call) HedgeAfter(now time.Time) (time.Duration, bool) {
-	attempt := c.attempt(now, retry.Unknown)
-	if c.sent > 1 || !c.config.Resendable || !c.config.Budget.Retryable(attempt) {
-		return 0, false
-	}
-	return c.config.Deadline.Sub(now) / hedgeShare, true
+// MayHedge reports whether a second attempt may be made beside the first. Irreversible calls never have two attempts in
+// flight. The caller hedges only while no executor has shown that it has the call: under overload, an attempt that
+// waits in a queue would otherwise be doubled.
+func (c *Call) MayHedge(now time.Time) bool {
+	return c.sent == 1 && c.config.Resendable && c.config.Budget.Retryable(c.attempt(now, retry.Unknown))
 }
 
 // Hedge reports whether a second attempt is made now. It takes from the retry budget.
 func (c *Call) Hedge(now time.Time) bool {
-	_, possible := c.HedgeAfter(now)
-	return possible && c.pending == 1 && !c.stopped && c.config.Budget.Allow(now)
+	return c.MayHedge(now) && c.pending == 1 && !c.stopped && c.config.Budget.Allow(now)
 }
 
 // Ended takes the result of an attempt.
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -45,8 +45,7 @@
 	It("never has two attempts of an irreversible call in flight", func() {
 		call := newCall(bundle.ClassIrreversible)
 		call.Sent()
-		_, possible := call.HedgeAfter(start)
-		Expect(possible).To(BeFalse())
+		Expect(call.MayHedge(start)).To(BeFalse())
 		Expect(call.Hedge(start)).To(BeFalse())
 	})
 
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,11 +31,47 @@
 		body.trailer = declaredTrailer(first.Head.TrailerNames)
 		body.rest = &frameReader{recv: stream.Recv, trailer: body.trailer}
 	}
+	progress := startProgress(stream)
 	answer := n.executor.run(stream.Context(), first.Head, body)
+	progress.stop()
 	defer answer.finish()
 	return sendReply(stream, answer)
 }
 
+// progressDelay is after which time an executor tells the ingress that it has a call. Shorter calls need no such frame.
+const progressDelay = 20 * time.Millisecond
+
+// progress sends one frame if a call takes long, so that the ingress can tell a busy upstream from a silent partition.
+type progress struct {
+	mu     sync.Mutex
+	ended  bool
+	timer  *time.Timer
+	stream rpc.CallServerStream
+}
+
+func startProgress(stream rpc.CallServerStream) *progress {
+	p := &progress{stream: stream}
+	p.timer = time.AfterFunc(progressDelay, p.send)
+	return p
+}
+
+func (p *progress) send() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		// A broken stream is noticed when the answer is sent.
+		_ = p.stream.Send(&protocol.ReplyFrame{Progress: true})
+	}
+}
+
+// stop returns once no progress frame is being sent: a stream takes one frame at a time.
+func (p *progress) stop() {
+	p.timer.Stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
 func sendReply(stream rpc.CallServerStream, answer *reply) error {
 	frame := &protocol.ReplyFrame{Head: &answer.head, Body: answer.body}
 	if answer.stream == nil {
@@ -100,9 +138,9 @@
 	return n, nil
 }
 
-// callRemote sends a call to the node beside the target.
+// callRemote sends a call to the node beside the target. It calls reached once the executor has shown that it has it.
 func (n *Node) callRemote(
-	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody,
+	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
 ) *reply {
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := n.calls.Call(ctx, target.Address)
@@ -116,6 +154,10 @@
 		return uncertain(protocol.ReasonNodeFailed)
 	}
 	first, err := stream.Recv()
+	if err == nil && first.Progress {
+		reached()
+		first, err = stream.Recv()
+	}
 	if err != nil || first.Head == nil {
 		cancel()
 		return n.brokenCall(ctx, err)
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -16,8 +16,11 @@
 	call    *ingressCall
 	plan    *forward.Call
 	results chan attemptResult
-	source  rand.Source
-	tried   []string
+	// reached tells that an executor has the call: a second attempt would only add load.
+	reached   chan struct{}
+	firstZone string
+	source    rand.Source
+	tried     []string
 	// cancels ends the attempts, in the order in which they were started.
 	cancels []context.CancelFunc
 	pending int
@@ -30,8 +33,8 @@
 		return refusal(protocol.ReasonNoUpstream)
 	}
 	var hedge <-chan time.Time
-	if delay, ok := f.plan.HedgeAfter(time.Now()); ok {
-		timer := time.NewTimer(delay)
+	if f.plan.MayHedge(time.Now()) {
+		timer := time.NewTimer(progressDelay + 2*f.call.node.options.zoneDelay(f.firstZone) + hedgeMargin)
 		defer timer.Stop()
 		hedge = timer.C
 	}
@@ -45,6 +48,8 @@
 			case forward.Fail:
 				return f.fail()
 			}
+		case <-f.reached:
+			hedge = nil
 		case <-hedge:
 			if f.plan.Hedge(time.Now()) {
 				f.call.node.metrics.hedges.Add(1)
@@ -68,6 +73,9 @@
 		return false
 	}
 	retried := len(f.tried) > 0
+	if !retried {
+		f.firstZone = target.Zone
+	}
 	f.tried = append(f.tried, target.ID)
 	f.plan.Sent()
 	f.pending++
@@ -75,13 +83,24 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
 	go func() {
-		result := c.attempt(ctx, target, retried)
+		result := c.attempt(ctx, target, retried, f.reach)
 		result.number = number
 		f.results <- result
 	}()
 	return true
 }
 
+// hedgeMargin allows for jitter and one retransmission on the way to the executor and back.
+const hedgeMargin = 40 * time.Millisecond
+
+// reach notes that an executor has the call.
+func (f *forwarding) reach() {
+	select {
+	case f.reached <- struct{}{}:
+	default:
+	}
+}
+
 // handle takes the end of an attempt and starts the next one where the plan says so.
 func (f *forwarding) handle(ctx context.Context, result attemptResult) forward.Action {
 	head := &result.answer.head
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -234,20 +234,25 @@
 		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.deadline, UnderRetry: c.head.Retry,
 		Resendable: c.body.whole(), Alone: c.alone,
 	})
-	run := &forwarding{call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight)}
+	run := &forwarding{
+		call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight), reached: make(chan struct{}, 1),
+	}
 	run.source = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	return run.run(ctx)
 }
 
 // attempt sends the call to one upstream and returns once its answer has begun.
-func (c *ingressCall) attempt(ctx context.Context, target balance.Target, retried bool) attemptResult {
+func (c *ingressCall) attempt(
+	ctx context.Context, target balance.Target, retried bool, reached func(),
+) attemptResult {
 	now := time.Now()
 	head := c.head
-	head.Remaining = c.deadline.Sub(now)
+	// The answer needs the way back: one that ends later is of no use.
+	head.Remaining = c.deadline.Sub(now) - c.node.options.zoneDelay(target.Zone)
 	head.Incarnation = target.Incarnation
 	head.Alone = c.alone
 	head.Retry = c.head.Retry || retried
-	answer := c.node.send(ctx, target, &head, &c.body)
+	answer := c.node.send(ctx, target, &head, &c.body, reached)
 	elsewhere := answer.head.Upstream
 	if target.ID != c.node.id {
 		elsewhere += 2 * c.node.options.zoneDelay(target.Zone)
@@ -278,10 +283,11 @@
 
 // send runs a call on the upstream beside this node, or through the node beside another one.
 func (n *Node) send(
-	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody,
+	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
 ) *reply {
 	if target.ID == n.id {
+		reached()
 		return n.executor.run(ctx, head, body)
 	}
-	return n.callRemote(ctx, target, head, body)
+	return n.callRemote(ctx, target, head, body, reached)
 }
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -79,4 +79,6 @@
 	Body    []byte              `cbor:"2,keyasint,omitempty"`
 	Last    bool                `cbor:"3,keyasint,omitempty"`
 	Trailer map[string][]string `cbor:"4,keyasint,omitempty"`
+	// Progress tells, before the head, that the executor has the call. Such a frame has no other field.
+	Progress bool `cbor:"5,keyasint,omitempty"`
 }
