Test the node's loops; keep trailers of short answers and answer 413 to long streams

Cause: package node had no tests of its own loops. Two faults were found by the new ones. A short answer with trailers lost them: the trailers were set after the header, when net/http had already chosen a Content-Length. They are now set before the header if they are known. A streamed body that turned out longer than the route allows got 502 (upstream-failed or node-failed) and counted as a failure of the upstream. It now gets 413 with the outcome unknown, since a part of it may have been read, and says nothing about the upstream.

--- a/node/answer.go
+++ b/node/answer.go
@@ -164,6 +164,8 @@
 		return http.StatusBadRequest
 	case protocol.ReasonInProgress:
 		return http.StatusConflict
+	case protocol.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
 	default:
 		return http.StatusBadGateway
 	}
@@ -186,15 +188,23 @@
 	if answer.head.ContentLength >= 0 && len(answer.trailer) == 0 && bodyAllowed(c.head.Method, answer.head.Status) {
 		header.Set("Content-Length", strconv.FormatInt(answer.head.ContentLength, 10))
 	}
-	w.WriteHeader(answer.head.Status)
 	if !bodyAllowed(c.head.Method, answer.head.Status) {
+		w.WriteHeader(answer.head.Status)
 		return
 	}
+	// Trailers that are known before the header keep net/http from giving a short answer a Content-Length, with which
+	// it could not send them.
+	setTrailer(header, answer.trailer)
+	w.WriteHeader(answer.head.Status)
 	if _, err := w.Write(answer.body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	c.writeStream(w, answer)
-	for name, values := range answer.trailer {
+	setTrailer(header, answer.trailer)
+}
+
+func setTrailer(header, trailer http.Header) {
+	for name, values := range trailer {
 		header[http.TrailerPrefix+name] = values
 	}
 }
--- /dev/null
+++ b/node/export_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// PutInForce stores the snapshot of a bundle, without a bundle from the distribution tree.
+func (n *Node) PutInForce(approval bundle.Approval, b *bundle.Bundle) error {
+	next, err := newSnapshot(time.Now(), approval, b, n.snapshot.Load())
+	if err != nil {
+		return err
+	}
+	return n.control.Query(context.Background(), func(time.Time) {
+		n.snapshot.Store(next)
+		n.executor.reconfigure()
+	})
+}
+
+// OwnRecord returns the endpoint record of the node's upstream.
+func (n *Node) OwnRecord() (record endpoints.Record, ok bool) {
+	_ = n.control.Query(context.Background(), func(time.Time) { record, ok = n.peer.Table().Get(n.id) })
+	return record, ok && record.Service != ""
+}
+
+// Learn merges a record into the endpoint table, as one from the distribution tree, and hands it to the balancer.
+func (n *Node) Learn(record endpoints.Record) error {
+	return n.control.Query(context.Background(), func(now time.Time) {
+		n.peer.Table().Merge([]endpoints.Record{record})
+		n.endpointsChanged = true
+		n.refreshEndpoints(now)
+	})
+}
+
+// InFlight returns the number of calls that hold or wait for a slot.
+func (n *Node) InFlight() int {
+	n.executor.mu.Lock()
+	defer n.executor.mu.Unlock()
+	return len(n.executor.running)
+}
--- /dev/null
+++ b/node/harness_test.go
@@ -0,0 +1,228 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/invariant"
+	"sapphiregate.example/sapphiregate/node"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/ledger"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+const patience = 20 * time.Second
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+var (
+	violationsMu sync.Mutex
+	violations   []string
+)
+
+var _ = BeforeSuite(func() {
+	invariant.SetHandler(func(name invariant.Name, message string, values map[string]any) {
+		violationsMu.Lock()
+		defer violationsMu.Unlock()
+		violations = append(violations, fmt.Sprint(name, ": ", message, values))
+	})
+})
+
+var _ = AfterEach(func() {
+	violationsMu.Lock()
+	defer violationsMu.Unlock()
+	Expect(violations).To(BeEmpty())
+})
+
+// fakeLedger is a control member that applies ledger commands without a log.
+type fakeLedger struct {
+	server *rpc.Server
+	mu     sync.Mutex
+	state  *ledger.Ledger
+	// lost is the number of replies to claims that are lost after the claim was applied.
+	lost int
+}
+
+func newFakeLedger() *fakeLedger {
+	f := &fakeLedger{state: ledger.New(ledger.Config{}), server: rpc.NewServer(listen(), nil)}
+	f.server.ServeMember(f)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.server.Serve()
+	}()
+	DeferCleanup(func() { f.server.Stop(); <-done })
+	return f
+}
+
+func (f *fakeLedger) Propose(_ context.Context, r *protocol.ProposeRequest) (*protocol.ProposeReply, error) {
+	var command ledger.Command
+	if err := protocol.Unmarshal(r.Command, &command); err != nil {
+		return nil, err
+	}
+	command.NowMs = time.Now().UnixMilli()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	result, err := protocol.Marshal(f.state.Apply(command))
+	if err == nil && command.Claim != nil && f.lost > 0 {
+		f.lost--
+		err = errors.New("the reply is lost")
+	}
+	return &protocol.ProposeReply{Status: protocol.ProposeApplied, Result: result, LedgerGroups: 1}, err
+}
+
+func (f *fakeLedger) Identify(context.Context, *protocol.IdentifyRequest) (*protocol.IdentifyReply, error) {
+	return &protocol.IdentifyReply{}, nil
+}
+
+func (f *fakeLedger) Follow(rpc.FollowServerStream) error { return errors.New("no configuration here") }
+func (f *fakeLedger) Step(*protocol.StepFrame)            {}
+
+func (f *fakeLedger) status(key string) ledger.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Lookup(ledger.Query{Key: key}).Status
+}
+
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+// fixture is an ingress, an executor (the same node unless remote) and the executor's upstream.
+type fixture struct {
+	ingress, executor *node.Node
+	callers, admin    string
+	upstream          *httptest.Server
+	client            *http.Client
+}
+
+func testBundle() *bundle.Bundle {
+	route := func(name string, class bundle.Class, limit int64) bundle.Route {
+		return bundle.Route{
+			Name: name, Match: bundle.Match{PathPrefix: "/" + name}, Service: "desk", Class: class,
+			DeadlineMs: 15_000, MaxBodyBytes: limit,
+		}
+	}
+	b := &bundle.Bundle{
+		Services: []bundle.Service{{Name: "desk"}},
+		Routes: []bundle.Route{
+			route("lookup", bundle.ClassLookup, 0), route("promote", bundle.ClassIrreversible, 1000),
+			route("small", bundle.ClassLookup, 1000), route("stream", bundle.ClassLookup, 100_000),
+		},
+	}
+	bundle.Canonicalize(b)
+	return b
+}
+
+func startNode(id, member string) (started *node.Node, callers, admin string) {
+	callersAt, adminAt := listen(), listen()
+	started = node.New(node.Options{
+		ID: id, Zone: "a", Callers: callersAt, Mesh: listen(), Admin: adminAt, Members: []string{member},
+		Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(),
+	})
+	started.Start()
+	DeferCleanup(started.Kill)
+	Expect(started.PutInForce(bundle.Approval{Version: 1}, testBundle())).To(Succeed())
+	return started, callersAt.Addr().String(), adminAt.Addr().String()
+}
+
+func newFixture(remote bool, member string, slots int, handler http.HandlerFunc) *fixture {
+	f := &fixture{upstream: httptest.NewServer(handler), client: &http.Client{Transport: &http.Transport{}}}
+	DeferCleanup(func() {
+		f.client.CloseIdleConnections()
+		f.upstream.CloseClientConnections()
+		f.upstream.Close()
+	})
+	f.executor, f.callers, f.admin = startNode("executor", member)
+	f.ingress = f.executor
+	if remote {
+		f.ingress, f.callers, _ = startNode("ingress", member)
+	}
+	address := strings.TrimPrefix(f.upstream.URL, "http://")
+	Expect(f.executor.AcceptUpstream(node.Announcement{Service: "desk", Address: address, Slots: slots})).To(Succeed())
+	Eventually(func() bool { _, ok := f.executor.OwnRecord(); return ok }, patience).Should(BeTrue())
+	record, _ := f.executor.OwnRecord()
+	Expect(f.executor.Learn(record)).To(Succeed())
+	Expect(f.ingress.Learn(record)).To(Succeed())
+	return f
+}
+
+// answer is a response with its whole body, or the error that ended it.
+type answer struct {
+	status          int
+	header, trailer http.Header
+	body            []byte
+	err             error
+}
+
+func (a answer) outcome() string { return a.header.Get(protocol.HeaderOutcome) }
+
+func (f *fixture) send(ctx context.Context, path string, body io.Reader, header ...string) answer {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.callers+path, body)
+	if err != nil {
+		return answer{err: err}
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	if named, ok := body.(interface{ trailers() http.Header }); ok {
+		request.Trailer = named.trailers()
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, response.Trailer, data, err}
+}
+
+func (f *fixture) post(path, body string, header ...string) answer {
+	return f.send(context.Background(), path, strings.NewReader(body), header...)
+}
+
+func (f *fixture) async(ctx context.Context, path, body string, header ...string) <-chan answer {
+	done := make(chan answer, 1)
+	go func() { done <- f.send(ctx, path, strings.NewReader(body), header...) }()
+	return done
+}
+
+// chunked is a body of unknown length with a trailer that is set at its end.
+type chunked struct {
+	io.Reader
+	trailer http.Header
+}
+
+func newChunked(size int) *chunked {
+	return &chunked{bytes.NewReader(bytes.Repeat([]byte("0123456789abcdef"), size/16)), http.Header{"X-Sum": nil}}
+}
+
+func (c *chunked) trailers() http.Header { return c.trailer }
+
+func (c *chunked) Read(data []byte) (int, error) {
+	n, err := c.Reader.Read(data)
+	if err == io.EOF {
+		c.trailer.Set("X-Sum", "request")
+	}
+	return n, err
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	policy   *routePolicy
 	head     protocol.CallHead
 	body     requestBody
+	// bounded reads the streamed rest of the body; nil for a body that is buffered whole.
+	bounded  *boundedReader
 	deadline time.Time
 	alone    bool
 	// elsewhere is the time of the last attempt outside our processes: the upstream's time and the zone links' delay.
@@ -163,7 +166,8 @@
 	if held == limit {
 		return protocol.ReasonTooLarge
 	}
-	c.body.rest = &boundedReader{reader: r.Body, left: limit - int64(buffer.Len())}
+	c.bounded = &boundedReader{reader: r.Body, left: limit - int64(buffer.Len())}
+	c.body.rest = c.bounded
 	for name := range r.Trailer {
 		c.head.TrailerNames = append(c.head.TrailerNames, name)
 	}
@@ -175,6 +179,8 @@
 type boundedReader struct {
 	reader io.Reader
 	left   int64
+	// exceeded tells the attempt, which runs on another goroutine, why the body broke off.
+	exceeded atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -182,6 +188,7 @@
 	n, err := b.reader.Read(data)
 	b.left -= int64(n)
 	if b.left < 0 {
+		b.exceeded.Store(true)
 		return 0, errors.Wrap(protocol.ErrTooLarge, "request body")
 	}
 	return n, err
@@ -248,6 +255,9 @@
 	head.Alone = c.alone
 	head.Retry = c.head.Retry || retried
 	answer := c.node.send(ctx, target, &head, &c.body)
+	if c.bounded != nil && c.bounded.exceeded.Load() && answer.head.Outcome != protocol.OutcomeDone {
+		answer.head.Reason = protocol.ReasonTooLarge
+	}
 	elsewhere := answer.head.Upstream
 	if target.ID != c.node.id {
 		elsewhere += 2 * c.node.options.zoneDelay(target.Zone)
@@ -264,7 +274,8 @@
 		}
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), answer.head.Reason == protocol.ReasonTooLarge:
+		// The caller ended the call; this says nothing about the upstream.
 		report.Outcome = balance.Canceled
 	case answer.head.Reason == protocol.ReasonNodeFailed, answer.head.Reason == protocol.ReasonUpstreamRefused:
 		report.Outcome = balance.ConnectFailed
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,198 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// cut sends part of an answer of the announced length and closes the connection.
+func cut(w http.ResponseWriter, sent, announced int) {
+	w.Header().Set("Content-Length", strconv.Itoa(announced))
+	_, _ = w.Write(make([]byte, sent))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+var _ = Describe("answers and requests", func() {
+	for _, remote := range []bool{false, true} {
+		path := map[bool]string{false: "on the local upstream", true: "through another node"}[remote]
+		Context(path, func() {
+			// Guards against a part of an answer that is taken for the whole.
+			It("passes no truncated answer on as whole", func() {
+				f := newFixture(remote, newFakeLedger().server.Address(), 4, func(w http.ResponseWriter, r *http.Request) {
+					switch r.URL.Path {
+					case "/lookup/short":
+						cut(w, 10, 1000)
+					case "/lookup/long":
+						cut(w, 200_000, 400_000)
+					default:
+						// Without an announced length, only the missing last chunk tells that the answer was cut.
+						_, _ = w.Write(make([]byte, 200_000))
+						_ = http.NewResponseController(w).Flush()
+						panic(http.ErrAbortHandler)
+					}
+				})
+				short := f.post("/lookup/short", "")
+				Expect(short.err).NotTo(HaveOccurred())
+				Expect(short.status).To(Equal(http.StatusBadGateway))
+				Expect(short.outcome()).To(Equal("unknown"))
+				Expect(f.post("/lookup/long", "").err).To(HaveOccurred())
+				Expect(f.post("/lookup/chunked", "").err).To(HaveOccurred())
+				Eventually(f.executor.InFlight, patience).Should(BeZero())
+			})
+
+			// Guards against lost or reordered parts of streamed bodies, and lost trailers.
+			DescribeTable("passes bodies with trailers whole",
+				func(requestSize, answerSize int) {
+					var got []byte
+					var trailer string
+					want := bytes.Repeat([]byte("fedcba9876543210"), answerSize/16)
+					f := newFixture(remote, newFakeLedger().server.Address(), 4,
+						func(w http.ResponseWriter, r *http.Request) {
+							got, _ = io.ReadAll(r.Body)
+							trailer = r.Trailer.Get("X-Sum")
+							w.Header().Set("Trailer", "X-Sum")
+							_, _ = w.Write(want)
+							w.Header().Set("X-Sum", "answer")
+						})
+					answer := f.send(context.Background(), "/lookup", newChunked(requestSize))
+					Expect(answer.err).NotTo(HaveOccurred())
+					Expect(answer.status).To(Equal(http.StatusOK), "%s", answer.body)
+					sent, _ := io.ReadAll(newChunked(requestSize))
+					Expect(bytes.Equal(got, sent)).To(BeTrue())
+					Expect(bytes.Equal(answer.body, want)).To(BeTrue())
+					Expect(trailer).To(Equal("request"))
+					Expect(answer.trailer.Get("X-Sum")).To(Equal("answer"))
+				},
+				Entry("short", 160, 160),
+				Entry("long", 640_000, 640_000),
+				Entry("at the bound of a buffered body", 64<<10, 64<<10),
+			)
+
+			// Guards against bodies beyond the route's bound: refused before a run, or cut off if their length shows late.
+			It("refuses oversized bodies", func() {
+				var runs atomic.Int32
+				f := newFixture(remote, newFakeLedger().server.Address(), 4, func(_ http.ResponseWriter, r *http.Request) {
+					if _, err := io.Copy(io.Discard, r.Body); err == nil {
+						runs.Add(1)
+					}
+				})
+				Expect(f.post("/small", strings.Repeat("x", 1001)).status).To(Equal(http.StatusRequestEntityTooLarge))
+				Expect(f.send(context.Background(), "/small", newChunked(1008)).status).
+					To(Equal(http.StatusRequestEntityTooLarge))
+				Expect(f.send(context.Background(), "/promote", newChunked(1008), key, "k1").status).
+					To(Equal(http.StatusRequestEntityTooLarge))
+				Expect(f.send(context.Background(), "/stream", newChunked(160_000)).status).
+					To(Equal(http.StatusRequestEntityTooLarge))
+				Expect(runs.Load()).To(BeZero())
+			})
+
+			// Guards against connection fields that cross a hop, deadlines that grow and depths that do not.
+			It("passes on end-to-end fields only, and counts deadline and depth", func() {
+				var seen http.Header
+				f := newFixture(remote, newFakeLedger().server.Address(), 4, func(w http.ResponseWriter, r *http.Request) {
+					seen = r.Header.Clone()
+					w.Header().Set("Connection", "X-Hop")
+					w.Header().Set("X-Hop", "1")
+					w.Header().Set("Keep-Alive", "timeout=1")
+					w.Header().Set("X-End", "1")
+				})
+				got := f.post("/lookup", "", "Connection", "X-Private", "X-Private", "1", "Proxy-Authorization", "secret",
+					"X-Kept", "1", protocol.HeaderDepth, "3", protocol.HeaderDeadline, "4000")
+				Expect(got.status).To(Equal(http.StatusOK))
+				Expect(seen).NotTo(HaveKey("X-Private"))
+				Expect(seen).NotTo(HaveKey("Proxy-Authorization"))
+				Expect(seen.Get("X-Kept")).To(Equal("1"))
+				Expect(seen.Get(protocol.HeaderDepth)).To(Equal("4"))
+				left, err := strconv.Atoi(seen.Get(protocol.HeaderDeadline))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 4000)))
+				Expect(got.header).NotTo(HaveKey("X-Hop"))
+				Expect(got.header).NotTo(HaveKey("Keep-Alive"))
+				Expect(got.header.Get("X-End")).To(Equal("1"))
+				deep := f.post("/lookup", "", protocol.HeaderDepth, strconv.Itoa(protocol.MaxDepth))
+				Expect(deep.status).To(Equal(http.StatusLoopDetected))
+			})
+
+			// Guards against slots and upstream work that are held for callers that are gone.
+			It("cancels the lookup of a caller that leaves", func() {
+				started, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+				f := newFixture(remote, newFakeLedger().server.Address(), 1, func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/lookup/slow" {
+						_, _ = io.Copy(io.Discard, r.Body)
+						started <- struct{}{}
+						<-r.Context().Done()
+						ended <- struct{}{}
+					}
+				})
+				ctx, leave := context.WithCancel(context.Background())
+				done := f.async(ctx, "/lookup/slow", "")
+				Eventually(started, patience).Should(Receive())
+				leave()
+				Expect((<-done).err).To(HaveOccurred())
+				Eventually(ended, patience).Should(Receive())
+				Eventually(f.executor.InFlight, patience).Should(BeZero())
+				Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
+			})
+
+			// Guards against calls that are cut by a planned stop, and against calls that start during it.
+			It("finishes calls in flight before a stop and starts no new one", func() {
+				upstream := newGated()
+				f := newFixture(remote, newFakeLedger().server.Address(), 4, upstream.ServeHTTP)
+				lookup := f.async(context.Background(), "/lookup", "")
+				promote := f.async(context.Background(), "/promote", "dan 3", key, "k1")
+				Eventually(upstream.runs.Load, patience).Should(BeEquivalentTo(2))
+				stopped := make(chan error, 1)
+				go func() { stopped <- f.executor.Stop(context.Background()) }()
+				Eventually(func() string { return f.post("/lookup", "").outcome() }, patience).Should(Equal("not-run"))
+				Expect(upstream.runs.Load()).To(BeEquivalentTo(2))
+				Expect(stopped).NotTo(Receive())
+				upstream.open()
+				for _, call := range []<-chan answer{lookup, promote} {
+					got := <-call
+					Expect(got.err).NotTo(HaveOccurred())
+					Expect(got.status).To(Equal(http.StatusCreated))
+				}
+				Eventually(stopped, patience).Should(Receive(BeNil()))
+				Expect(upstream.runs.Load()).To(BeEquivalentTo(2))
+			})
+		})
+	}
+
+	// Guards against a malformed announcement that takes a working upstream out of service.
+	It("leaves the upstream as it is after an invalid announcement", func() {
+		f := newFixture(false, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {})
+		before, _ := f.executor.OwnRecord()
+		other := listen()
+		defer other.Close()
+		valid := fmt.Sprintf(`{"service":"desk","address":%q,"slots":1}`, other.Addr().(*net.TCPAddr).String())
+		for _, body := range []string{
+			"", "null", "{", valid + valid, strings.Replace(valid, "}", `,"colour":1}`, 1),
+			strings.Replace(valid, `"slots":1`, `"slots":0`, 1), strings.Replace(valid, `"slots":1`, `"slots":100001`, 1),
+			strings.Replace(valid, "desk", "", 1), `{"service":"desk","address":"nowhere","slots":1}`,
+			strings.Replace(valid, "desk", strings.Repeat("d", 20_000), 1),
+		} {
+			request, err := http.NewRequest(http.MethodPut, "http://"+f.admin+"/v1/upstream", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			response, err := f.client.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(Equal(http.StatusBadRequest), body)
+		}
+		after, _ := f.executor.OwnRecord()
+		Expect(after).To(Equal(before))
+		Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
+	})
+})
