Test the control group; let members that are new answer the log, and adopt the first membership

Cause: package control had no tests. Two faults were found by the new ones. A founder that asked the others after one of them had formed the group took itself for a wiped member and started empty. With two such founders no leader was ever elected, because the one that had formed the group lacked votes. Founders now report the first membership, and one that is listed there by its own identity adopts it. A wiped member has a new identity and is still not listed. A replica without a membership knew no address to reply to, so a leader never learnt where the log of an added member ended: members replace hung. Log frames now carry the sender's address.

Seen: before, starting a, b, c in other orders gave no leader within 20 s, and replacing a wiped member timed out after 20 s with the new learner at match 0.

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -35,22 +35,29 @@
 	return recovered.Snapshot.Index > 0 || len(recovered.Entries) > 0
 }
 
-// form makes the first membership of a group durable. If the group exists already, this replica starts empty: if it is
-// one of the members, the leader brings it up to date; if not, its folder is new and an operator must add it. A wiped
-// member can therefore neither vote under its old identity nor form a second group.
+// isFounding reports whether a snapshot holds only a group's first membership.
+func isFounding(snapshot raft.Snapshot) bool {
+	return snapshot.Index == foundingIndex && snapshot.Term == foundingTerm
+}
+
+// form makes the first membership of a group durable. If another founder formed the group already, this replica adopts
+// the first membership if that lists its identity: it then holds nothing that could be lost, and the founders that were
+// first may need its vote. Otherwise its folder is new, it starts empty and an operator must add it. A wiped member can
+// therefore neither vote under its old identity nor form a second group.
 func (m *Member) form(r *replica, recovered *wal.Recovered) error {
 	for {
 		membership, complete, exists := m.identifyFounders(m.ctx, r)
+		_, listed := membership.Find(r.id)
 		switch {
-		case exists:
+		case exists && !listed:
 			r.logger.Info().Str("member", string(r.id)).Msg("the group exists; waiting for its leader")
 			return nil
-		case complete:
+		case exists, complete:
 			recovered.Snapshot = raft.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: membership}
 			if err := r.log.SaveSnapshot(recovered.Snapshot); err != nil {
 				return errors.Wrapf(ErrStorage, "%v", err)
 			}
-			m.setFormed(r.group)
+			m.setFounding(r.group, membership)
 			return nil
 		}
 		pause(m.ctx, bootstrapPause)
@@ -60,6 +67,8 @@
 	}
 }
 
+// identifyFounders gathers the first membership. If the group exists, it returns the membership that a founder reports,
+// which is empty if the founder no longer knows it.
 func (m *Member) identifyFounders(
 	ctx context.Context, r *replica,
 ) (membership raft.Membership, complete, exists bool) {
@@ -73,14 +82,18 @@
 				continue
 			}
 			described := reply.Groups[r.group]
-			if described.Formed {
-				return raft.Membership{}, false, true
+			if described.Formed && described.Founding != nil {
+				return *described.Founding, false, true
 			}
+			exists = exists || described.Formed
 			id = raft.MemberID(described.ID)
 		}
 		membership.Members = append(membership.Members,
 			raft.Member{ID: id, Address: founder.Address, Zone: founder.Zone, Learner: founder.Learner})
 	}
+	if exists {
+		return raft.Membership{}, false, true
+	}
 	slices.SortFunc(membership.Members, func(a, b raft.Member) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
@@ -99,7 +112,11 @@
 	m.formedMu.Lock()
 	defer m.formedMu.Unlock()
 	for _, r := range m.replicas {
-		reply.Groups = append(reply.Groups, protocol.GroupIdentity{ID: string(r.id), Formed: m.formedGroups[r.group]})
+		identity := protocol.GroupIdentity{ID: string(r.id), Formed: m.formedGroups[r.group]}
+		if founding, ok := m.founding[r.group]; ok {
+			identity.Founding = &founding
+		}
+		reply.Groups = append(reply.Groups, identity)
 	}
 	return reply, nil
 }
@@ -110,6 +127,14 @@
 	m.formedGroups[group] = true
 }
 
+// setFounding notes the first membership of a group that this replica belongs to.
+func (m *Member) setFounding(group uint32, membership raft.Membership) {
+	m.formedMu.Lock()
+	defer m.formedMu.Unlock()
+	m.formedGroups[group] = true
+	m.founding[group] = membership
+}
+
 func (m *Member) isFormed(group uint32) bool {
 	m.formedMu.Lock()
 	defer m.formedMu.Unlock()
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,177 @@
+package control_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/ledger"
+	"sapphiregate.example/sapphiregate/transport/rpc"
+)
+
+var _ = Describe("a group of three members", func() {
+	// Guards against a wiped member that votes under its old name or forms a second group, which would lose approvals,
+	// and against a repair that leaves the group with one copy.
+	It("repairs a wiped member without losing an approval", func() {
+		g := formGroup("a", "b", "c")
+		_, followers := g.leader()
+		wiped, other := followers[0], followers[1]
+		g.approve("a", 1, config("desk"))
+		g.kill(wiped)
+		Expect(g.WipeMember(wiped)).To(Succeed())
+		second := g.approve(other, 2, config("desk-two"))
+		g.start(wiped)
+		before := g.members(other)
+		Eventually(func() int { return len(g.dump(wiped).Groups) }, patience).Should(BeNumerically(">", 0))
+		Expect(before).NotTo(ContainElement(g.dump(wiped).ID))
+		Expect(g.members(other)).To(Equal(before))
+
+		// Without its old vote, the leader alone is no quorum.
+		g.kill(other)
+		g.refuses(wiped, 3)
+		leads, _ := g.Leader()
+		Expect(leads).NotTo(Equal(wiped))
+		Expect(g.latest(wiped)).To(BeZero())
+		g.start(other)
+
+		g.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		added, err := g.ReplaceMember(ctx, wiped)
+		Expect(err).NotTo(HaveOccurred())
+		g.learnAdmins()
+		Eventually(func() uint64 { return g.latest(added) }, patience).Should(BeEquivalentTo(2))
+		Expect(g.members(added)).To(HaveLen(3))
+		lost, _ := g.leader()
+		if lost == added {
+			lost = other
+		}
+		g.kill(lost)
+		for _, id := range g.Members() {
+			if id != lost {
+				Eventually(func() uint64 { return g.latest(id) }, patience).Should(BeEquivalentTo(2))
+			}
+		}
+		g.approve(added, 3, config("desk-three"))
+		again, err := g.client(added, patientRounds).Approve(context.Background(), g.request("ana", 2, config("desk-two")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Index).To(Equal(second.Index))
+	})
+
+	// Guards against two bundles approved under one version, against a loser that does not learn who won, and against a
+	// resent approval that is applied twice or refused after its answer was lost with the leader.
+	It("lets one of two racing operators win, and keeps the decision over failures and restarts", func() {
+		g := formGroup("c", "b", "a")
+		leader, followers := g.leader()
+		names := []string{"ana", "ben"}
+		var requests [2]operator.ApproveRequest
+		for i, name := range names {
+			g.stage("a", name, 1, config("desk-"+name))
+			requests[i] = g.request(name, 1, config("desk-"+name))
+		}
+		var results [2]error
+		var decisions [2]operator.Decision
+		var running sync.WaitGroup
+		for i, id := range []string{"b", "c"} {
+			client := g.client(id, patientRounds)
+			running.Go(func() { decisions[i], results[i] = client.Approve(context.Background(), requests[i]) })
+		}
+		running.Wait()
+		winner, loser := 0, 1
+		if results[0] != nil {
+			winner, loser = 1, 0
+		}
+		Expect(results[winner]).NotTo(HaveOccurred())
+		Expect(results[loser]).To(MatchError(operator.ErrVersionTaken))
+		var detailed *operator.Error
+		Expect(errors.As(results[loser], &detailed)).To(BeTrue())
+		Expect(detailed.Winner).NotTo(BeNil())
+		Expect(detailed.Winner.Operator).To(Equal(names[winner]))
+		Expect(detailed.Winner.Digest).To(Equal(requests[winner].Approval.Digest))
+		for _, id := range g.Members() {
+			Eventually(func() *bundle.Approval { return g.dump(id).Latest }, patience).
+				Should(HaveValue(Equal(requests[winner].Approval)))
+		}
+		g.kill(leader)
+		for i, id := range followers {
+			// The second resend comes under another request identifier, as from an operator who starts over.
+			if i > 0 {
+				requests[winner].RequestID = operator.NewRequestID()
+			}
+			again, err := g.client(id, patientRounds).Approve(context.Background(), requests[winner])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(again).To(Equal(decisions[winner]))
+		}
+
+		// Guards against acknowledged state that was never synced.
+		answer, err := g.client(followers[0], patientRounds).Members(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		var addresses []string
+		for _, member := range answer.Members {
+			addresses = append(addresses, member.Address)
+		}
+		pool := rpc.NewPool(nil, nil)
+		defer pool.Close()
+		claim := ledger.Claim{Key: "k", Route: "promote", Executor: "e", Incarnation: 1, Attempt: 1}
+		Expect(g.commit(pool, addresses, ledger.Command{Claim: &claim}).Status).To(Equal(ledger.Granted))
+		g.commit(pool, addresses, ledger.Command{Record: &ledger.Record{
+			Key: "k", Executor: "e", Incarnation: 1, Attempt: 1, Answer: ledger.Answer{Status: 201, Body: []byte("dan 3")},
+		}})
+		g.kill(followers...)
+		g.start("c", "b", "a")
+		g.leader()
+		for _, id := range g.Members() {
+			Eventually(func() uint64 { return g.latest(id) }, patience).Should(BeEquivalentTo(1))
+		}
+		other := claim
+		other.Attempt = 2
+		kept := g.commit(pool, addresses, ledger.Command{Claim: &other})
+		Expect(kept.Status).To(Equal(ledger.Done))
+		Expect(string(kept.Answer.Body)).To(Equal("dan 3"))
+	})
+
+	// Guards against a member that is cut off and goes on to serve its state as current, or accepts approvals.
+	DescribeTable("serves no fresh state without a quorum", func(leads bool) {
+		g := formGroup("b", "c", "a")
+		left, followers := g.leader()
+		g.approve("a", 1, config("desk"))
+		lost := followers
+		if !leads {
+			left, lost = followers[0], []string{left, followers[1]}
+		}
+		Eventually(func() bool { return g.dump(left).Relay.Confirmed }, patience).Should(BeTrue())
+		g.kill(lost...)
+		for range 2 {
+			before := g.dump(left)
+			Eventually(func(check Gomega) {
+				now := g.dump(left)
+				check.Expect(now.ConfirmedAgeMs).To(BeNumerically(">", before.ConfirmedAgeMs))
+				check.Expect(now.Relay.Age).To(BeNumerically(">", before.Relay.Age))
+			}, patience).Should(Succeed())
+		}
+		g.refuses(left, 2)
+		Eventually(func() operator.RolloutState {
+			status, _ := g.client(left, 1).Status(context.Background())
+			return status.Rollout
+		}, patience).Should(Equal(operator.RolloutUnknown))
+		g.start(lost...)
+		g.approve(left, 3, config("desk-three"))
+	},
+		Entry("as the former leader", true),
+		Entry("as a follower", false),
+	)
+
+})
+
+// refuses expects that a member accepts no approval now.
+func (g *group) refuses(id string, version uint64) {
+	_, err := g.clientWithin(id, 1, 300*time.Millisecond).Approve(context.Background(), g.request("ana", version, config("desk")))
+	Expect(errors.IsAny(err, operator.ErrNoQuorum, operator.ErrNotLeader, operator.ErrOutcomeUnknown)).
+		To(BeTrue(), "%v", err)
+}
--- a/control/member.go
+++ b/control/member.go
@@ -97,6 +97,8 @@
 
 	formedMu     sync.Mutex
 	formedGroups map[uint32]bool
+	// founding holds the first memberships of the groups whose snapshot is still that of their formation.
+	founding map[uint32]raft.Membership
 
 	// replicas are indexed by group. What they hold belongs to the control goroutine.
 	replicas []*replica
@@ -117,7 +119,7 @@
 	}
 	m := &Member{
 		options: options, logger: logging.Part(options.Logger, "control"), ready: make(chan struct{}),
-		formedGroups: make(map[uint32]bool),
+		formedGroups: make(map[uint32]bool), founding: make(map[uint32]raft.Membership),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.connect()
@@ -161,7 +163,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if formed(recovered) {
+		switch {
+		case isFounding(recovered.Snapshot):
+			m.setFounding(r.group, recovered.Snapshot.Membership)
+		case formed(recovered):
 			m.setFormed(r.group)
 		}
 		all = append(all, recovered)
@@ -171,7 +176,7 @@
 
 func (m *Member) newReplica(group uint32, machine machine, pool *rpc.Pool) *replica {
 	r := &replica{
-		group: group, machine: machine, pool: pool, snapshotEntries: m.options.SnapshotEntries,
+		group: group, address: m.options.Advertise, machine: machine, pool: pool, snapshotEntries: m.options.SnapshotEntries,
 		logger: m.logger.With().Uint32("group", group).Logger(),
 		post:   func(input func(now time.Time)) bool { return m.host.Post(input) },
 		failed: m.fail,
@@ -323,7 +328,7 @@
 		return
 	}
 	m.setFormed(frame.Group)
-	m.host.Post(func(now time.Time) { m.replicas[frame.Group].step(now, frame.Messages) })
+	m.host.Post(func(now time.Time) { m.replicas[frame.Group].step(now, frame) })
 }
 
 // groupOf returns the group that a request is for.
--- a/control/peers.go
+++ b/control/peers.go
@@ -17,12 +17,15 @@
 	peerRetryDelay = 50 * time.Millisecond
 	// peerBatch bounds the messages of one frame.
 	peerBatch = 64
+	// maxSenders bounds the goroutines for members that are not listed; a deployment has at most 19 members.
+	maxSenders = 64
 )
 
 // peers sends log messages to the other members. The control goroutine uses it; one goroutine per member sends.
 type peers struct {
 	group   uint32
 	self    raft.MemberID
+	address string
 	pool    *rpc.Pool
 	ctx     context.Context
 	senders map[raft.MemberID]*sender
@@ -36,8 +39,26 @@
 	cancel  context.CancelFunc
 }
 
-func newPeers(ctx context.Context, group uint32, self raft.MemberID, pool *rpc.Pool) *peers {
-	return &peers{group: group, self: self, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
+func newPeers(ctx context.Context, group uint32, self raft.MemberID, address string, pool *rpc.Pool) *peers {
+	return &peers{
+		group: group, self: self, address: address, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender),
+	}
+}
+
+// learn lets this replica reply to a sender that its membership does not list. A new member has no membership before
+// its first entry, and the leader finds out by a reply where that member's log ends.
+func (p *peers) learn(id raft.MemberID, address string) {
+	if address == "" || id == p.self || p.senders[id] != nil || len(p.senders) >= maxSenders {
+		return
+	}
+	p.start(id, address)
+}
+
+func (p *peers) start(id raft.MemberID, address string) {
+	ctx, cancel := context.WithCancel(p.ctx)
+	s := &sender{address: address, queue: make(chan raft.Message, peerQueueLength), cancel: cancel}
+	p.senders[id] = s
+	p.running.Go(func() { p.run(ctx, s) })
 }
 
 // update starts and stops senders for a membership.
@@ -53,10 +74,7 @@
 		if member.ID == p.self || p.senders[member.ID] != nil {
 			continue
 		}
-		ctx, cancel := context.WithCancel(p.ctx)
-		s := &sender{address: member.Address, queue: make(chan raft.Message, peerQueueLength), cancel: cancel}
-		p.senders[member.ID] = s
-		p.running.Go(func() { p.run(ctx, s) })
+		p.start(member.ID, member.Address)
 	}
 }
 
@@ -100,7 +118,7 @@
 		case <-stream.Context().Done():
 			return
 		case message := <-s.queue:
-			if err := stream.Send(s.frame(p.group, message)); err != nil {
+			if err := stream.Send(s.frame(p.group, p.address, message)); err != nil {
 				return
 			}
 		}
@@ -108,8 +126,8 @@
 }
 
 // frame gathers the messages that are already waiting.
-func (s *sender) frame(group uint32, first raft.Message) *protocol.StepFrame {
-	frame := &protocol.StepFrame{Group: group, Messages: []raft.Message{first}}
+func (s *sender) frame(group uint32, from string, first raft.Message) *protocol.StepFrame {
+	frame := &protocol.StepFrame{Group: group, Address: from, Messages: []raft.Message{first}}
 	for len(frame.Messages) < peerBatch {
 		select {
 		case next := <-s.queue:
--- a/control/replica.go
+++ b/control/replica.go
@@ -19,8 +19,10 @@
 // ledger. Groups are apart so that irreversible calls do not delay approvals. The control goroutine owns a replica; a
 // goroutine of its own writes to the disk.
 type replica struct {
-	group   uint32
-	id      raft.MemberID
+	group uint32
+	id    raft.MemberID
+	// address is the member's mesh address.
+	address string
 	logger  zerolog.Logger
 	machine machine
 	log     *wal.Log
@@ -90,7 +92,7 @@
 		return errors.Wrapf(ErrStorage, "group %d: %v", r.group, err)
 	}
 	r.raft = node
-	r.peers = newPeers(ctx, r.group, r.id, r.pool)
+	r.peers = newPeers(ctx, r.group, r.id, r.address, r.pool)
 	r.noteMembership(now)
 	return nil
 }
@@ -132,9 +134,12 @@
 	}
 }
 
-// step takes messages of other members.
-func (r *replica) step(now time.Time, messages []raft.Message) {
-	for _, message := range messages {
+// step takes messages of another member.
+func (r *replica) step(now time.Time, frame *protocol.StepFrame) {
+	for _, message := range frame.Messages {
+		if message.To == r.id {
+			r.peers.learn(message.From, frame.Address)
+		}
 		if err := r.raft.Step(now, message); err != nil {
 			r.logger.Debug().Err(err).Str("from", string(message.From)).Msg("ignored a log message")
 		}
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -1,6 +1,10 @@
 package protocol
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
+)
 
 // Target names the replicated state machine that a command is for.
 type Target uint8
@@ -56,6 +60,8 @@
 	ID string `cbor:"1,keyasint"`
 	// Formed tells that the replica belongs to a group; one with an empty log does not.
 	Formed bool `cbor:"2,keyasint,omitempty"`
+	// Founding is the group's first membership, as long as the replica's snapshot is the one that holds it.
+	Founding *raft.Membership `cbor:"3,keyasint,omitempty"`
 }
 
 // IdentifyReply describes a control member.
--- a/protocol/mesh.go
+++ b/protocol/mesh.go
@@ -15,6 +15,8 @@
 type StepFrame struct {
 	Group    uint32         `cbor:"1,keyasint,omitempty"`
 	Messages []raft.Message `cbor:"2,keyasint"`
+	// Address is the sender's mesh address. A member that is new or lags does not know it from its own log.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // StepAck ends a stream of StepFrame.
