--- a/transport/rpc/tls.go
+++ b/transport/rpc/tls.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -21,10 +22,12 @@
 	Certificate string
 	Key         string
 	Authorities string
+	// ReloadInterval bounds how long a replaced file stays unnoticed; 0 takes 5 s.
+	ReloadInterval time.Duration
 }
 
-// reloadInterval bounds how long a replaced key file stays unnoticed.
-const reloadInterval = 5 * time.Second
+// defaultReloadInterval is used if TLSFiles sets no interval.
+const defaultReloadInterval = 5 * time.Second
 
 // Identity is a certificate with its authorities that is read again when its files change. Safe for concurrent use.
 type Identity struct {
@@ -38,6 +41,7 @@
 
 // LoadIdentity reads the files once, so that unusable files are found at start.
 func LoadIdentity(files TLSFiles) (*Identity, error) {
+	files.ReloadInterval = cmp.Or(files.ReloadInterval, defaultReloadInterval)
 	identity := &Identity{files: files}
 	if err := identity.load(); err != nil {
 		return nil, err
@@ -84,7 +88,7 @@
 func (i *Identity) Config() *tls.Config {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if time.Since(i.checked) >= reloadInterval {
+	if time.Since(i.checked) >= i.files.ReloadInterval {
 		i.checked = time.Now()
 		if i.modified() != i.changed {
 			_ = i.load()
