--- a/mesh/host.go
+++ b/mesh/host.go
@@ -26,9 +26,19 @@
 	batchLength = 256
 )
 
+// Peer is the state machine that a Host drives. relay.Peer implements it.
+type Peer interface {
+	Hello() relay.Hello
+	Tick(now time.Time)
+	LinkUp(now time.Time, link relay.LinkID, remote relay.Hello, outbound bool)
+	LinkDown(now time.Time, link relay.LinkID, reason error)
+	Step(now time.Time, link relay.LinkID, m relay.Message)
+	Outputs() []relay.Output
+}
+
 // Options sets up a Host. The callbacks run on the control goroutine.
 type Options struct {
-	Peer   *relay.Peer
+	Peer   Peer
 	Pool   *rpc.Pool
 	Logger zerolog.Logger
 	// Output receives the outputs that do not concern links.
