--- a/control/peers.go
+++ b/control/peers.go
@@ -17,6 +17,8 @@
 	peerRetryDelay = 50 * time.Millisecond
 	// peerBatch bounds the messages of one frame.
 	peerBatch = 64
+	// maxSenders bounds the goroutines for members that are not listed; a deployment has at most 19 members.
+	maxSenders = 64
 )
 
 // peers sends log messages to the other members. The control goroutine uses it; one goroutine per member sends.
--- a/control/replica.go
+++ b/control/replica.go
@@ -19,12 +19,12 @@
 // ledger. Groups are apart so that irreversible calls do not delay approvals. The control goroutine owns a replica; a
 // goroutine of its own writes to the disk.
 type replica struct {
-	group   uint32
-	id      raft.MemberID
-	logger  zerolog.Logger
-	machine machine
+	group uint32
+	id    raft.MemberID
 	// address is this member's mesh address.
 	address string
+	logger  zerolog.Logger
+	machine machine
 	log     *wal.Log
 	pool    *rpc.Pool
 	// post runs a function on the control goroutine; it returns false once the member has stopped.
@@ -137,7 +137,7 @@
 // step takes messages of the member at an address.
 func (r *replica) step(now time.Time, address string, messages []raft.Message) {
 	for _, message := range messages {
-		if len(r.membership.Members) == 0 {
+		if message.To == r.id && len(r.peers.senders) < maxSenders {
 			r.peers.learn(message.From, address)
 		}
 		if err := r.raft.Step(now, message); err != nil {
