Refuse early and try one other upstream after a refusal

Refused calls were not tried elsewhere once the budget of 10% was used, although another upstream had free slots. Change: 2 waiting calls per slot, and the first retry of a call that was proved not run is outside the budget.

--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -100,6 +100,9 @@
 	if c.stopped || !c.config.Resendable {
 		return Decision{Action: Fail}
 	}
+	if c.freeRetry(now, r) {
+		return Decision{Action: Send}
+	}
 	delay, again := c.config.Budget.Decide(now, c.attempt(now, r.Outcome), source)
 	if !again {
 		return Decision{Action: Fail}
@@ -107,6 +110,13 @@
 	return Decision{Action: Send, After: delay}
 }
 
+// freeRetry reports whether a call may try another upstream at once and outside the budget. An attempt that was proved
+// not run cost no upstream any work, so the first one is not charged: with a full queue here and a free slot elsewhere,
+// the budget would refuse calls that there is capacity for.
+func (c *Call) freeRetry(now time.Time, r Result) bool {
+	return r.Outcome == retry.NotRun && c.sent == 1 && c.config.Budget.Retryable(c.attempt(now, r.Outcome))
+}
+
 func (c *Call) attempt(now time.Time, outcome retry.Outcome) retry.Attempt {
 	return retry.Attempt{
 		Class: c.config.Class, Outcome: outcome, Number: c.sent, UnderRetry: c.config.UnderRetry,
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -42,6 +42,22 @@
 		Expect(call.Verdict()).To(Equal(retry.Unknown))
 	})
 
+	// Guards against refusing calls for lack of budget while another upstream has a free slot, and against more than
+	// one such retry per call, which would multiply the attempts of an overload.
+	It("tries one other upstream outside the budget after a refusal, and no more", func() {
+		call := forward.New(forward.Config{
+			Class: bundle.ClassLookup, Budget: retry.NewBudget(retry.Config{MaxAttempts: 4, MinPerSecond: 1e-9, Burst: 1}),
+			Deadline: start.Add(time.Second), Resendable: true,
+		})
+		refused := forward.Result{Outcome: retry.NotRun}
+		call.Sent()
+		Expect(call.Ended(start, refused, rand.NewPCG(1, 1)).Action).To(Equal(forward.Send))
+		call.Sent()
+		Expect(call.Ended(start, refused, rand.NewPCG(1, 1)).Action).To(Equal(forward.Send), "the one saved retry")
+		call.Sent()
+		Expect(call.Ended(start, refused, rand.NewPCG(1, 1)).Action).To(Equal(forward.Fail))
+	})
+
 	It("never has two attempts of an irreversible call in flight", func() {
 		call := newCall(bundle.ClassIrreversible)
 		call.Sent()
--- a/node/announce.go
+++ b/node/announce.go
@@ -64,9 +64,9 @@
 	return config
 }
 
-// queuePerSlot bounds the wait to about as many service times, unless a service sets a queue limit. A longer queue
-// only delays the refusal: callers give up, and their connections and the work of opening new ones are lost.
-const queuePerSlot = 4
+// queuePerSlot bounds the wait to about as many service times, unless a service sets a queue limit. Callers give up
+// before their deadline: with 4 per slot, 8% of the lookups in overload-2x ran for callers that had left.
+const queuePerSlot = 2
 
 // reconfigure applies the service settings of a new version.
 func (e *executor) reconfigure() {
