--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -1,7 +1,6 @@
 package admission_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -11,16 +10,13 @@
 
 	"sapphiregate.example/sapphiregate/coordination/admission"
 	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/internal/fixedseed"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
 func TestAdmission(t *testing.T) {
 	// A fixed seed gives every run the same verdict, and makes files that repeat a failure unnecessary.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
+	fixedseed.Set(t)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "admission")
 }
--- a/coordination/endpoints/endpoints_test.go
+++ b/coordination/endpoints/endpoints_test.go
@@ -1,7 +1,6 @@
 package endpoints_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -12,15 +11,12 @@
 	"pgregory.net/rapid"
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/internal/fixedseed"
 )
 
 func TestEndpoints(t *testing.T) {
 	// A fixed seed gives the same verdict in every run.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
+	fixedseed.Set(t)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "endpoints")
 }
--- a/coordination/execution/execution_test.go
+++ b/coordination/execution/execution_test.go
@@ -1,7 +1,6 @@
 package execution_test
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"strings"
@@ -13,17 +12,14 @@
 	"pgregory.net/rapid"
 
 	"sapphiregate.example/sapphiregate/coordination/execution"
+	"sapphiregate.example/sapphiregate/internal/fixedseed"
 	"sapphiregate.example/sapphiregate/invariant"
 	"sapphiregate.example/sapphiregate/state/ledger"
 )
 
 func TestExecution(t *testing.T) {
 	// A fixed seed gives every run the same verdict, and makes files that repeat a failure unnecessary.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
+	fixedseed.Set(t)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "execution")
 }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,15 +11,12 @@
 	"pgregory.net/rapid"
 
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/internal/fixedseed"
 )
 
 func TestQuarantine(t *testing.T) {
 	// A fixed seed gives every run the same verdict, and makes files that repeat a failure unnecessary.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
+	fixedseed.Set(t)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "quarantine")
 }
--- a/local/processes.go
+++ b/local/processes.go
@@ -19,24 +19,34 @@
 	"sapphiregate.example/sapphiregate/transport/shape"
 )
 
-// memberSlotOf returns a member's slot. The lock is held.
-func (d *Deployment) memberSlotOf(id string, running bool) (*memberSlot, error) {
-	slot := d.members[id]
+// slot is an instance that can hold one process.
+type slot interface {
+	comparable
+	up() bool
+}
+
+func (s *memberSlot) up() bool { return s.running != nil }
+func (s *nodeSlot) up() bool   { return s.running != nil }
+
+// find returns the slot of a process that is up or down as wanted. The lock is held.
+func find[S slot](slots map[string]S, id string, up bool) (S, error) {
+	var none S
+	found := slots[id]
 	switch {
-	case slot == nil:
-		return nil, errors.Wrapf(ErrUnknownProcess, "%s", id)
-	case running && slot.running == nil:
-		return nil, errors.Wrapf(ErrDown, "%s", id)
-	case !running && slot.running != nil:
-		return nil, errors.Wrapf(ErrRunning, "%s", id)
-	}
-	return slot, nil
+	case found == none:
+		return none, errors.Wrapf(ErrUnknownProcess, "%s", id)
+	case up && !found.up():
+		return none, errors.Wrapf(ErrDown, "%s", id)
+	case !up && found.up():
+		return none, errors.Wrapf(ErrRunning, "%s", id)
+	}
+	return found, nil
 }
 
 // StartMember starts a member on its data folder.
 func (d *Deployment) StartMember(ctx context.Context, id string) error {
 	d.mu.Lock()
-	slot, err := d.memberSlotOf(id, false)
+	slot, err := find(d.members, id, false)
 	founders := d.founders()
 	d.mu.Unlock()
 	if err != nil {
@@ -88,7 +98,7 @@
 func (d *Deployment) takeMember(id string) (*control.Member, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slot, err := d.memberSlotOf(id, true)
+	slot, err := find(d.members, id, true)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +131,7 @@
 func (d *Deployment) WipeMember(id string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slot, err := d.memberSlotOf(id, false)
+	slot, err := find(d.members, id, false)
 	if err != nil {
 		return err
 	}
@@ -218,23 +228,10 @@
 	return leader, leader != ""
 }
 
-func (d *Deployment) nodeSlotOf(id string, running bool) (*nodeSlot, error) {
-	slot := d.nodes[id]
-	switch {
-	case slot == nil:
-		return nil, errors.Wrapf(ErrUnknownProcess, "%s", id)
-	case running && slot.running == nil:
-		return nil, errors.Wrapf(ErrDown, "%s", id)
-	case !running && slot.running != nil:
-		return nil, errors.Wrapf(ErrRunning, "%s", id)
-	}
-	return slot, nil
-}
-
 // StartNode starts a node with empty memory.
 func (d *Deployment) StartNode(ctx context.Context, id string) error {
 	d.mu.Lock()
-	slot, err := d.nodeSlotOf(id, false)
+	slot, err := find(d.nodes, id, false)
 	var members []string
 	if err == nil {
 		members = d.meshAddresses(slot.spec.Zone)
@@ -282,7 +279,7 @@
 func (d *Deployment) takeNode(id string) (*node.Node, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slot, err := d.nodeSlotOf(id, true)
+	slot, err := find(d.nodes, id, true)
 	if err != nil {
 		return nil, err
 	}
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
@@ -11,16 +13,23 @@
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
+// hedgeMargin allows for jitter and one retransmission on the way to the executor and back.
+const hedgeMargin = 40 * time.Millisecond
+
 // forwarding carries out the plan of one call: one attempt, or a second one beside it, until one answers.
 type forwarding struct {
 	call    *ingressCall
-	plan    *forward.Call
 	results chan attemptResult
+	source  rand.Source
 	// reached tells that an executor has the call: a second attempt would only add load.
-	reached   chan struct{}
-	firstZone string
-	source    rand.Source
-	tried     []string
+	reached atomic.Bool
+
+	// mu guards the fields below against the hedge timer until the first attempt has ended; then the calling goroutine
+	// owns them.
+	mu         sync.Mutex
+	plan       *forward.Call
+	firstEnded bool
+	tried      []string
 	// cancels ends the attempts, in the order in which they were started.
 	cancels []context.CancelFunc
 	pending int
@@ -29,15 +38,11 @@
 }
 
 func (f *forwarding) run(ctx context.Context) *reply {
-	if !f.launch(ctx) {
+	first, ok := f.begin(ctx)
+	if !ok {
 		return refusal(protocol.ReasonNoUpstream)
 	}
-	var hedge <-chan time.Time
-	if f.plan.MayHedge(time.Now()) {
-		timer := time.NewTimer(progressDelay + 2*f.call.node.options.zoneDelay(f.firstZone) + hedgeMargin)
-		defer timer.Stop()
-		hedge = timer.C
-	}
+	f.results <- f.runFirst(ctx, first)
 	for {
 		select {
 		case result := <-f.results:
@@ -48,13 +53,6 @@
 			case forward.Fail:
 				return f.fail()
 			}
-		case <-f.reached:
-			hedge = nil
-		case <-hedge:
-			if f.plan.Hedge(time.Now()) {
-				f.call.node.metrics.hedges.Add(1)
-				f.launch(ctx)
-			}
 		case <-ctx.Done():
 			f.last = protocol.ReasonDeadline
 			return f.fail()
@@ -62,43 +60,77 @@
 	}
 }
 
-// launch starts an attempt on an upstream that was not tried yet, if there is one.
-func (f *forwarding) launch(ctx context.Context) bool {
+// runFirst runs the first attempt on the calling goroutine, which saves two switches between goroutines on most calls. A
+// hedge may start beside it.
+func (f *forwarding) runFirst(ctx context.Context, first *attempt) attemptResult {
+	if !f.plan.MayHedge(time.Now()) {
+		return first.run()
+	}
+	wait := progressDelay + 2*f.call.node.options.zoneDelay(first.target.Zone) + hedgeMargin
+	timer := time.AfterFunc(wait, func() { f.hedge(ctx) })
+	result := first.run()
+	timer.Stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstEnded = true
+	return result
+}
+
+// hedge starts a second attempt unless an executor has shown that it has the call. An answer to it ends the first.
+func (f *forwarding) hedge(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.firstEnded || f.reached.Load() || !f.plan.Hedge(time.Now()) {
+		return
+	}
+	f.call.node.metrics.hedges.Add(1)
+	second, ok := f.begin(ctx)
+	if !ok {
+		return
+	}
+	cancelFirst := f.cancels[0]
+	go func() {
+		result := second.run()
+		f.results <- result
+		if result.answer.head.Outcome == protocol.OutcomeDone {
+			cancelFirst()
+		}
+	}()
+}
+
+// attempt is one try on one upstream.
+type attempt struct {
+	forwarding *forwarding
+	ctx        context.Context
+	number     int
+	target     balance.Target
+}
+
+// begin chooses an upstream that was not tried yet, if there is one.
+func (f *forwarding) begin(ctx context.Context) (*attempt, bool) {
 	c := f.call
 	target, err := c.node.balancer.Pick(time.Now(), balance.Request{
 		Service: c.route.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source,
 	})
 	if err != nil {
 		f.last = protocol.ReasonNoUpstream
-		return false
-	}
-	retried := len(f.tried) > 0
-	if !retried {
-		f.firstZone = target.Zone
+		return nil, false
 	}
 	f.tried = append(f.tried, target.ID)
 	f.plan.Sent()
 	f.pending++
-	number := len(f.cancels)
-	ctx, cancel := context.WithCancel(ctx)
+	started := &attempt{forwarding: f, number: len(f.cancels), target: target}
+	var cancel context.CancelFunc
+	started.ctx, cancel = context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
-	go func() {
-		result := c.attempt(ctx, target, retried, f.reach)
-		result.number = number
-		f.results <- result
-	}()
-	return true
+	return started, true
 }
 
-// hedgeMargin allows for jitter and one retransmission on the way to the executor and back.
-const hedgeMargin = 40 * time.Millisecond
-
-// reach notes that an executor has the call.
-func (f *forwarding) reach() {
-	select {
-	case f.reached <- struct{}{}:
-	default:
-	}
+func (a *attempt) run() attemptResult {
+	reached := func() { a.forwarding.reached.Store(true) }
+	result := a.forwarding.call.attempt(a.ctx, a.target, a.number > 0, reached)
+	result.number = a.number
+	return result
 }
 
 // handle takes the end of an attempt and starts the next one where the plan says so.
@@ -121,9 +153,11 @@
 		return forward.Wait
 	}
 	f.call.node.metrics.retries.Add(1)
-	if !f.launch(ctx) {
+	next, ok := f.begin(ctx)
+	if !ok {
 		return forward.Fail
 	}
+	go func() { f.results <- next.run() }()
 	return forward.Wait
 }
 
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -241,9 +241,7 @@
 		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.deadline, UnderRetry: c.head.Retry,
 		Resendable: c.body.whole(), Alone: c.alone,
 	})
-	run := &forwarding{
-		call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight), reached: make(chan struct{}, 1),
-	}
+	run := &forwarding{call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight)}
 	run.source = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	return run.run(ctx)
 }
