--- a/control/errors.go
+++ b/control/errors.go
@@ -4,8 +4,6 @@
 
 // Errors of this package.
 var (
-	// ErrNotLeader means that this member does not lead; nothing was proposed.
-	ErrNotLeader = errors.New("control: this member is not the leader")
 	// ErrUncertain means that the command may be committed later.
 	ErrUncertain = errors.New("control: outcome of the command is unknown")
 	// ErrStopped means that the member has stopped.
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -28,8 +28,6 @@
 	ContentLength int64 `cbor:"12,keyasint"`
 	// Incarnation is the executor's incarnation that the ingress chose; another one refuses the call.
 	Incarnation uint64 `cbor:"13,keyasint,omitempty"`
-	// Attempt is unique among the calls of one ingress incarnation.
-	Attempt uint64 `cbor:"17,keyasint,omitempty"`
 	// Fingerprint identifies the request among those that crash upstreams.
 	Fingerprint [16]byte `cbor:"14,keyasint"`
 	// Alone asks the executor to run the call with no other call in flight.
