Serve callers through other nodes until a stopping node closes its listener

Change: it goes on routing to other nodes and answers with Connection: close, and refuses only during the last wait for requests in flight.

--- a/node/ingress.go
+++ b/node/ingress.go
@@ -53,10 +53,10 @@
 // ServeHTTP takes callers' requests.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	if n.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if reason := n.gate.enter(); reason != protocol.ReasonNone {
-		if reason == protocol.ReasonDraining {
-			w.Header().Set("Connection", "close")
-		}
 		n.refuse(w, r, reason)
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,9 @@
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
 	gate       gate
-	metrics    *metrics
+	// leaving tells callers to close their connections.
+	leaving atomic.Bool
+	metrics *metrics
 
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
@@ -214,18 +216,19 @@
 
 func isClosed(err error) bool { return err == http.ErrServerClosed }
 
-// Stop leaves gracefully: the upstream is announced as leaving, callers' requests and calls in flight finish, answers
-// of irreversible calls are recorded, and then the listeners close. It gives up when the context ends.
+// Stop leaves gracefully: the upstream is announced as leaving and its calls in flight finish, callers are told to close
+// their connections while their requests are still served through other nodes, and then the listeners close. It gives
+// up when the context ends.
 func (n *Node) Stop(ctx context.Context) error {
 	n.executor.drain()
 	sleep(ctx, departureTime)
-	err := n.gate.drain(ctx)
+	err := n.executor.settle(ctx)
+	// Closing an idle connection can meet a request that is already on its way, so callers close theirs first.
+	n.leaving.Store(true)
+	sleep(ctx, lingerTime)
 	if err == nil {
-		err = n.executor.settle(ctx)
+		err = n.gate.drain(ctx)
 	}
-	// Connections that callers keep open are answered with "Connection: close" for a while, since closing an idle
-	// connection can meet a request that is already on its way.
-	sleep(ctx, lingerTime)
 	if err == nil {
 		err = n.callers.Shutdown(ctx)
 	}
