Tell the balancer only of the services that changed

Cause: every endpoint change handed the whole table to the balancer, so one announcement cost each node time that grew with the fleet. Change: the relay names the changed records, and only their services are rebuilt.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -178,6 +178,19 @@
 	b.snapshot.Store(newSnapshot(now, b.config, b.snapshot.Load(), table, services))
 }
 
+// UpdateServices replaces the endpoints of the named services by those of the table, which holds no others. Like Update
+// it must be called from one goroutine.
+func (b *Balancer) UpdateServices(
+	now time.Time, names []string, table []Endpoint, services map[string]bundle.Service,
+) {
+	current := b.snapshot.Load()
+	if current == nil {
+		b.Update(now, table, services)
+		return
+	}
+	b.snapshot.Store(current.withServices(b.config, names, table, services))
+}
+
 // Pick selects an upstream and counts the call as in flight until Done. Its cost does not depend on the number of
 // endpoints.
 func (b *Balancer) Pick(now time.Time, r Request) (Target, error) {
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -305,3 +305,35 @@
 		balancer.Update(start, table, nil)
 	}
 }
+
+var _ = Describe("UpdateServices", func() {
+	// Guards against a partial update that loses other services, keeps an upstream that has left, or forgets the calls in
+	// flight on the ones that stay.
+	It("replaces the endpoints of the named services only", func() {
+		table := func(ids ...string) []balance.Endpoint {
+			var list []balance.Endpoint
+			for _, id := range ids {
+				list = append(list, balance.Endpoint{ID: id, Incarnation: 1, Service: id[:4], Zone: "a", Slots: 4})
+			}
+			return list
+		}
+		now := time.Unix(1_000_000, 0)
+		b := balance.New(balance.Config{Policy: balance.LeastOutstanding, Zone: "a", SlowStart: -1})
+		b.Update(now, table("rank-1", "rank-2", "isbn-1"), nil)
+		busy, err := b.Pick(now, balance.Request{Service: "rank", Exclude: []string{"rank-2"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(busy.ID).To(Equal("rank-1"))
+
+		b.UpdateServices(now, []string{"rank"}, table("rank-1", "rank-3"), nil)
+		next, err := b.Pick(now, balance.Request{Service: "rank"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(next.ID).To(Equal("rank-3"), "rank-1 has a call in flight and rank-2 has left")
+		other, err := b.Pick(now, balance.Request{Service: "isbn"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.ID).To(Equal("isbn-1"))
+
+		b.UpdateServices(now, []string{"rank"}, nil, nil)
+		_, err = b.Pick(now, balance.Request{Service: "rank"})
+		Expect(err).To(MatchError(balance.ErrNoUpstream))
+	})
+})
--- a/coordination/balance/snapshot.go
+++ b/coordination/balance/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,15 +16,16 @@
 
 // snapshot is the immutable set of candidates of all services.
 type snapshot struct {
-	epoch     time.Time
-	endpoints map[string]*endpoint
-	services  map[string]*service
+	epoch    time.Time
+	services map[string]*service
 }
 
 // service holds the candidates of one service.
 type service struct {
 	averages  *averages
 	slowStart time.Duration
+	// byID holds the endpoints whose counters a later snapshot keeps.
+	byID map[string]*endpoint
 	// all holds the serving endpoints of all zones, suspects the suspect ones.
 	all, suspects *group
 	// local is nil if the zone of this process has no serving endpoint.
@@ -42,32 +44,51 @@
 	cursor    atomic.Uint64 // position of round robin
 }
 
+// newSnapshot builds the snapshot of a whole table.
 func newSnapshot(now time.Time, c Config, old *snapshot, table []Endpoint, settings map[string]bundle.Service) *snapshot {
-	if old == nil {
-		old = &snapshot{epoch: now}
+	s := &snapshot{epoch: now, services: make(map[string]*service)}
+	if old != nil {
+		s.epoch = old.epoch
 	}
-	s := &snapshot{
-		epoch:     old.epoch,
-		endpoints: make(map[string]*endpoint, len(table)),
-		services:  make(map[string]*service),
+	s.replace(c, old, table, settings)
+	return s
+}
+
+// withServices returns a snapshot in which the endpoints of some services are replaced. The cost does not grow with the
+// endpoints of the others.
+func (s *snapshot) withServices(c Config, names []string, table []Endpoint, settings map[string]bundle.Service) *snapshot {
+	next := &snapshot{epoch: s.epoch, services: maps.Clone(s.services)}
+	for _, name := range names {
+		delete(next.services, name)
 	}
+	next.replace(c, s, table, settings)
+	return next
+}
+
+// replace adds the services of a table that the snapshot does not hold yet.
+func (s *snapshot) replace(c Config, old *snapshot, table []Endpoint, settings map[string]bundle.Service) {
+	added := make(map[string]*service)
 	for _, record := range table {
 		if record.State != Serving && record.State != Suspect {
 			continue
 		}
-		s.add(c, old, record, settings[record.Service])
+		target := added[record.Service]
+		if target == nil {
+			target = newService(c, old, record.Service, settings[record.Service])
+			added[record.Service] = target
+		}
+		target.add(c, s.epoch, old, record, settings[record.Service])
 	}
-	for _, service := range s.services {
+	for name, service := range added {
 		service.arrange(c)
+		s.services[name] = service
 	}
-	return s
 }
 
-func (s *snapshot) add(c Config, old *snapshot, record Endpoint, setting bundle.Service) {
-	target := s.service(c, old, record.Service, setting)
-	e, ok := old.endpoints[record.ID]
+func (s *service) add(c Config, epoch time.Time, old *snapshot, record Endpoint, setting bundle.Service) {
+	e, ok := old.endpoint(record)
 	if !ok || !e.sameTarget(record) {
-		e = newEndpoint(s.epoch, record, target.averages)
+		e = newEndpoint(epoch, record, s.averages)
 	}
 	slots := max(1, record.Slots)
 	if setting.MaxConcurrency > 0 {
@@ -75,26 +96,33 @@
 	}
 	e.slots.Store(int64(slots))
 	e.delay.Store(int64(c.ZoneDelay(record.Zone)))
-	s.endpoints[record.ID] = e
+	s.byID[record.ID] = e
 	if record.State == Suspect {
-		target.suspects.endpoints = append(target.suspects.endpoints, e)
+		s.suspects.endpoints = append(s.suspects.endpoints, e)
 		return
 	}
-	target.all.endpoints = append(target.all.endpoints, e)
+	s.all.endpoints = append(s.all.endpoints, e)
+}
+
+// endpoint returns what an earlier snapshot knows of an endpoint.
+func (s *snapshot) endpoint(record Endpoint) (*endpoint, bool) {
+	if s == nil || s.services[record.Service] == nil {
+		return nil, false
+	}
+	e, ok := s.services[record.Service].byID[record.ID]
+	return e, ok
 }
 
-func (s *snapshot) service(c Config, old *snapshot, name string, setting bundle.Service) *service {
-	if found, ok := s.services[name]; ok {
-		return found
+func newService(c Config, old *snapshot, name string, setting bundle.Service) *service {
+	created := &service{
+		averages: &averages{}, slowStart: c.SlowStart, byID: make(map[string]*endpoint), all: &group{}, suspects: &group{},
 	}
-	created := &service{averages: &averages{}, slowStart: c.SlowStart, all: &group{}, suspects: &group{}}
-	if previous, ok := old.services[name]; ok {
-		created.averages = previous.averages
+	if old != nil && old.services[name] != nil {
+		created.averages = old.services[name].averages
 	}
 	if setting.SlowStartMs > 0 {
 		created.slowStart = time.Duration(setting.SlowStartMs) * time.Millisecond
 	}
-	s.services[name] = created
 	return created
 }
 
--- a/coordination/relay/output.go
+++ b/coordination/relay/output.go
@@ -37,8 +37,10 @@
 	Bundle   *bundle.Bundle
 }
 
-// EndpointsChanged reports that the endpoint table has changed.
-type EndpointsChanged struct{}
+// EndpointsChanged reports which records of the endpoint table were added, changed or dropped.
+type EndpointsChanged struct {
+	IDs []string
+}
 
 // CrashesReceived hands on crash reports that were not known before.
 type CrashesReceived struct {
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -84,7 +84,11 @@
 		p.now = now
 	}
 	if removed := p.spread.table.Advance(p.now); len(removed) > 0 {
-		p.emit(EndpointsChanged{})
+		ids := make([]string, 0, len(removed))
+		for _, record := range removed {
+			ids = append(ids, record.ID)
+		}
+		p.emit(EndpointsChanged{IDs: ids})
 		p.reannounceIfRemoved(removed)
 	}
 }
--- a/coordination/relay/spread.go
+++ b/coordination/relay/spread.go
@@ -207,7 +207,7 @@
 		}
 	}
 	clear(s.dirty)
-	p.emit(EndpointsChanged{})
+	p.emit(EndpointsChanged{IDs: ids})
 }
 
 func (p *Peer) dirtyFor(l *link, ids []string) []endpoints.Record {
--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"sapphiregate.example/sapphiregate/coordination/admission"
@@ -67,7 +69,9 @@
 	case relay.Activate:
 		n.activate(now, output)
 	case relay.EndpointsChanged:
-		n.endpointsChanged = true
+		for _, id := range output.IDs {
+			n.changedIDs[id] = true
+		}
 	case relay.CrashesReceived:
 		n.observeReports(now, output.Reports)
 	}
@@ -86,7 +90,7 @@
 		return
 	}
 	n.snapshot.Store(next)
-	n.endpointsChanged = true
+	n.refreshAll = true
 	n.executor.reconfigure()
 	n.peer.Activated(now, next.version)
 	n.metrics.activations.Add(1)
@@ -96,50 +100,89 @@
 	n.logger.Info().Uint64("version", next.version).Str("digest", next.digest.Short()).Msg("bundle in force")
 }
 
-// seenEndpoint is the time since when an upstream serves, as far as this node knows.
+// seenEndpoint is what the balancer was last told of an endpoint.
 type seenEndpoint struct {
 	incarnation uint64
+	service     string
 	state       endpoints.State
-	since       time.Time
+	// since is the time since when the upstream serves, as far as this node knows.
+	since time.Time
 }
 
-// refreshEndpoints hands the endpoint table to the balancer, once per batch of changes.
+// maxPartialServices is the number of changed services from which the whole table is handed over. Each service costs a
+// search of the table.
+const maxPartialServices = 16
+
+// refreshEndpoints hands changed endpoints to the balancer, once per batch of changes. A change costs the endpoints of
+// its service and one search of the table; handing over the whole table at each change would exceed the processor
+// limit of a node at 16,000 endpoints.
 func (n *Node) refreshEndpoints(now time.Time) {
 	current := n.snapshot.Load()
-	if !n.endpointsChanged || current == nil {
+	if current == nil || !n.refreshAll && len(n.changedIDs) == 0 {
+		return
+	}
+	services := n.changedServices()
+	clear(n.changedIDs)
+	if n.refreshAll || len(services) > maxPartialServices {
+		n.refreshAll = false
+		n.balancer.Update(now, n.balanceTable(now, n.peer.Table().All()), current.services)
 		return
 	}
-	n.endpointsChanged = false
-	records := n.peer.Table().All()
+	var records []endpoints.Record
+	for _, service := range services {
+		records = append(records, n.peer.Table().Service(service)...)
+	}
+	n.balancer.UpdateServices(now, services, n.balanceTable(now, records), current.services)
+}
+
+// changedServices lists the services that changed records belong to, or belonged to before. It forgets records that
+// were dropped.
+func (n *Node) changedServices() []string {
+	changed := make(map[string]bool)
+	for id := range n.changedIDs {
+		if seen, ok := n.seen[id]; ok {
+			changed[seen.service] = true
+		}
+		record, ok := n.peer.Table().Get(id)
+		if !ok {
+			delete(n.seen, id)
+			continue
+		}
+		changed[record.Service] = true
+	}
+	delete(changed, "")
+	return slices.Sorted(maps.Keys(changed))
+}
+
+func (n *Node) balanceTable(now time.Time, records []endpoints.Record) []balance.Endpoint {
+	first := len(n.seen) == 0
 	table := make([]balance.Endpoint, 0, len(records))
-	seen := make(map[string]seenEndpoint, len(records))
 	for _, record := range records {
 		if record.Service == "" {
 			continue
 		}
-		seen[record.ID] = n.sight(now, record)
+		seen := n.sight(now, record, first)
+		n.seen[record.ID] = seen
 		table = append(table, balance.Endpoint{
 			ID: record.ID, Incarnation: record.Incarnation, Zone: record.Zone, Service: record.Service,
-			Address: record.Address, State: balanceStates[record.State], Slots: record.Slots,
-			Since: seen[record.ID].since,
+			Address: record.Address, State: balanceStates[record.State], Slots: record.Slots, Since: seen.since,
 		})
 	}
-	n.firstSeen = seen
-	n.balancer.Update(now, table, current.services)
+	return table
 }
 
-func (n *Node) sight(now time.Time, record endpoints.Record) seenEndpoint {
-	known, ok := n.firstSeen[record.ID]
+// sight notes since when an upstream serves. What is there when this node starts has probably served for long.
+func (n *Node) sight(now time.Time, record endpoints.Record, first bool) seenEndpoint {
+	known, ok := n.seen[record.ID]
+	sight := seenEndpoint{incarnation: record.Incarnation, service: record.Service, state: record.State, since: now}
+	returned := known.state == endpoints.Gone && record.State != endpoints.Gone
 	switch {
-	case !ok && len(n.firstSeen) == 0:
-		// What is there when this node starts has probably served for long.
-		return seenEndpoint{incarnation: record.Incarnation, state: record.State}
-	case ok && known.incarnation == record.Incarnation && (known.state != endpoints.Gone || record.State == known.state):
-		known.state = record.State
-		return known
-	default:
-		return seenEndpoint{incarnation: record.Incarnation, state: record.State, since: now}
+	case first:
+		sight.since = time.Time{}
+	case ok && known.incarnation == record.Incarnation && !returned:
+		sight.since = known.since
 	}
+	return sight
 }
 
 var balanceStates = map[endpoints.State]balance.State{
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -30,7 +30,7 @@
 func (n *Node) Learn(record endpoints.Record) error {
 	return n.control.Query(context.Background(), func(now time.Time) {
 		n.peer.Table().Merge([]endpoints.Record{record})
-		n.endpointsChanged = true
+		n.changedIDs[record.ID] = true
 		n.refreshEndpoints(now)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -133,9 +133,11 @@
 	// tasks are the serving goroutines and the control goroutine.
 	tasks sync.WaitGroup
 
-	// endpointsChanged belongs to the control goroutine.
-	endpointsChanged bool
-	firstSeen        map[string]seenEndpoint
+	// The fields below belong to the control goroutine. changedIDs and refreshAll are what the balancer has not been
+	// told yet.
+	changedIDs map[string]bool
+	refreshAll bool
+	seen       map[string]seenEndpoint
 }
 
 // New prepares a node with empty memory.
@@ -152,7 +154,8 @@
 		incarnation: uint64(now.UnixNano()),
 		logger:      logging.Part(options.Logger, "node"),
 		metrics:     newMetrics(),
-		firstSeen:   make(map[string]seenEndpoint),
+		changedIDs:  make(map[string]bool),
+		seen:        make(map[string]seenEndpoint),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.connect()
