Count background work with a group that may be waited for while it grows

Change: a small counted group that refuses work once it is closed, with a test that starts and waits at the same time.

--- a/control/operators.go
+++ b/control/operators.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
@@ -21,11 +23,24 @@
 
 var _ operator.Backend = backend{}
 
-// Stage brings a bundle's parts into the registry.
+// Stage brings a bundle's parts into the registry. What this member's registry holds already is left out before the
+// request crosses zones to the leader; if the leader lacks the base of that difference, the whole bundle is sent.
 func (b backend) Stage(ctx context.Context, r operator.StageRequest) (operator.Decision, error) {
-	return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &registry.Stage{
-		Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update,
-	}})
+	whole := registry.Stage{Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update}
+	reduced := whole
+	err := b.query(ctx, func(time.Time) {
+		if difference, err := b.member.registry.registry.Shrink(whole); err == nil {
+			reduced = difference
+		}
+	})
+	if err != nil {
+		return operator.Decision{}, err
+	}
+	decision, err := b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &reduced})
+	if errors.Is(err, operator.ErrNotStaged) && len(reduced.Update) < len(whole.Update) {
+		return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &whole})
+	}
+	return decision, err
 }
 
 // Approve brings a staged bundle into force.
--- a/node/announce.go
+++ b/node/announce.go
@@ -92,7 +92,7 @@
 	e.decide(e.queue.Expire(time.Now()))
 	e.announceState(endpoints.Draining)
 	e.logger.Info().Int("in_flight", len(e.running)).Msg("upstream is leaving; calls in flight finish")
-	e.background.Go(e.announceGone)
+	e.background.start(e.announceGone)
 }
 
 // announceGone publishes the end of a drain, unless the upstream announces itself again first.
@@ -128,15 +128,5 @@
 	if err := e.idle(ctx); err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.background.Wait()
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return e.background.wait(ctx)
 }
--- /dev/null
+++ b/node/background_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// TestBackgroundStartsWhileWaiting guards against the panic of sync.WaitGroup ("reused before previous Wait has
+// returned"), which ended a process in herd-crash (kartuli, seed 2) when a call started during a stop.
+func TestBackgroundStartsWhileWaiting(t *testing.T) {
+	var group background
+	var ran, started atomic.Int64
+	var starters sync.WaitGroup
+	for range 8 {
+		starters.Go(func() {
+			for range 1000 {
+				if group.start(func() { ran.Add(1) }) {
+					started.Add(1)
+				}
+			}
+		})
+		starters.Go(func() {
+			for range 100 {
+				if err := group.wait(context.Background()); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	group.close()
+	starters.Wait()
+	if err := group.wait(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if ran.Load() != started.Load() {
+		t.Fatalf("%d of %d goroutines ran to their end", ran.Load(), started.Load())
+	}
+	if group.start(func() {}) {
+		t.Fatal("a closed group started a goroutine")
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -57,7 +57,7 @@
 	}
 	current := e.upstream
 	e.mu.Unlock()
-	e.background.Wait()
+	e.background.close()
 	if current != nil {
 		current.client.Close()
 	}
--- a/node/crash.go
+++ b/node/crash.go
@@ -43,7 +43,10 @@
 	check := &crashCheck{done: make(chan struct{})}
 	e.crashCheck = check
 	suspects, isolated := e.inFlight()
-	e.background.Go(func() { e.probeCrash(check, slot.upstream, suspects, isolated) })
+	if !e.background.start(func() { e.probeCrash(check, slot.upstream, suspects, isolated) }) {
+		e.crashCheck = nil
+		return nil
+	}
 	return check
 }
 
--- a/node/executor.go
+++ b/node/executor.go
@@ -32,7 +32,7 @@
 	metrics        *metrics
 	healthInterval time.Duration
 	// background holds what outlives its caller: recording answers and probing.
-	background sync.WaitGroup
+	background background
 	ctx        context.Context
 	stop       context.CancelFunc
 
--- a/node/once.go
+++ b/node/once.go
@@ -71,7 +71,10 @@
 		finished: make(chan struct{}),
 		answered: make(chan *reply, 1),
 	}
-	e.background.Go(call.drive)
+	if !e.background.start(call.drive) {
+		e.endClaim()
+		return refusal(protocol.ReasonDraining)
+	}
 	select {
 	case answer := <-call.answered:
 		return answer
