--- a/node/exchange.go
+++ b/node/exchange.go
@@ -20,7 +20,7 @@
 // whole reports whether the body is buffered, so that the call can be sent again.
 func (b *requestBody) whole() bool { return b.rest == nil }
 
-// frames yields the body in frames; the last one is marked.
+// replyStream yields the rest of a long answer in frames; the last one is marked.
 type replyStream interface {
 	// Next returns the next frame. An error other than io.EOF means that the answer was cut; io.EOF never precedes a
 	// frame that is marked as the last.
