--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -41,30 +41,14 @@
 	if err != nil {
 		return built{}, err
 	}
-	parts, manifest, err := bundle.Split(b)
+	update, err := bundle.Complete(b)
 	if err != nil {
 		return built{}, err
 	}
-	update := bundle.Update{
-		Target: manifest.Digest(), Delta: bundle.Diff(bundle.Manifest{}, manifest), Parts: distinct(parts),
-	}
 	encoded, err := registry.EncodeUpdate(update)
 	return built{bundle: b, update: update, encoded: encoded}, err
 }
 
-// distinct drops parts that occur under several names.
-func distinct(parts []bundle.Part) []bundle.Part {
-	seen := make(map[bundle.Digest]bool, len(parts))
-	var list []bundle.Part
-	for _, part := range parts {
-		if !seen[part.Digest] {
-			seen[part.Digest] = true
-			list = append(list, part)
-		}
-	}
-	return list
-}
-
 func openBuilt(file string) (built, error) {
 	f, err := os.Open(file)
 	if err != nil {
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -65,7 +65,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		IPAddresses: []net.IP{net.ParseIP("127.0.0.1")}, KeyUsage: x509.KeyUsageDigitalSignature,
+		IPAddresses: []net.IP{net.ParseIP(host)}, KeyUsage: x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 	}
@@ -86,12 +86,24 @@
 	Expect(os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
 }
 
-// freeAddress returns a loopback address that no process listens on.
+// host is where the processes of this test listen. Outgoing connections on loopback come from 127.0.0.1, so none of them
+// can take a port between freeAddress and the start of the process that listens on it.
+var host = fmt.Sprintf("127.%d.%d.1", 10+os.Getpid()%200, 1+os.Getpid()/200%250)
+
+var taken = make(map[string]bool)
+
+// freeAddress returns an address that no process listens on and that was not returned before.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", host+":0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		if !taken[address] {
+			taken[address] = true
+			return address
+		}
+	}
 }
 
 // build compiles a command of this module.
@@ -223,6 +235,9 @@
 		Expect(controls[0].Process.Kill()).To(Succeed())
 		Expect(nodes[0].Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Expect(nodes[0].Wait()).To(Succeed(), "a planned stop must exit with 0")
+		if usage, ok := nodes[0].ProcessState.SysUsage().(*syscall.Rusage); ok {
+			AddReportEntry("largest resident size of the node in KiB", usage.Maxrss)
+		}
 		Eventually(func() string { _, body := promote(1, "first"); return body }).
 			WithTimeout(patience).Should(Equal("promotion 1"))
 		Expect(runs.Load()).To(BeEquivalentTo(1))
