--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -16,7 +17,8 @@
 // Founder is a member of a new group.
 type Founder struct {
 	Address string
-	Zone    string
+	// Zone is asked of the founder if it is empty.
+	Zone string
 	// Learner marks a member that replicates without a vote, such as the source of a zone beyond the voters' zones.
 	Learner bool
 }
@@ -87,7 +89,9 @@
 			}
 			exists = exists || described.Formed
 			id = raft.MemberID(described.ID)
+			founder.Zone = cmp.Or(founder.Zone, reply.Zone)
 		}
+		founder.Zone = cmp.Or(founder.Zone, m.options.Zone)
 		membership.Members = append(membership.Members,
 			raft.Member{ID: id, Address: founder.Address, Zone: founder.Zone, Learner: founder.Learner})
 	}
@@ -103,12 +107,15 @@
 func (m *Member) identify(ctx context.Context, address string) (*protocol.IdentifyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	return m.pool.Identify(ctx, address)
+	return m.pool.Identify(ctx, address, &protocol.IdentifyRequest{})
 }
 
-// Identify tells other members who this one is.
-func (m *Member) Identify(context.Context, *protocol.IdentifyRequest) (*protocol.IdentifyReply, error) {
+// Identify tells other members who this one is, and notes a process that asks to join the group.
+func (m *Member) Identify(ctx context.Context, request *protocol.IdentifyRequest) (*protocol.IdentifyReply, error) {
 	reply := &protocol.IdentifyReply{Admin: m.options.AdvertiseAdmin, Zone: m.options.Zone}
+	if request.ID != "" {
+		m.describeGroup(ctx, request, reply)
+	}
 	m.formedMu.Lock()
 	defer m.formedMu.Unlock()
 	for _, r := range m.replicas {
--- a/control/member.go
+++ b/control/member.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/credentials"
 
+	"sapphiregate.example/sapphiregate/coordination/membership"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
@@ -46,6 +47,12 @@
 	Registry disk.FS
 	Ledgers  []disk.FS
 	Keys     *bundle.Keyring
+	// Voters is the number of members that vote when nothing has failed. If it is set, the leader replaces members that
+	// lost their disk or are gone by processes that ask to join; 0 leaves that to operators.
+	Voters int
+	// Seeds returns mesh addresses of processes that may know the group. A process that belongs to no group asks them.
+	// It is used if Voters is set.
+	Seeds    func() []string
 	Identity *rpc.Identity
 	// Dialer opens connections for configuration, LedgerDialer those for the ledger; nil dials TCP.
 	Dialer       rpc.Dialer
@@ -104,6 +111,10 @@
 	replicas []*replica
 	registry *registryMachine
 	ledgers  []*ledgerMachine
+	// candidates belongs to the control goroutine.
+	candidates membership.Candidates
+	// removed is closed once this process has learned that its identity was removed from the group.
+	removed chan struct{}
 }
 
 // New opens the data folders and forms or rejoins the groups in the background.
@@ -119,7 +130,7 @@
 	}
 	m := &Member{
 		options: options, logger: logging.Part(options.Logger, "control"), ready: make(chan struct{}),
-		formedGroups: make(map[uint32]bool), founding: make(map[uint32]raft.Membership),
+		formedGroups: make(map[uint32]bool), founding: make(map[uint32]raft.Membership), removed: make(chan struct{}),
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.connect()
@@ -235,6 +246,9 @@
 		m.tasks.Go(func() { r.writeLoop(m.ctx) })
 	}
 	close(m.ready)
+	if m.options.Voters > 0 {
+		m.tasks.Go(m.seekGroup)
+	}
 	m.host.Run(m.ctx)
 	for _, r := range m.replicas {
 		r.abandon()
@@ -277,6 +291,7 @@
 	for _, r := range m.replicas {
 		r.raft.Tick(now)
 	}
+	m.staff(now)
 	if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 		m.peer.SetConfirmed(now, age)
 	}
@@ -296,9 +311,9 @@
 }
 
 // publishMembers tells the distribution tree who the members are.
-func (m *Member) publishMembers(now time.Time, membership raft.Membership) {
-	infos := make([]relay.MemberInfo, 0, len(membership.Members))
-	for _, member := range membership.Members {
+func (m *Member) publishMembers(now time.Time, current raft.Membership) {
+	infos := make([]relay.MemberInfo, 0, len(current.Members))
+	for _, member := range current.Members {
 		infos = append(infos, relay.MemberInfo{ID: string(member.ID), Zone: member.Zone, Address: member.Address})
 	}
 	m.peer.SetMembers(now, infos)
@@ -383,8 +398,8 @@
 	return m.host.Follow(stream)
 }
 
-// Done is closed when the member stops, also by itself after a failure of its disk.
-func (m *Member) Done() <-chan struct{} { return m.ctx.Done() }
+// Stopped returns a context that ends when the member stops, also by itself after a failure of its disk.
+func (m *Member) Stopped() context.Context { return m.ctx }
 
 // ID returns the identity of the registry's folder, which names the member.
 func (m *Member) ID() string { return string(m.replicas[registryGroup].id) }
--- a/control/operators.go
+++ b/control/operators.go
@@ -26,19 +26,24 @@
 // Stage brings a bundle's parts into the registry. What this member's registry holds already is left out before the
 // request crosses zones to the leader; if the leader lacks the base of that difference, the whole bundle is sent.
 func (b backend) Stage(ctx context.Context, r operator.StageRequest) (operator.Decision, error) {
-	whole := registry.Stage{Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update}
+	stage := registry.Stage{Version: r.Version, Digest: r.Digest, Operator: r.Operator, Update: r.Update}
+	return b.stage(ctx, registry.Command{RequestID: r.RequestID, Stage: &stage})
+}
+
+// stage commits a command with a complete update.
+func (b backend) stage(ctx context.Context, whole registry.Command) (operator.Decision, error) {
 	reduced := whole
 	err := b.query(ctx, func(time.Time) {
-		if difference, err := b.member.registry.registry.Shrink(whole); err == nil {
-			reduced = difference
+		if difference, err := b.member.registry.registry.Shrink(*whole.Stage); err == nil {
+			reduced.Stage = &difference
 		}
 	})
 	if err != nil {
 		return operator.Decision{}, err
 	}
-	decision, err := b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &reduced})
-	if errors.Is(err, operator.ErrNotStaged) && len(reduced.Update) < len(whole.Update) {
-		return b.decide(ctx, registry.Command{RequestID: r.RequestID, Stage: &whole})
+	decision, err := b.decide(ctx, reduced)
+	if errors.Is(err, operator.ErrNotStaged) && len(reduced.Stage.Update) < len(whole.Stage.Update) {
+		return b.decide(ctx, whole)
 	}
 	return decision, err
 }
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -54,8 +54,12 @@
 
 // Ticket describes a call that wants to run.
 type Ticket struct {
-	ID       uint64
-	Class    bundle.Class
+	ID    uint64
+	Class bundle.Class
+	// Priority overrides the rank of the class: 1 is served first, 0 takes the class's.
+	Priority int
+	// Route groups calls that take about as long as each other.
+	Route    string
 	Deadline time.Time
 	// Alone means that the call must be the only one in flight on the upstream.
 	Alone bool
@@ -91,6 +95,9 @@
 	return c
 }
 
+// maxRouteEstimates bounds the routes with an estimate of their own.
+const maxRouteEstimates = 256
+
 var (
 	run  = Verdict{Action: Run}
 	wait = Verdict{Action: Wait}
@@ -102,7 +109,8 @@
 	running  map[uint64]*call
 	waiting  map[uint64]*call
 	classes  [classCount]class
-	total    estimate // service time over all classes
+	routes   map[string]*estimate // service time of each route
+	total    estimate             // service time over all classes
 	pending  []Decision
 	draining bool
 	// seen is the time of the last input.
@@ -121,7 +129,10 @@
 
 // New returns an empty queue.
 func New(c Config) *Queue {
-	return &Queue{config: c.withDefaults(), running: make(map[uint64]*call), waiting: make(map[uint64]*call)}
+	return &Queue{
+		config: c.withDefaults(), running: make(map[uint64]*call), waiting: make(map[uint64]*call),
+		routes: make(map[string]*estimate),
+	}
 }
 
 // Offer decides on a new call. Its identifier must not be in use. Decisions on other calls that follow from it are
@@ -162,6 +173,7 @@
 func (q *Queue) Finish(now time.Time, id uint64, service time.Duration) []Decision {
 	if c, ok := q.running[id]; ok {
 		q.class(c).service.add(now, service)
+		q.routeEstimate(c.route).add(now, service)
 		q.total.add(now, service)
 		q.stop(c, now)
 	}
@@ -182,7 +194,8 @@
 		if len(class.byDeadline) == 0 {
 			continue
 		}
-		at := class.byDeadline[0].deadline.Add(-class.service.at(q.seen, q.config.EstimateLifetime))
+		first := class.byDeadline[0]
+		at := first.deadline.Add(-q.need(first, q.seen))
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
@@ -227,7 +240,21 @@
 
 // need returns the time that a call is expected to run.
 func (q *Queue) need(c *call, now time.Time) time.Duration {
-	return q.class(c).service.at(now, q.config.EstimateLifetime)
+	return q.routeEstimate(c.route).at(now, q.config.EstimateLifetime)
+}
+
+// routeEstimate returns the estimate of a route. Routes beyond maxRouteEstimates share that of the empty name.
+func (q *Queue) routeEstimate(route string) *estimate {
+	known, ok := q.routes[route]
+	if ok {
+		return known
+	}
+	if len(q.routes) >= maxRouteEstimates && route != "" {
+		return q.routeEstimate("")
+	}
+	known = &estimate{}
+	q.routes[route] = known
+	return known
 }
 
 // expectedWait returns the time until the slots have served the calls ahead. Under overload the newest call of a class
@@ -330,9 +357,12 @@
 func (q *Queue) shedLate(now time.Time) {
 	for i := range q.classes {
 		class := &q.classes[i]
-		need := class.service.at(now, q.config.EstimateLifetime)
-		for len(class.byDeadline) > 0 && class.byDeadline[0].remaining(now) <= need {
-			q.evict(class.byDeadline[0], ReasonDeadline, now)
+		for len(class.byDeadline) > 0 {
+			first := class.byDeadline[0]
+			if first.remaining(now) > q.need(first, now) {
+				break
+			}
+			q.evict(first, ReasonDeadline, now)
 		}
 	}
 }
--- a/coordination/admission/class.go
+++ b/coordination/admission/class.go
@@ -8,12 +8,15 @@
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
-// classCount is the number of classes.
-const classCount = 3
+// classCount is the number of ranks.
+const classCount = bundle.MaxPriority
 
-// classOf returns the rank of a class: lower ranks are served first. Unknown classes are served last.
-func classOf(c bundle.Class) int {
-	switch c {
+// rankOf returns the rank of a call: lower ranks are served first. Unknown classes are served last of the classes.
+func rankOf(t Ticket) int {
+	if t.Priority > 0 {
+		return min(t.Priority, classCount) - 1
+	}
+	switch t.Class {
 	case bundle.ClassIrreversible:
 		return 0
 	case bundle.ClassLookup:
@@ -27,6 +30,7 @@
 type call struct {
 	id       uint64
 	class    int
+	route    string
 	alone    bool
 	arrived  time.Time
 	deadline time.Time
@@ -38,7 +42,7 @@
 const noDeadline = 24 * time.Hour
 
 func newCall(t Ticket, now time.Time) *call {
-	c := &call{id: t.ID, class: classOf(t.Class), alone: t.Alone, arrived: now, deadline: t.Deadline}
+	c := &call{id: t.ID, class: rankOf(t), route: t.Route, alone: t.Alone, arrived: now, deadline: t.Deadline}
 	if c.deadline.IsZero() {
 		c.deadline = now.Add(noDeadline)
 	}
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -70,7 +70,8 @@
 }
 
 func (p *progress) status(now time.Time) MemberProgress {
-	s := MemberProgress{Match: p.match, Next: p.next, State: p.state, Inflight: len(p.inflight), SinceContact: -1}
+	s := MemberProgress{Match: p.match, Next: p.next, State: p.state, Inflight: len(p.inflight), SinceContact: -1,
+		Silence: now.Sub(p.contact)}
 	if p.heard {
 		s.SinceContact = now.Sub(p.contact)
 	}
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -192,6 +192,11 @@
 	ChangeUpdate
 )
 
+// String returns the name of the kind.
+func (k ChangeKind) String() string {
+	return [...]string{"none", "add learner", "promote", "remove", "update"}[min(k, ChangeUpdate)]
+}
+
 // MembershipChange is one single-step change. Promote and remove use only Member.ID.
 type MembershipChange struct {
 	Kind   ChangeKind `cbor:"1,keyasint"`
@@ -287,6 +292,8 @@
 	Inflight    int
 	// SinceContact is the time since the last message of this member; negative if there was none in this term.
 	SinceContact time.Duration
+	// Silence is the time since the last message of this member, or since it was first tracked in this term.
+	Silence time.Duration
 }
 
 // Status describes a member.
--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -102,7 +102,7 @@
 		p.dialTarget(next)
 		return
 	}
-	p.endRound(p.random(min(joinJitter, time.Duration(a.round+1)*roundPause)))
+	p.endRound(p.random(min(p.config.JoinSpread, time.Duration(a.round+1)*roundPause)))
 }
 
 func (p *Peer) endRound(pause time.Duration) {
@@ -134,7 +134,7 @@
 	known := len(targets) > 0
 	orphanWait := time.Duration(0)
 	if p.attach.lastParent != "" {
-		orphanWait = joinJitter / 2 // Members are shared by the zone: the children of a lost parent spread out.
+		orphanWait = p.config.JoinSpread / 2 // Members are shared by the zone: the children of a lost parent spread out.
 	}
 	home, remote := p.memberTargets()
 	if known && len(home) > 0 {
@@ -286,7 +286,7 @@
 	a.next = p.now
 	a.hops++
 	if a.hops > maxHops {
-		p.endRound(p.random(joinJitter))
+		p.endRound(p.random(p.config.JoinSpread))
 		return
 	}
 	p.queueRedirects(addresses, l.anyZone)
@@ -307,7 +307,7 @@
 	a.link = nil
 	a.next = p.now
 	if l.remote.Member {
-		delay := min(time.Duration(r.DelayMs)*time.Millisecond, 2*joinJitter)
+		delay := min(time.Duration(r.DelayMs)*time.Millisecond, 2*p.config.JoinSpread)
 		p.endRound(max(0, delay))
 	}
 }
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math/rand"
+	"time"
 
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
@@ -40,6 +41,8 @@
 	// JoinsPerSecond and JoinBurst bound the joins that a member accepts.
 	JoinsPerSecond float64
 	JoinBurst      int
+	// JoinSpread spreads the first joins after a start, and joins at a member after the loss of a parent.
+	JoinSpread time.Duration
 	// TableLimit bounds the endpoint table.
 	TableLimit int
 }
@@ -51,6 +54,8 @@
 	DefaultRemoteFollowers = 1
 	DefaultJoinsPerSecond  = 16
 	DefaultJoinBurst       = 16
+	// DefaultJoinSpread spreads a herd of 16,000 nodes so that its joins cost the members no more than they can serve.
+	DefaultJoinSpread = 2 * time.Second
 )
 
 // Order is a peer's place in the tree: a node follows members and nodes of lower order only.
--- a/coordination/relay/content.go
+++ b/coordination/relay/content.go
@@ -248,6 +248,7 @@
 	if err != nil {
 		c.refusedDigest, c.refusedReason = a.Digest, err.Error()
 		p.counts.changed = true
+		p.emit(Refused{Version: a.Version, Reason: c.refusedReason})
 		return
 	}
 	newer := invariant.Check(a.Version > c.current(), invariant.VersionRollback, "version goes down",
@@ -324,8 +325,10 @@
 		resources[resource.Name] = true
 	}
 	for _, route := range b.Routes {
-		if !services[route.Service] {
-			return errors.Wrapf(ErrDangling, "route %s, service %s", route.Name, route.Service)
+		for _, share := range route.Shares() {
+			if !services[share.Service] {
+				return errors.Wrapf(ErrDangling, "route %s, service %s", route.Name, share.Service)
+			}
 		}
 		for _, name := range route.Resources {
 			if !resources[name] {
--- /dev/null
+++ b/coordination/relay/dangling_internal_test.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+var _ = Describe("the check for dangling routes", func() {
+	services := []bundle.Service{{Name: "desk"}, {Name: "desk-next"}}
+	split := func(second string) *bundle.Bundle {
+		return &bundle.Bundle{Services: services, Routes: []bundle.Route{{
+			Name: "lookup", Split: []bundle.Share{{Service: "desk", Weight: 9}, {Service: second, Weight: 1}},
+		}}}
+	}
+
+	// Guards against nodes that refuse a version because one of its routes is split over several services.
+	It("accepts a split route", func() { Expect(danglingRoute(split("desk-next"))).To(Succeed()) })
+
+	It("finds a part of a split that the bundle does not hold", func() {
+		Expect(danglingRoute(split("gone"))).To(MatchError(ErrDangling))
+	})
+})
--- a/coordination/relay/output.go
+++ b/coordination/relay/output.go
@@ -37,6 +37,12 @@
 	Bundle   *bundle.Bundle
 }
 
+// Refused reports an approved bundle that this peer does not put into force.
+type Refused struct {
+	Version uint64
+	Reason  string
+}
+
 // EndpointsChanged reports which records of the endpoint table were added, changed or dropped.
 type EndpointsChanged struct {
 	IDs []string
@@ -51,5 +57,6 @@
 func (Dial) output()             {}
 func (Close) output()            {}
 func (Activate) output()         {}
+func (Refused) output()          {}
 func (EndpointsChanged) output() {}
 func (CrashesReceived) output()  {}
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -49,7 +49,7 @@
 		content:  newContent(),
 		spread:   newSpread(now, c),
 	}
-	p.attach = newAttach(now.Add(p.random(joinJitter)))
+	p.attach = newAttach(now.Add(p.random(p.config.JoinSpread)))
 	if !c.Member {
 		p.Announce(now, endpoints.Record{State: endpoints.Serving, Address: c.Address})
 	}
@@ -116,6 +116,9 @@
 	p.fresh.update(p.now, p.latestVersion(), p.now, age)
 }
 
+// SetJoin replaces the addresses that are tried when nothing else is known.
+func (p *Peer) SetJoin(addresses []string) { p.config.Join = addresses }
+
 // SetMembers tells a member which control members exist, itself included. It dials those with a smaller ID.
 func (p *Peer) SetMembers(now time.Time, members []MemberInfo) {
 	p.advance(now)
@@ -186,10 +189,11 @@
 	setDefault(&c.RemoteFollowers, DefaultRemoteFollowers)
 	setDefault(&c.JoinsPerSecond, DefaultJoinsPerSecond)
 	setDefault(&c.JoinBurst, DefaultJoinBurst)
+	setDefault(&c.JoinSpread, DefaultJoinSpread)
 	return c
 }
 
-func setDefault[T int | float64](value *T, fallback T) {
+func setDefault[T int | float64 | time.Duration](value *T, fallback T) {
 	if *value <= 0 {
 		*value = fallback
 	}
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -13,8 +13,6 @@
 	pollJitter = 0.1
 	// silenceLimit is the time after which a silent link is given up.
 	silenceLimit = endpoints.SuspectAfter
-	// joinJitter spreads the first joins after a start, and joins at a member after the loss of a parent.
-	joinJitter = 2 * time.Second
 	// orphanJitter spreads the search for another parent among the children of a lost one. Together with two round
 	// trips it stays below SuspectAfter, so a child that finds another parent is not published as suspect.
 	orphanJitter = 200 * time.Millisecond
@@ -25,7 +23,8 @@
 	// formerPause does the same for a lost parent. It is shorter, since only the link may have failed and there may be
 	// no other candidate; a node that takes longer than SuspectAfter to rejoin becomes suspect.
 	formerPause = 500 * time.Millisecond
-	// roundPause bounds the pause after the first unsuccessful round; it grows by as much per round, up to joinJitter.
+	// roundPause bounds the pause after the first unsuccessful round; it grows by as much per round, up to
+	// Config.JoinSpread.
 	roundPause = 500 * time.Millisecond
 	// staleAfter is the confirmed age at which a child of a member looks for another parent.
 	staleAfter = 4 * time.Second
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -32,7 +32,6 @@
 // Route is a route with what it refers to resolved.
 type Route struct {
 	bundle.Route
-	Target    bundle.Service
 	Resources []bundle.Resource
 }
 
@@ -79,11 +78,12 @@
 func resolve(
 	definition bundle.Route, services map[string]bundle.Service, resources map[string]bundle.Resource,
 ) (*Route, error) {
-	service, ok := services[definition.Service]
-	if !ok {
-		return nil, errors.Wrapf(ErrDangling, "route %s, service %s", definition.Name, definition.Service)
+	route := &Route{Route: definition}
+	for _, share := range definition.Shares() {
+		if _, ok := services[share.Service]; !ok {
+			return nil, errors.Wrapf(ErrDangling, "route %s, service %s", definition.Name, share.Service)
+		}
 	}
-	route := &Route{Route: definition, Target: service}
 	for _, name := range definition.Resources {
 		resource, ok := resources[name]
 		if !ok {
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,8 +13,8 @@
 
 	"sapphiregate.example/sapphiregate/control"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/platform"
 	"sapphiregate.example/sapphiregate/settings"
-	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/disk"
 	"sapphiregate.example/sapphiregate/state/ledger"
 )
@@ -37,16 +38,15 @@
 			if err != nil {
 				return err
 			}
-			return runControl(command.Context(), loaded, logger)
+			return runControl(command.Context(), file, loaded, logger)
 		},
 	}
-	command.Flags().StringVar(&file, "settings", "", "JSON settings file")
-	_ = command.MarkFlagRequired("settings")
+	registerSettings(command, &file)
 	logs.register(command)
 	return command
 }
 
-func runControl(ctx context.Context, loaded settings.Control, logger zerolog.Logger) error {
+func runControl(ctx context.Context, file string, loaded settings.Control, logger zerolog.Logger) error {
 	options, err := controlOptions(loaded, logger)
 	if err != nil {
 		return err
@@ -56,26 +56,56 @@
 		return err
 	}
 	options.Mesh, options.Admin = listeners[0], listeners[1]
+	var seeds atomic.Pointer[[]string]
+	seeds.Store(&loaded.Join)
+	options.Seeds = func() []string { return *seeds.Load() }
 	member, err := control.New(options)
 	if err != nil {
 		return err
 	}
 	member.Start()
 	logger.Info().Str("instance", loaded.Instance).Str("member", member.ID()).Msg("control member started")
-	select {
-	case <-ctx.Done():
-	case <-member.Done():
-		return errors.New("daemon: the control member stopped by itself; see the log")
+	if loaded.Platform != nil {
+		adapter, err := platform.ServeControl(member, *loaded.Platform, logger)
+		if err != nil {
+			member.Kill()
+			return err
+		}
+		defer adapter.Close()
 	}
+	running, cancelRunning := context.WithCancel(ctx)
+	defer cancelRunning()
+	context.AfterFunc(member.Stopped(), cancelRunning)
+	watchSettings(running, file, logger, func() error {
+		changed, err := settings.LoadControl(file)
+		if err == nil {
+			seeds.Store(&changed.Join)
+		}
+		return err
+	})
+	if member.Stopped().Err() != nil {
+		return memberEnd(member)
+	}
+	logger.Info().Msg("control member leaves")
 	stopping, cancel := context.WithTimeout(context.Background(), memberStopTimeout)
 	defer cancel()
 	return member.Stop(stopping)
 }
 
+// memberEnd explains why a member stopped by itself.
+func memberEnd(member *control.Member) error {
+	select {
+	case <-member.Removed():
+		return control.ErrRemoved
+	default:
+		return errors.New("daemon: the control member stopped by itself; see the log")
+	}
+}
+
 func controlOptions(loaded settings.Control, logger zerolog.Logger) (control.Options, error) {
-	keys, err := bundle.LoadKeyring(loaded.Keyring)
+	keys, err := loadKeyring(loaded.Keyring, loaded.TrustedOperators)
 	if err != nil {
-		return control.Options{}, errors.Mark(err, errUsage)
+		return control.Options{}, err
 	}
 	identity, err := loadIdentity(loaded.TLS)
 	if err != nil {
@@ -101,6 +131,9 @@
 		options.Founders = append(options.Founders,
 			control.Founder{Address: peer.Address, Zone: peer.Zone, Learner: peer.Learner})
 	}
+	if loaded.Platform != nil {
+		platform.ConfigureControl(&options, loaded)
+	}
 	for group := range loaded.LedgerGroups {
 		folder, err := disk.NewOS(filepath.Join(loaded.DataFolder, fmt.Sprintf("ledger-%d", group+1)))
 		if err != nil {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"sapphiregate.example/sapphiregate/node"
+	"sapphiregate.example/sapphiregate/platform"
 	"sapphiregate.example/sapphiregate/settings"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/transport/rpc"
@@ -31,19 +32,18 @@
 			if err != nil {
 				return err
 			}
-			return runNode(command.Context(), loaded, logger)
+			return runNode(command.Context(), file, loaded, logger)
 		},
 	}
-	command.Flags().StringVar(&file, "settings", "", "JSON settings file")
-	_ = command.MarkFlagRequired("settings")
+	registerSettings(command, &file)
 	logs.register(command)
 	return command
 }
 
-func runNode(ctx context.Context, loaded settings.Node, logger zerolog.Logger) error {
-	keys, err := bundle.LoadKeyring(loaded.Keyring)
+func runNode(ctx context.Context, file string, loaded settings.Node, logger zerolog.Logger) error {
+	keys, err := loadKeyring(loaded.Keyring, loaded.TrustedOperators)
 	if err != nil {
-		return errors.Mark(err, errUsage)
+		return err
 	}
 	identity, err := loadIdentity(loaded.TLS)
 	if err != nil {
@@ -53,30 +53,50 @@
 	if err != nil {
 		return err
 	}
-	process := node.New(node.Options{
+	options := node.Options{
 		ID: loaded.Instance, Zone: loaded.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
 		Advertise: loaded.Advertise, Members: loaded.Join, Keys: keys, Identity: identity,
-		ZoneDelay: zoneDelays(loaded.ZoneDelays), Logger: logger, Limits: nodeLimits(loaded),
-	})
+		ZoneDelay: zoneDelays(loaded), Logger: logger, Limits: nodeLimits(loaded),
+	}
+	if loaded.Platform != nil {
+		platform.ConfigureNode(&options, *loaded.Platform)
+	}
+	process := node.New(options)
 	process.Start()
 	logger.Info().Str("instance", loaded.Instance).Str("callers", loaded.Callers).Msg("node started")
+	if loaded.Platform != nil {
+		adapter, err := platform.ServeNode(process, *loaded.Platform, logger)
+		if err != nil {
+			process.Kill()
+			return err
+		}
+		defer adapter.Close()
+	}
 	if loaded.Upstream != nil {
 		if err := process.AcceptUpstream(announcementOf(*loaded.Upstream)); err != nil {
 			process.Kill()
 			return errors.Mark(err, errUsage)
 		}
 	}
-	<-ctx.Done()
+	watchSettings(ctx, file, logger, func() error {
+		changed, err := settings.LoadNode(file)
+		if err == nil {
+			process.SetJoin(changed.Join)
+		}
+		return err
+	})
 	logger.Info().Msg("node leaves; requests in flight finish")
 	stopping, cancel := context.WithTimeout(context.Background(), loaded.Limits.DrainTimeout.Std())
 	defer cancel()
-	return process.Stop(stopping)
+	err = process.Stop(stopping)
+	logger.Info().Err(err).Msg("node stopped")
+	return err
 }
 
 func nodeLimits(loaded settings.Node) node.Limits {
 	limits := node.Limits{
 		MaxCalls: loaded.Limits.MaxCalls, MaxHeaderBytes: loaded.Limits.MaxHeaderBytes,
-		MaxBodyBytes: loaded.Limits.MaxBodyBytes,
+		MaxBodyBytes: loaded.Limits.MaxBodyBytes, LeaveNotice: loaded.Limits.LeaveNotice.Std(),
 	}
 	if loaded.Upstream != nil {
 		limits.HealthInterval = loaded.Upstream.HealthInterval.Std()
@@ -84,6 +104,19 @@
 	return limits
 }
 
+// loadKeyring reads the operators' keys. The file may be missing from settings that trust operators without a key.
+func loadKeyring(file string, trusted []string) (*bundle.Keyring, error) {
+	keys := bundle.NewKeyring(nil)
+	if file != "" {
+		loaded, err := bundle.LoadKeyring(file)
+		if err != nil {
+			return nil, errors.Mark(err, errUsage)
+		}
+		keys = loaded
+	}
+	return keys.Trust(trusted...), nil
+}
+
 func announcementOf(u settings.Upstream) node.Announcement {
 	return node.Announcement{
 		Service: u.Service, Address: u.Address, Slots: u.Slots, Connections: u.Connections,
@@ -100,8 +133,13 @@
 	return identity, errors.Mark(err, errUsage)
 }
 
-func zoneDelays(delays map[string]settings.Duration) func(zone string) time.Duration {
-	return func(zone string) time.Duration { return delays[zone].Std() }
+func zoneDelays(loaded settings.Node) func(zone string) time.Duration {
+	return func(zone string) time.Duration {
+		if delay, listed := loaded.ZoneDelays[zone]; listed {
+			return delay.Std()
+		}
+		return loaded.OtherZoneDelay.Std()
+	}
 }
 
 // openListeners opens all addresses or none.
--- /dev/null
+++ b/daemon/reload.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/platform"
+)
+
+// settingsCheckInterval is the time between two looks whether the settings file has changed, since a change may come
+// without a signal.
+const settingsCheckInterval = 2 * time.Second
+
+// registerSettings adds the flag that names the settings file.
+func registerSettings(command *cobra.Command, file *string) {
+	command.Flags().StringVar(file, "settings", os.Getenv(platform.SettingsVariable), "JSON settings file")
+	if os.Getenv(platform.SettingsVariable) == "" {
+		_ = command.MarkFlagRequired("settings")
+	}
+}
+
+// watchSettings applies changes of the settings file until the context ends. A file that cannot be used is reported and
+// changes nothing.
+func watchSettings(ctx context.Context, file string, logger zerolog.Logger, reload func() error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsCheckInterval)
+	defer ticker.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-ticker.C:
+			if modified(file).Equal(last) {
+				continue
+			}
+		}
+		last = modified(file)
+		if err := reload(); err != nil {
+			logger.Error().Err(err).Msg("kept the former settings")
+			continue
+		}
+		logger.Info().Str("file", file).Msg("settings reloaded")
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -71,8 +71,8 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.snapshot.Load() == nil {
-		http.Error(w, "no configuration is in force", http.StatusServiceUnavailable)
+	if !n.Serving() {
+		http.Error(w, "no configuration is in force, or the node is leaving", http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/node/announce.go
+++ b/node/announce.go
@@ -19,6 +19,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leaving {
+		return nil
+	}
 	if e.upstream == nil || e.upstream.announcement != announcement {
 		if e.upstream != nil {
 			e.upstream.client.Close()
@@ -79,6 +82,14 @@
 	e.decide(e.queue.Expire(time.Now()))
 }
 
+// leave drains for good: this process is about to end, whatever its upstream says.
+func (e *executor) leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.drain()
+}
+
 // drain announces that the upstream is leaving and refuses further calls. Calls in flight finish.
 func (e *executor) drain() {
 	e.mu.Lock()
--- a/node/answer.go
+++ b/node/answer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"sapphiregate.example/sapphiregate/protocol"
-	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/ledger"
 )
 
@@ -55,7 +54,7 @@
 	n.metrics.refusals.Add(string(reason), 1)
 	key := r.Header.Get(protocol.HeaderKey)
 	if key == "" || len(key) > maxKeyBytes {
-		writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
+		n.writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
 		return
 	}
 	answer := n.confirmNotRun(r.Context(), ledger.Query{Key: key}, reason)
@@ -66,13 +65,13 @@
 		writeRecorded(w, answer)
 		return
 	}
-	writeVerdict(w, answer.head.Outcome, answer.head.Reason, refusalCode(reason))
+	n.writeVerdict(w, answer.head.Outcome, answer.head.Reason, refusalCode(reason))
 }
 
 // confirm asks the ledger before an irreversible call is reported as not run: an earlier attempt of the caller under
 // the same key may have run.
 func (c *ingressCall) confirm(ctx context.Context, answer *reply) *reply {
-	if c.route.Class != bundle.ClassIrreversible || answer.head.Outcome != protocol.OutcomeNotRun ||
+	if c.head.Key == "" || answer.head.Outcome != protocol.OutcomeNotRun ||
 		answer.head.Reason == protocol.ReasonKeyReused {
 		return answer
 	}
@@ -117,10 +116,12 @@
 	return http.StatusServiceUnavailable
 }
 
-func writeVerdict(w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int) {
+func (n *Node) writeVerdict(w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int) {
 	header := w.Header()
-	header.Set(protocol.HeaderOutcome, string(outcome))
-	header.Set(protocol.HeaderReason, string(reason))
+	if n.options.Dialect.Verdicts {
+		header.Set(protocol.HeaderOutcome, string(outcome))
+		header.Set(protocol.HeaderReason, string(reason))
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests {
 		header.Set("Retry-After", "1")
@@ -136,22 +137,24 @@
 // write passes the reply on to the caller.
 func (c *ingressCall) write(w http.ResponseWriter, answer *reply) {
 	header := w.Header()
-	header.Set(protocol.HeaderVersion, strconv.FormatUint(c.snapshot.version, 10))
+	if c.node.options.Dialect.Verdicts {
+		header.Set(protocol.HeaderVersion, strconv.FormatUint(c.snapshot.version, 10))
+	}
 	switch answer.head.Outcome {
 	case protocol.OutcomeDone:
 		c.writeAnswer(w, answer)
 	case protocol.OutcomeNotRun:
-		writeVerdict(w, protocol.OutcomeNotRun, answer.head.Reason, refusalCode(answer.head.Reason))
+		c.node.writeVerdict(w, protocol.OutcomeNotRun, answer.head.Reason, refusalCode(answer.head.Reason))
 	default:
 		c.writeUnknown(w, answer)
 	}
 }
 
 func (c *ingressCall) writeUnknown(w http.ResponseWriter, answer *reply) {
-	if c.route.Class == bundle.ClassIrreversible {
+	if c.head.Key != "" {
 		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(c.head.Key))
 	}
-	writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, unknownCode(answer.head.Reason))
+	c.node.writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, unknownCode(answer.head.Reason))
 }
 
 func unknownCode(reason protocol.Reason) int {
@@ -178,13 +181,15 @@
 	for name, values := range answer.head.Header {
 		header[name] = values
 	}
-	header.Set(protocol.HeaderOutcome, string(protocol.OutcomeDone))
-	if answer.head.Reason != protocol.ReasonNone {
-		header.Set(protocol.HeaderReason, string(answer.head.Reason))
-	}
 	added := max(time.Since(c.started)-c.elsewhere, 0)
 	c.node.metrics.observeAdded(added)
-	header.Set(protocol.HeaderAdded, strconv.FormatInt(added.Microseconds(), 10))
+	if c.node.options.Dialect.Verdicts {
+		header.Set(protocol.HeaderOutcome, string(protocol.OutcomeDone))
+		if answer.head.Reason != protocol.ReasonNone {
+			header.Set(protocol.HeaderReason, string(answer.head.Reason))
+		}
+		header.Set(protocol.HeaderAdded, strconv.FormatInt(added.Microseconds(), 10))
+	}
 	if answer.head.ContentLength >= 0 && len(answer.trailer) == 0 && bodyAllowed(c.head.Method, answer.head.Status) {
 		header.Set("Content-Length", strconv.FormatInt(answer.head.ContentLength, 10))
 	}
@@ -234,11 +239,19 @@
 }
 
 // setCallHeaders sets what an upstream needs to make calls of its own under this one.
-func setCallHeaders(header http.Header, head *protocol.CallHead, remaining time.Duration) {
-	header.Set(protocol.HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	header.Set(protocol.HeaderDepth, strconv.Itoa(head.Depth+1))
+func (e *executor) setCallHeaders(
+	header http.Header, target *upstream, head *protocol.CallHead, remaining time.Duration,
+) {
+	set := func(name, value string) {
+		if name != "" && value != "" {
+			header.Set(name, value)
+		}
+	}
+	set(e.dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	set(e.dialect.Depth, strconv.Itoa(head.Depth+1))
+	set(e.dialect.ExpectUpstream, target.announcement.ID)
 	if head.Retry {
-		header.Set(protocol.HeaderRetry, "1")
+		set(e.dialect.Retry, "1")
 	}
 	if head.Key != "" {
 		header.Set(protocol.HeaderKey, head.Key)
@@ -249,7 +262,7 @@
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
-		writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalCode(protocol.ReasonKeyMissing))
+		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalCode(protocol.ReasonKeyMissing))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), outcomeTimeout)
@@ -257,14 +270,14 @@
 	result, err := n.executor.ledger.do(ctx, key, ledger.Command{Query: &ledger.Query{Key: key}})
 	switch {
 	case err != nil:
-		writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable)
+		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable)
 	case result.Status == ledger.Done:
 		writeRecorded(w, answerReply(result.Answer))
 	case result.Status == ledger.Released:
-		writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict)
+		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict)
 	default:
 		// An absent key may belong to a request that is still on its way to its executor.
-		writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted)
+		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted)
 	}
 }
 
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -31,7 +31,7 @@
 		body.trailer = declaredTrailer(first.Head.TrailerNames)
 		body.rest = &frameReader{recv: stream.Recv, trailer: body.trailer}
 	}
-	progress := startProgress(stream)
+	progress := startProgress(stream, first.Head.Progress)
 	answer := n.executor.run(stream.Context(), first.Head, body)
 	progress.stop()
 	defer answer.finish()
@@ -49,8 +49,11 @@
 	stream rpc.CallServerStream
 }
 
-func startProgress(stream rpc.CallServerStream) *progress {
+func startProgress(stream rpc.CallServerStream, wanted bool) *progress {
 	p := &progress{stream: stream}
+	if !wanted {
+		return p
+	}
 	p.timer = time.AfterFunc(progressDelay, p.send)
 	return p
 }
@@ -66,6 +69,9 @@
 
 // stop returns once no progress frame is being sent: a stream takes one frame at a time.
 func (p *progress) stop() {
+	if p.timer == nil {
+		return
+	}
 	p.timer.Stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/control.go
+++ b/node/control.go
@@ -25,6 +25,9 @@
 		quarantine:  n.quarantine,
 		metrics:     n.metrics,
 
+		settingsService: n.options.Service,
+		dialect:         &n.options.Dialect,
+
 		healthInterval: n.options.Limits.HealthInterval,
 		queue:          admission.New(admission.Config{Slots: 1}),
 		waiting:        make(map[uint64]chan admission.Verdict),
@@ -68,6 +71,8 @@
 	switch output := output.(type) {
 	case relay.Activate:
 		n.activate(now, output)
+	case relay.Refused:
+		n.logger.Error().Uint64("version", output.Version).Str("reason", output.Reason).Msg("refused a bundle")
 	case relay.EndpointsChanged:
 		for _, id := range output.IDs {
 			n.changedIDs[id] = true
--- a/node/crash.go
+++ b/node/crash.go
@@ -106,6 +106,10 @@
 		e.mu.Unlock()
 		switch state {
 		case upstreamServing:
+			if e.healthInterval < 0 {
+				sleep(e.ctx, defaultHealthInterval)
+				continue
+			}
 			failures = e.watchServing(current, failures)
 			sleep(e.ctx, e.healthInterval)
 		case upstreamDown:
--- a/node/executor.go
+++ b/node/executor.go
@@ -30,6 +30,7 @@
 	// publish spreads crash reports and clearances.
 	publish        func(quarantine.Report)
 	metrics        *metrics
+	dialect        *protocol.Dialect
 	healthInterval time.Duration
 	// background holds what outlives its caller: recording answers and probing.
 	background background
@@ -48,6 +49,11 @@
 	expiry   *time.Timer
 	// crashCheck is open while a broken connection is being explained.
 	crashCheck *crashCheck
+	lineage    lineage
+	// settingsService is what runs beside the node until an upstream announces itself.
+	settingsService string
+	// departed is set once the upstream said that it is about to end; leaving once this process is.
+	departed, leaving bool
 	// drained is the time at which the upstream began to leave.
 	drained time.Time
 }
@@ -85,7 +91,9 @@
 	e.nextID++
 	id := e.nextID
 	call := &runningCall{fingerprint: fingerprint, alone: head.Alone || verdict == quarantine.Alone}
-	ticket := admission.Ticket{ID: id, Class: head.Class, Deadline: deadline, Alone: call.alone}
+	ticket := admission.Ticket{
+		ID: id, Class: head.Class, Priority: head.Priority, Route: head.Route, Deadline: deadline, Alone: call.alone,
+	}
 	admitted := e.queue.Offer(now, ticket)
 	e.running[id] = call
 	var waiter chan admission.Verdict
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -63,9 +63,10 @@
 // runFirst runs the first attempt on the calling goroutine, which saves two switches between goroutines on most calls. A
 // hedge may start beside it.
 func (f *forwarding) runFirst(ctx context.Context, first *attempt) attemptResult {
-	if !f.plan.MayHedge(time.Now()) {
+	if f.call.node.options.NoHedging || !f.plan.MayHedge(time.Now()) {
 		return first.run()
 	}
+	f.call.head.Progress = true
 	wait := progressDelay + 2*f.call.node.options.zoneDelay(first.target.Zone) + hedgeMargin
 	timer := time.AfterFunc(wait, func() { f.hedge(ctx) })
 	result := first.run()
@@ -110,7 +111,7 @@
 func (f *forwarding) begin(ctx context.Context) (*attempt, bool) {
 	c := f.call
 	target, err := c.node.balancer.Pick(time.Now(), balance.Request{
-		Service: c.route.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source,
+		Service: c.head.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source,
 	})
 	if err != nil {
 		f.last = protocol.ReasonNoUpstream
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
@@ -10,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -106,12 +108,13 @@
 }
 
 func (c *ingressCall) readHead(r *http.Request) protocol.Reason {
-	depth, _ := strconv.Atoi(r.Header.Get(protocol.HeaderDepth))
+	dialect := &c.node.options.Dialect
+	depth, _ := strconv.Atoi(r.Header.Get(dialect.Depth))
 	if depth < 0 || depth >= protocol.MaxDepth {
 		return protocol.ReasonTooDeep
 	}
 	remaining := time.Duration(c.route.DeadlineMs) * time.Millisecond
-	if text := r.Header.Get(protocol.HeaderDeadline); text != "" {
+	if text := r.Header.Get(dialect.Deadline); text != "" {
 		milliseconds, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || milliseconds <= 0 {
 			return protocol.ReasonDeadline
@@ -123,12 +126,15 @@
 	for name, value := range c.policy.headers {
 		header[http.CanonicalHeaderKey(name)] = []string{value}
 	}
+	if dialect.CallerService != "" {
+		header[http.CanonicalHeaderKey(dialect.CallerService)] = []string{c.node.executor.localService()}
+	}
 	c.head = protocol.CallHead{
-		Service: c.route.Service, Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: r.URL.RequestURI(),
-		Host: r.Host, Header: header, Depth: depth, Retry: r.Header.Get(protocol.HeaderRetry) != "",
-		ContentLength: r.ContentLength, Version: c.snapshot.version,
+		Service: c.policy.split.Next(), Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: requestURI(r),
+		Host: r.Host, Header: header, Depth: depth, Retry: dialect.Retry != "" && r.Header.Get(dialect.Retry) != "",
+		ContentLength: r.ContentLength, Version: c.snapshot.version, Priority: c.route.Priority,
 	}
-	if c.route.Class != bundle.ClassIrreversible {
+	if c.route.Class != bundle.ClassIrreversible || c.route.Keyless {
 		return protocol.ReasonNone
 	}
 	c.head.Key = r.Header.Get(protocol.HeaderKey)
@@ -138,12 +144,17 @@
 	return protocol.ReasonNone
 }
 
+// requestURI returns the path and query as the caller wrote them.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // readBody buffers a short body, or all of it for an irreversible call, whose claim covers the body's digest.
 func (c *ingressCall) readBody(r *http.Request) protocol.Reason {
-	limit := c.route.MaxBodyBytes
-	if limit == 0 {
-		limit = c.node.options.Limits.MaxBodyBytes
-	}
+	limit := cmp.Or(c.route.MaxBodyBytes, c.snapshot.maxBodyBytes, c.node.options.Limits.MaxBodyBytes)
 	if r.ContentLength > limit {
 		return protocol.ReasonTooLarge
 	}
@@ -151,7 +162,7 @@
 		return protocol.ReasonNone
 	}
 	held := min(limit, bufferedBytes)
-	if c.route.Class == bundle.ClassIrreversible {
+	if c.route.Class == bundle.ClassIrreversible && !c.route.Keyless {
 		held = limit
 	}
 	var buffer bytes.Buffer
@@ -197,7 +208,7 @@
 // identify computes the request's digest and fingerprint and looks it up in the quarantine.
 func (c *ingressCall) identify() protocol.Reason {
 	body := sha256.Sum256(c.body.start)
-	if c.route.Class == bundle.ClassIrreversible {
+	if c.head.Key != "" {
 		c.head.RequestDigest = requestDigest(&c.head, body)
 	}
 	fingerprint := quarantine.FingerprintOf(c.route.Name, c.head.Method, c.head.URI, c.head.Key, body)
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,12 @@
 	ZoneDelay func(zone string) time.Duration
 	Policy    balance.Policy
 	Limits    Limits
+	// Dialect names the headers of callers and upstreams; the zero value takes protocol.DefaultDialect.
+	Dialect protocol.Dialect
+	// Service is what runs beside the node until an upstream announces itself.
+	Service string
+	// NoHedging switches second attempts beside a slow first one off.
+	NoHedging bool
 	Logger    zerolog.Logger
 	// OnApplied is told of every pointer swap, on the control goroutine; it may be nil.
 	OnApplied func(approval bundle.Approval, b *bundle.Bundle, at time.Time)
@@ -67,7 +73,11 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes bounds the bodies on routes without a bound of their own.
 	MaxBodyBytes int64
-	// HealthInterval is the time between two looks at a serving upstream, which find a crash while there are no calls.
+	// LeaveNotice is the time for which a stopping node still takes requests, after it has said that it is not ready.
+	// It is what callers need to notice that.
+	LeaveNotice time.Duration
+	// HealthInterval is the time between two looks at a serving upstream, which find a crash while there are no calls. A
+	// negative value switches them off, for upstreams that announce themselves again and again.
 	HealthInterval time.Duration
 }
 
@@ -119,7 +129,9 @@
 	gate       gate
 	// leaving tells callers to close their connections.
 	leaving atomic.Bool
-	metrics *metrics
+	// stopping makes the node not ready.
+	stopping atomic.Bool
+	metrics  *metrics
 
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
@@ -147,6 +159,9 @@
 		options.Advertise = options.Mesh.Addr().String()
 	}
 	options.Limits = options.Limits.withDefaults()
+	if options.Dialect == (protocol.Dialect{}) {
+		options.Dialect = protocol.DefaultDialect
+	}
 	n := &Node{
 		gate:        gate{limit: options.Limits.MaxCalls},
 		options:     options,
@@ -219,17 +234,19 @@
 
 func isClosed(err error) bool { return err == http.ErrServerClosed }
 
-// Stop leaves gracefully: the upstream is announced as leaving and its calls in flight finish, callers are told to close
-// their connections while their requests are still served through other nodes, the listeners close, and the answers of
-// irreversible calls are recorded. It gives up when the context ends. Each step is taken even if the one before it gave
-// up, and the records come last: an unreachable ledger must not cut off requests.
+// Stop leaves gracefully: the node is no longer ready, the upstream is announced as leaving and its calls in flight
+// finish, callers are told to close their connections while their requests are still served through other nodes, the
+// listeners close, and the answers of irreversible calls are recorded. It gives up when the context ends. Each step is
+// taken even if the one before it gave up, and the records come last: an unreachable ledger must not cut off requests.
 func (n *Node) Stop(ctx context.Context) error {
-	n.executor.drain()
+	n.stopping.Store(true)
+	n.executor.leave()
+	noticed := time.Now().Add(n.options.Limits.LeaveNotice)
 	sleep(ctx, departureTime)
-	err := n.executor.idle(ctx)
 	// Closing an idle connection can meet a request that is already on its way, so callers close theirs first.
 	n.leaving.Store(true)
-	sleep(ctx, lingerTime)
+	err := n.executor.idle(ctx)
+	sleep(ctx, max(lingerTime, time.Until(noticed)))
 	err = errors.CombineErrors(err, n.gate.drain(ctx))
 	err = errors.CombineErrors(err, n.callers.Shutdown(ctx))
 	err = errors.CombineErrors(err, n.executor.background.wait(ctx))
@@ -271,5 +288,10 @@
 	return n.executor.accept(announcement)
 }
 
+// SetJoin replaces the addresses by which the node finds the group.
+func (n *Node) SetJoin(addresses []string) {
+	n.control.Post(func(time.Time) { n.peer.SetJoin(addresses) })
+}
+
 // Follow serves the children of this node in the distribution tree.
 func (n *Node) Follow(stream rpc.FollowServerStream) error { return n.control.Follow(stream) }
--- a/node/once.go
+++ b/node/once.go
@@ -275,7 +275,8 @@
 func (c *onceCall) callUpstream(slot *place) onceEvent {
 	ctx, cancel := context.WithDeadline(c.executor.ctx, c.deadline.Add(lateAnswerTime))
 	defer cancel()
-	answer, err := slot.upstream.client.Do(ctx, upstreamRequest(c.head, c.body, c.deadline, true))
+	request := c.executor.upstreamRequest(slot.upstream, c.head, c.body, c.deadline)
+	answer, err := slot.upstream.client.Do(ctx, request)
 	if errors.Is(err, web.ErrNotWritten) {
 		c.executor.startCrashCheck(slot)
 		return c.machine.UpstreamRefused
@@ -285,7 +286,11 @@
 		return c.machine.UpstreamFailed
 	}
 	defer answer.Response.Body.Close()
-	if refusedByUpstream(answer.Response) {
+	if !c.executor.dialect.Genuine(request.Header, answer.Response.Header, answer.Response.StatusCode) {
+		answer.Discard()
+		return c.machine.UpstreamFailed
+	}
+	if c.executor.dialect.Refused(answer.Response.StatusCode, answer.Response.Header) {
 		return c.machine.UpstreamRefused
 	}
 	body, err := readWhole(answer.Response.Body)
--- a/node/run.go
+++ b/node/run.go
@@ -22,7 +22,7 @@
 func (e *executor) run(ctx context.Context, head *protocol.CallHead, body *requestBody) *reply {
 	deadline := time.Now().Add(head.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	if head.Class == bundle.ClassIrreversible {
+	if head.Class == bundle.ClassIrreversible && head.Key != "" {
 		defer cancel()
 		return e.withLoad(e.runOnce(ctx, head, body, deadline))
 	}
@@ -42,7 +42,9 @@
 	return answer
 }
 
-// runRepeatable runs a lookup or report.
+// runRepeatable runs a lookup or report, or an irreversible call without a key, which the ingress sends to another
+// upstream only after a refusal. A call of the latter kind is not broken off once it runs: its caller may have left, but
+// half of an irreversible request helps nobody.
 func (e *executor) runRepeatable(
 	ctx context.Context, head *protocol.CallHead, body *requestBody, deadline time.Time,
 ) *reply {
@@ -50,13 +52,24 @@
 	if slot == nil {
 		return refusal(reason)
 	}
+	if head.Class == bundle.ClassIrreversible {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		defer cancel()
+	}
 	started := time.Now()
-	answer, err := slot.upstream.client.Do(ctx, upstreamRequest(head, body, deadline, false))
+	request := e.upstreamRequest(slot.upstream, head, body, deadline)
+	answer, err := slot.upstream.client.Do(ctx, request)
 	if err != nil {
 		defer e.release(slot, 0)
 		return e.failed(ctx, slot, err)
 	}
-	if refusedByUpstream(answer.Response) {
+	if !e.dialect.Genuine(request.Header, answer.Response.Header, answer.Response.StatusCode) {
+		answer.Discard()
+		defer e.release(slot, 0)
+		return e.failed(ctx, slot, errors.Wrap(web.ErrCut, "the answer does not belong to the request"))
+	}
+	if e.dialect.Refused(answer.Response.StatusCode, answer.Response.Header) {
 		answer.Response.Body.Close()
 		e.release(slot, 0)
 		return refusal(protocol.ReasonUpstreamRefused)
@@ -101,15 +114,17 @@
 	return buffer.Bytes(), buffer.Len() <= inlineBytes, nil
 }
 
-func upstreamRequest(head *protocol.CallHead, body *requestBody, deadline time.Time, once bool) web.UpstreamRequest {
+func (e *executor) upstreamRequest(
+	target *upstream, head *protocol.CallHead, body *requestBody, deadline time.Time,
+) web.UpstreamRequest {
 	header := http.Header(head.Header).Clone()
 	if header == nil {
 		header = make(http.Header)
 	}
-	setCallHeaders(header, head, time.Until(deadline))
+	e.setCallHeaders(header, target, head, time.Until(deadline))
 	request := web.UpstreamRequest{
 		Method: head.Method, URI: head.URI, Host: head.Host, Header: header,
-		ContentLength: head.ContentLength, Trailer: body.trailer, Once: once,
+		ContentLength: head.ContentLength, Trailer: body.trailer,
 	}
 	switch {
 	case body.rest != nil:
@@ -127,11 +142,6 @@
 	return request
 }
 
-func refusedByUpstream(response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable &&
-		response.Header.Get(protocol.HeaderOutcome) == string(protocol.OutcomeNotRun)
-}
-
 func replyHead(answer *web.UpstreamAnswer) protocol.ReplyHead {
 	return protocol.ReplyHead{
 		Outcome:       protocol.OutcomeDone,
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -18,15 +19,21 @@
 	digest   bundle.Digest
 	routes   *routing.Table
 	services map[string]bundle.Service
-	policies map[string]*routePolicy
-	since    time.Time
+	// maxBodyBytes bounds the bodies on routes without a bound of their own; 0 leaves that to the settings.
+	maxBodyBytes int64
+	policies     map[string]*routePolicy
+	since        time.Time
 }
 
+// maxSkippedTurns spreads the turns of split routes over processes.
+const maxSkippedTurns = 100
+
 // routePolicy holds what a route needs per call.
 type routePolicy struct {
 	budget  *retry.Budget
 	headers map[string]string
 	limiter *rate.Limiter
+	split   *routing.Splitter
 }
 
 // newSnapshot builds the traffic view of a bundle. Policies of unchanged routes are kept from the previous snapshot,
@@ -44,6 +51,11 @@
 		policies: make(map[string]*routePolicy, len(b.Routes)),
 		since:    now,
 	}
+	for _, resource := range b.Resources {
+		if resource.CallerLimits != nil {
+			next.maxBodyBytes = resource.CallerLimits.MaxBodyBytes
+		}
+	}
 	for _, service := range b.Services {
 		next.services[service.Name] = service
 	}
@@ -58,6 +70,11 @@
 
 func newRoutePolicy(route *routing.Route, previous *snapshot) *routePolicy {
 	policy := &routePolicy{}
+	if len(route.Split) > 0 {
+		policy.split = routing.NewSplitter(route.Split, rand.IntN(maxSkippedTurns))
+	} else {
+		policy.split = routing.NewSplitter(route.Shares(), 0)
+	}
 	var kept *routePolicy
 	if previous != nil {
 		if old, ok := previous.routes.Named(route.Name); ok {
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -30,6 +30,10 @@
 	Connections int    `json:"connections,omitempty"`
 	HealthPath  string `json:"health_path,omitempty"`
 	LoadPath    string `json:"load_path,omitempty"`
+	// ID names the upstream process, for upstreams that refuse requests meant for another one.
+	ID string `json:"id,omitempty"`
+	// Incarnation is the start of the upstream in Unix milliseconds; of two announcements the later start holds.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // Validate returns ErrAnnouncement with all faults.
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -37,6 +37,10 @@
 	TrailerNames []string `cbor:"19,keyasint,omitempty"`
 	// RequestDigest identifies the content of an irreversible request.
 	RequestDigest [32]byte `cbor:"18,keyasint"`
+	// Priority ranks the call in the upstream's queue; 1 is first, 0 takes the rank of the class.
+	Priority int `cbor:"20,keyasint,omitempty"`
+	// Progress asks the executor for a sign that it has the call, which a hedge waits for.
+	Progress bool `cbor:"21,keyasint,omitempty"`
 }
 
 // CallFrame is one message from ingress to executor. The first frame has a head; Last ends the request.
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -51,8 +51,13 @@
 	LedgerGroups int `cbor:"5,keyasint,omitempty"`
 }
 
-// IdentifyRequest asks a control member who it is.
-type IdentifyRequest struct{}
+// IdentifyRequest asks a control member who it is. A control process that belongs to no group, or is not sure whether it
+// still does, says who it is itself, which asks the leader to add it.
+type IdentifyRequest struct {
+	ID      string `cbor:"1,keyasint,omitempty"`
+	Address string `cbor:"2,keyasint,omitempty"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+}
 
 // GroupIdentity describes a member's replica of one log.
 type GroupIdentity struct {
@@ -71,6 +76,12 @@
 	// Admin is the address of the member's operator API.
 	Admin string `cbor:"3,keyasint,omitempty"`
 	Zone  string `cbor:"4,keyasint,omitempty"`
+	// Leads is set if this member leads the registry's log and a quorum confirmed it lately.
+	Leads bool `cbor:"5,keyasint,omitempty"`
+	// Members lists the mesh addresses of the registry's members as far as this one knows, the leader first.
+	Members []string `cbor:"6,keyasint,omitempty"`
+	// Member is set if the asking process is one of them.
+	Member bool `cbor:"7,keyasint,omitempty"`
 }
 
 // LedgerIndex spreads the keys of irreversible calls over the ledger groups.
--- a/settings/check.go
+++ b/settings/check.go
@@ -25,6 +25,9 @@
 	minHealthInterval = 100 * time.Millisecond
 	maxHealthInterval = time.Minute
 	maxZoneDelay      = time.Second
+	maxPort           = 65535
+	// maxTolerated keeps the group within 19 members.
+	maxTolerated = 9
 
 	minElectionTimeout   = 100 * time.Millisecond
 	maxElectionTimeout   = 30 * time.Second
@@ -79,14 +82,47 @@
 		c.add("join", "no address", "at least one mesh address of a control member or node")
 	}
 	c.joins(n.Join)
+	c.between("join_port", int64(n.JoinPort), 0, maxPort)
 	c.tls(n.TLS)
-	c.path("keyring", n.Keyring)
+	c.operators(n.Keyring, n.TrustedOperators)
+	c.nodePlatform(n.Platform)
 	c.delays(n.ZoneDelays)
+	c.during("other_zone_delay", n.OtherZoneDelay, 0, maxZoneDelay)
 	c.upstream(n.Upstream)
 	c.between("limits.max_calls", int64(n.Limits.MaxCalls), 1, maxCalls)
 	c.between("limits.max_header_bytes", int64(n.Limits.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes)
 	c.between("limits.max_body_bytes", n.Limits.MaxBodyBytes, 1, maxBodyBytes)
 	c.during("limits.drain_timeout", n.Limits.DrainTimeout, time.Second, maxDrainTimeout)
+	c.during("limits.leave_notice", n.Limits.LeaveNotice, 0, n.Limits.DrainTimeout.Std())
+}
+
+func (c *checker) nodePlatform(p *NodePlatform) {
+	if p == nil {
+		return
+	}
+	c.name("platform.service", p.Service)
+	c.reachable("platform.upstream", p.Upstream)
+	c.address("platform.announcements", p.Announcements)
+	c.address("platform.ready", p.Ready)
+}
+
+func (c *checker) controlPlatform(p *ControlPlatform) {
+	if p == nil {
+		return
+	}
+	c.address("platform.operators", p.Operators)
+	c.between("platform.tolerated_instances", int64(p.ToleratedInstances), 0, maxTolerated)
+	c.between("platform.tolerated_zones", int64(p.ToleratedZones), 0, maxTolerated)
+}
+
+// operators checks that somebody can approve versions.
+func (c *checker) operators(keyring string, trusted []string) {
+	for i, operator := range trusted {
+		c.name(fmt.Sprintf("trusted_operators[%d]", i), operator)
+	}
+	if len(trusted) == 0 {
+		c.path("keyring", keyring)
+	}
 }
 
 func (c *checker) upstream(u *Upstream) {
@@ -114,7 +150,9 @@
 	c.distinct(map[string]string{"mesh": s.Mesh, "admin": s.Admin})
 	c.path("data_folder", s.DataFolder)
 	c.tls(s.TLS)
-	c.path("keyring", s.Keyring)
+	c.operators(s.Keyring, s.TrustedOperators)
+	c.controlPlatform(s.Platform)
+	c.between("join_port", int64(s.JoinPort), 0, maxPort)
 	c.peers(s)
 	c.joins(s.Join)
 	l := s.Limits
@@ -125,14 +163,14 @@
 	c.between("limits.snapshot_entries", int64(l.SnapshotEntries), minSnapshotEntries, maxSnapshotEntries)
 	c.between("limits.direct_followers", int64(l.DirectFollowers), 1, maxDirectFollowers)
 	c.between("limits.joins_per_second", int64(l.JoinsPerSecond), 1, maxJoinsPerSecond)
-	c.between("ledger_groups", int64(s.LedgerGroups), 1, maxLedgerGroups)
+	c.between("ledger_groups", int64(s.LedgerGroups), 0, maxLedgerGroups)
 	c.between("limits.max_ledger_bytes", int64(l.MaxLedgerBytes), minLedgerBytes, maxLedgerBytes)
 }
 
 // peers checks the members of the first start. The own address must be among them, so that all members start with the
 // same membership.
 func (c *checker) peers(s Control) {
-	if len(s.Peers) == 0 && len(s.Join) == 0 {
+	if len(s.Peers) == 0 && len(s.Join) == 0 && s.Platform == nil {
 		c.add("peers", "no member", "the members of the first start, or join addresses of a running group")
 	}
 	if len(s.Peers) > 0 && len(s.Join) > 0 {
--- a/settings/load.go
+++ b/settings/load.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -137,6 +139,7 @@
 	if node.Advertise == "" {
 		node.Advertise = node.Mesh
 	}
+	node.Join = withPort(node.Join, node.JoinPort)
 	c.node(node)
 	return node, c.err()
 }
@@ -149,6 +152,7 @@
 	if control.Advertise == "" {
 		control.Advertise = control.Mesh
 	}
+	control.Join = withPort(control.Join, control.JoinPort)
 	if control.AdvertiseAdmin == "" {
 		control.AdvertiseAdmin = control.Admin
 	}
@@ -156,6 +160,21 @@
 	return control, c.err()
 }
 
+// withPort replaces the ports of addresses; 0 keeps them.
+func withPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	replaced := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			address = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+		replaced = append(replaced, address)
+	}
+	return replaced
+}
+
 // decode decodes the file, records its faults and returns the top-level fields that it holds.
 func (c *checker) decode(data []byte, into any) map[string]bool {
 	for _, fault := range strictjson.Decode(data, into) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,8 @@
 	MaxHeaderBytes int      `json:"max_header_bytes"`
 	MaxBodyBytes   int64    `json:"max_body_bytes"`
 	DrainTimeout   Duration `json:"drain_timeout"`
+	// LeaveNotice is the time for which a stopping node still takes requests after it has said that it is not ready.
+	LeaveNotice Duration `json:"leave_notice,omitempty"`
 }
 
 // Node is the settings of a node process.
@@ -43,14 +45,46 @@
 	Advertise string `json:"advertise"`
 	// Join lists mesh addresses of control members and nodes.
 	Join []string `json:"join"`
-	TLS  TLS      `json:"tls"`
-	// Keyring is the file with the operators' public keys.
-	Keyring string `json:"keyring"`
+	// JoinPort replaces the port of each Join address if it is set, for deployments that know only other addresses of the
+	// same instances.
+	JoinPort int `json:"join_port,omitempty"`
+	TLS      TLS `json:"tls"`
+	// Keyring is the file with the operators' public keys. It may be empty if there are trusted operators.
+	Keyring string `json:"keyring,omitempty"`
+	// TrustedOperators are accepted without a signature.
+	TrustedOperators []string `json:"trusted_operators,omitempty"`
+	// Platform is set where another system runs the instances, the upstreams and the operators.
+	Platform *NodePlatform `json:"platform,omitempty"`
 	// Upstream is nil for a node that only takes calls in.
 	Upstream *Upstream `json:"upstream,omitempty"`
 	// ZoneDelays holds the one-way delay to other availability zones.
 	ZoneDelays map[string]Duration `json:"zone_delays,omitempty"`
-	Limits     NodeLimits          `json:"limits"`
+	// OtherZoneDelay is the one-way delay to zones that ZoneDelays does not list.
+	OtherZoneDelay Duration   `json:"other_zone_delay,omitempty"`
+	Limits         NodeLimits `json:"limits"`
+}
+
+// NodePlatform holds what a node needs on a platform that announces upstreams and asks for readiness in its own words.
+type NodePlatform struct {
+	// Service is what runs beside the node until an upstream announces itself.
+	Service string `json:"service"`
+	// Upstream is the address of the only upstream that may announce itself.
+	Upstream string `json:"upstream"`
+	// Announcements is the listen address for announcements of the upstream.
+	Announcements string `json:"announcements"`
+	// Ready is the listen address for questions whether the node is ready.
+	Ready string `json:"ready"`
+}
+
+// ControlPlatform holds what a control member needs on a platform with operators of its own.
+type ControlPlatform struct {
+	// Operators is the listen address for the platform's operators.
+	Operators string `json:"operators"`
+	// FirstStart says that the group does not exist yet: the processes that Join names form it.
+	FirstStart bool `json:"first_start,omitempty"`
+	// ToleratedInstances and ToleratedZones are how many may be lost at once.
+	ToleratedInstances int `json:"tolerated_instances"`
+	ToleratedZones     int `json:"tolerated_zones"`
 }
 
 // Peer is a control member of the first start.
@@ -91,14 +125,21 @@
 	// DataFolder holds the log and the snapshots.
 	DataFolder string `json:"data_folder"`
 	TLS        TLS    `json:"tls"`
-	// Keyring is the file with the operators' public keys. It must be the same on all members.
-	Keyring string `json:"keyring"`
+	// Keyring is the file with the operators' public keys. It must be the same on all members. It may be empty if there are
+	// trusted operators.
+	Keyring string `json:"keyring,omitempty"`
+	// TrustedOperators are accepted without a signature.
+	TrustedOperators []string `json:"trusted_operators,omitempty"`
+	// Platform is set where another system runs the instances, the upstreams and the operators.
+	Platform *ControlPlatform `json:"platform,omitempty"`
 	// Peers lists all members of the first start, including this one. It is read only while the data folder is empty.
 	Peers []Peer `json:"peers,omitempty"`
 	// LedgerGroups is the number of logs that irreversible calls are spread over. It must be the same on all members and
 	// cannot be changed later.
 	LedgerGroups int `json:"ledger_groups"`
 	// Join lists mesh addresses of existing members; a member that is added later has Join instead of Peers.
-	Join   []string      `json:"join,omitempty"`
-	Limits ControlLimits `json:"limits"`
+	Join []string `json:"join,omitempty"`
+	// JoinPort replaces the port of each Join address if it is set.
+	JoinPort int           `json:"join_port,omitempty"`
+	Limits   ControlLimits `json:"limits"`
 }
--- a/state/bundle/approval.go
+++ b/state/bundle/approval.go
@@ -8,4 +8,6 @@
 	Signature []byte `json:"signature" cbor:"4,keyasint"`
 	// Replaces is the version that must be the latest when the approval commits; 0 sets no condition.
 	Replaces uint64 `json:"replaces,omitempty" cbor:"5,keyasint,omitempty"`
+	// First requires that no version is approved yet.
+	First bool `json:"first,omitempty" cbor:"6,keyasint,omitempty"`
 }
--- a/state/bundle/keyring.go
+++ b/state/bundle/keyring.go
@@ -22,6 +22,22 @@
 // Keyring maps operator names to the public keys whose signatures are accepted. It is immutable.
 type Keyring struct {
 	keys map[string][]ed25519.PublicKey
+	// trusted operators are accepted without a signature.
+	trusted map[string]bool
+}
+
+// Trust returns a keyring that also accepts unsigned messages of the named operators. It is for deployments in which
+// the operator API is reachable only for callers that another system has authorized.
+func (k *Keyring) Trust(operators ...string) *Keyring {
+	next := NewKeyring(k.keys)
+	next.trusted = make(map[string]bool, len(k.trusted)+len(operators))
+	for operator := range k.trusted {
+		next.trusted[operator] = true
+	}
+	for _, operator := range operators {
+		next.trusted[operator] = true
+	}
+	return next
 }
 
 // NewKeyring returns a keyring with a copy of the given keys.
@@ -41,7 +57,7 @@
 // Has reports whether the operator has a key.
 func (k *Keyring) Has(operator string) bool {
 	_, ok := k.keys[operator]
-	return ok
+	return ok || k.trusted[operator]
 }
 
 // Sign returns the approval with the signature of the key over version, digest, operator and Replaces. Replaces is
@@ -74,6 +90,9 @@
 
 // VerifyMessage checks a signature that SignMessage made with a key of the operator.
 func (k *Keyring) VerifyMessage(operator, purpose string, message, signature []byte) error {
+	if k.trusted[operator] && len(signature) == 0 {
+		return nil
+	}
 	keys, ok := k.keys[operator]
 	if !ok {
 		return errors.Wrapf(ErrUnknownOperator, "%q", operator)
@@ -108,6 +127,9 @@
 		slices.SortFunc(entry.Keys, slices.Compare[[]byte])
 		list = append(list, entry)
 	}
+	for _, operator := range sortedKeys(k.trusted) {
+		list = append(list, operatorKeys{Operator: operator})
+	}
 	data, err := canonical.Marshal(list)
 	if err != nil {
 		// The type holds only strings and byte slices, which always encode.
--- a/state/bundle/limits.go
+++ b/state/bundle/limits.go
@@ -22,9 +22,14 @@
 	MaxQueueLimit     = 100_000
 	MaxSlowStartMs    = 600_000
 	MaxDeadlineMs     = 600_000
-	MaxAttempts       = 5
+	MaxAttempts       = 8
+	MaxPriority       = 16
+	MaxShares         = 64
+	MaxWeight         = 1_000_000
+	MaxConnections    = 100_000
 	MaxBudgetPercent  = 100
-	MaxBodyBytes      = 64 << 20
+	MaxBodyBytes      = 1 << 30
+	MaxHeaderBytes    = 1 << 20
 	MaxCallsPerSecond = 1_000_000
 	MaxBurst          = 1_000_000
 
--- a/state/bundle/validate.go
+++ b/state/bundle/validate.go
@@ -62,6 +62,8 @@
 	resources map[string]*Resource
 	// serviceNames and resourceNames suggest declared names in problems.
 	serviceNames, resourceNames string
+	// callerLimits is set once a resource of kind caller-limits was seen.
+	callerLimits bool
 }
 
 // Validate returns all faults of a bundle.
@@ -119,6 +121,16 @@
 	v.between(at.field("max_concurrency"), int64(s.MaxConcurrency), 0, MaxConcurrency)
 	v.between(at.field("queue_limit"), int64(s.QueueLimit), 0, MaxQueueLimit)
 	v.between(at.field("slow_start_ms"), int64(s.SlowStartMs), 0, MaxSlowStartMs)
+	v.between(at.field("max_connections"), int64(s.MaxConnections), 0, MaxConnections)
+	if s.HealthPath != "" && !validPath(s.HealthPath) {
+		v.add(at.field("health_path"), strictjson.Quote(s.HealthPath), "a path such as /health")
+	}
+	if s.Protocol != "" && s.Protocol != ProtocolHTTP1 {
+		v.add(at.field("protocol"), strictjson.Quote(string(s.Protocol)), oneOf(ProtocolHTTP1)+", or no value")
+	}
+	if s.TLS {
+		v.add(at.field("tls"), "true", "false: upstreams are reached from their own instance only")
+	}
 }
 
 func (v *validator) resource(at place, r *Resource) {
@@ -129,8 +141,56 @@
 		v.headerResource(at, r)
 	case ResourceCallLimit:
 		v.limitResource(at, r)
+	case ResourceCallerLimits:
+		v.callerLimitsResource(at, r)
 	default:
-		v.add(at.field("kind"), strictjson.Quote(string(r.Kind)), oneOf(ResourceHeaders, ResourceCallLimit))
+		v.add(at.field("kind"), strictjson.Quote(string(r.Kind)),
+			oneOf(ResourceHeaders, ResourceCallLimit, ResourceCallerLimits))
+	}
+	if r.Kind != ResourceCallerLimits && r.CallerLimits != nil {
+		v.add(at.field("caller_limits"), "an object", "no caller_limits in a resource of kind "+string(r.Kind))
+	}
+}
+
+func (v *validator) callerLimitsResource(at place, r *Resource) {
+	if len(r.Headers) != 0 || r.CallLimit != nil {
+		v.add(at, "headers or call_limit", "only caller_limits in a resource of kind caller-limits")
+	}
+	if v.callerLimits {
+		v.add(at, strictjson.Quote(r.Name), "one resource of kind caller-limits")
+	}
+	v.callerLimits = true
+	if r.CallerLimits == nil {
+		v.add(at.field("caller_limits"), "nothing", "an object")
+		return
+	}
+	limits := at.field("caller_limits")
+	v.between(limits.field("max_header_bytes"), int64(r.CallerLimits.MaxHeaderBytes), 0, MaxHeaderBytes)
+	v.between(limits.field("max_body_bytes"), r.CallerLimits.MaxBodyBytes, 0, MaxBodyBytes)
+	v.between(limits.field("header_timeout_ms"), int64(r.CallerLimits.HeaderTimeoutMs), 0, MaxDeadlineMs)
+	v.between(limits.field("idle_timeout_ms"), int64(r.CallerLimits.IdleTimeoutMs), 0, MaxDeadlineMs)
+}
+
+// split checks the parts of a route that is spread over services. A weight of 0 sends nothing to its service.
+func (v *validator) split(at place, r *Route) {
+	if r.Service != "" {
+		v.add(at.field("service"), strictjson.Quote(r.Service), "no service beside split")
+	}
+	if len(r.Split) > MaxShares {
+		v.add(at.field("split"), strconv.Itoa(len(r.Split)), fmt.Sprintf("1 to %d services", MaxShares))
+		return
+	}
+	total := 0
+	for i, share := range r.Split {
+		item := at.field("split").item(i)
+		if !v.services[share.Service] {
+			v.add(item.field("service"), strictjson.Quote(share.Service), "a declared service"+v.serviceNames)
+		}
+		v.between(item.field("weight"), int64(share.Weight), 0, MaxWeight)
+		total += share.Weight
+	}
+	if total <= 0 {
+		v.add(at.field("split"), strconv.Itoa(total), "weights with a sum above 0")
 	}
 }
 
@@ -167,7 +227,10 @@
 	v.name(at.field("name"), r.Name, names[r.Name])
 	names[r.Name] = true
 	v.match(at.field("match"), r.Match)
-	if !v.services[r.Service] {
+	switch {
+	case len(r.Split) > 0:
+		v.split(at, r)
+	case !v.services[r.Service]:
 		v.add(at.field("service"), strictjson.Quote(r.Service), "a declared service"+v.serviceNames)
 	}
 	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport}, r.Class) {
@@ -181,6 +244,11 @@
 	v.between(at.field("retry").field("max_attempts"), int64(r.Retry.MaxAttempts), 0, MaxAttempts)
 	v.between(at.field("retry").field("budget_percent"), int64(r.Retry.BudgetPercent), 0, MaxBudgetPercent)
 	v.between(at.field("max_body_bytes"), r.MaxBodyBytes, 0, MaxBodyBytes)
+	v.between(at.field("target_ms"), int64(r.TargetMs), 0, MaxDeadlineMs)
+	v.between(at.field("priority"), int64(r.Priority), 0, MaxPriority)
+	if r.Keyless && r.Class != ClassIrreversible {
+		v.add(at.field("keyless"), "true", "only on a route of class irreversible")
+	}
 	v.routeResources(at.field("resources"), r.Resources)
 }
 
@@ -203,6 +271,8 @@
 			v.add(at.item(i), quoted, "one call limit per route, and "+limitedBy+" is one")
 		case resource.Kind == ResourceCallLimit:
 			limitedBy = name
+		case resource.Kind == ResourceCallerLimits:
+			v.add(at.item(i), quoted, "a resource that is not of kind caller-limits, which holds for all routes")
 		default:
 			v.headerConflicts(at.item(i), resource, setBy)
 		}
--- a/state/registry/apply.go
+++ b/state/registry/apply.go
@@ -49,12 +49,14 @@
 	switch {
 	case c.Stage != nil && c.Approve == nil && c.Stop == nil:
 		return r.stage(index, *c.Stage)
+	case c.Stage != nil && c.Approve != nil && c.Stop == nil:
+		return r.put(index, *c.Stage, *c.Approve)
 	case c.Stage == nil && c.Approve != nil && c.Stop == nil:
 		return r.approve(index, *c.Approve)
 	case c.Stage == nil && c.Approve == nil && c.Stop != nil:
 		return r.stop(index, *c.Stop)
 	default:
-		return refuse(CodeMalformed, "exactly one of stage, approve and stop must be set")
+		return refuse(CodeMalformed, "one of stage, approve and stop must be set, or stage and approve")
 	}
 }
 
@@ -163,8 +165,8 @@
 	if result, done := r.decided(a.Version, a.Digest); done {
 		return result
 	}
-	if a.Replaces != 0 && (r.latest == nil || r.latest.Version != a.Replaces) {
-		return r.notLatest(a.Replaces)
+	if result := r.condition(a); result.Code != CodeOK {
+		return result
 	}
 	if !r.store.Holds(a.Digest) {
 		return refuse(CodeNotHeld, "bundle %s is not staged", a.Digest.Short())
@@ -173,6 +175,38 @@
 	return Result{Effect: EffectApproved, Approval: r.latest.Approval, Index: index}
 }
 
+// condition checks what an approval requires of the version that it replaces.
+func (r *Registry) condition(a bundle.Approval) Result {
+	switch {
+	case a.First && r.latest != nil:
+		return r.notLatest(0)
+	case a.Replaces != 0 && (r.latest == nil || r.latest.Version != a.Replaces):
+		return r.notLatest(a.Replaces)
+	}
+	return Result{}
+}
+
+// put stages and approves a bundle in one step. All conditions of the approval are checked first, so that a refused put
+// stages nothing.
+func (r *Registry) put(index uint64, s Stage, a bundle.Approval) Result {
+	if s.Version != a.Version || s.Digest != a.Digest || s.Operator != a.Operator {
+		return refuse(CodeMalformed, "stage and approval differ")
+	}
+	if err := r.keys.Verify(a); err != nil {
+		return refuse(CodeUnauthorized, "%v", err)
+	}
+	if result, done := r.decided(a.Version, a.Digest); done {
+		return result
+	}
+	if result := r.condition(a); result.Code != CodeOK {
+		return result
+	}
+	if result := r.stage(index, s); result.Code != CodeOK {
+		return result
+	}
+	return r.approve(index, a)
+}
+
 // accept makes the approval the latest and drops what it supersedes.
 func (r *Registry) accept(index uint64, a bundle.Approval) {
 	previous := r.latest
--- a/state/registry/command.go
+++ b/state/registry/command.go
@@ -11,7 +11,8 @@
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
-// Command is one entry of the replicated log. Exactly one of Stage, Approve and Stop is set.
+// Command is one entry of the replicated log. Exactly one of Stage, Approve and Stop is set, or Stage and Approve
+// together, which stage and approve a bundle in one step or leave everything as it is.
 type Command struct {
 	Stage   *Stage           `cbor:"1,keyasint,omitempty"`
 	Approve *bundle.Approval `cbor:"2,keyasint,omitempty"`
--- a/transport/rpc/client.go
+++ b/transport/rpc/client.go
@@ -152,8 +152,10 @@
 }
 
 // Identify asks a control member who it is.
-func (p *Pool) Identify(ctx context.Context, address string) (*protocol.IdentifyReply, error) {
-	return invoke[protocol.IdentifyReply](ctx, p, address, methodIdentify, &protocol.IdentifyRequest{})
+func (p *Pool) Identify(
+	ctx context.Context, address string, request *protocol.IdentifyRequest,
+) (*protocol.IdentifyReply, error) {
+	return invoke[protocol.IdentifyReply](ctx, p, address, methodIdentify, request)
 }
 
 func invoke[Reply any](ctx context.Context, p *Pool, address, method string, request any) (*Reply, error) {
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -86,8 +86,6 @@
 	ContentLength int64
 	// Trailer is filled in by the sender while Body is read.
 	Trailer http.Header
-	// Once forbids any resend, also by net/http itself.
-	Once bool
 }
 
 // UpstreamAnswer is an upstream's answer. Its body must be closed.
@@ -95,6 +93,16 @@
 	Response *http.Response
 	// Sent is the time when the request was written.
 	Sent time.Time
+
+	conn net.Conn
+}
+
+// Discard closes the answer and its connection, on which further bytes of an unknown request may follow.
+func (a *UpstreamAnswer) Discard() {
+	a.Response.Body.Close()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
 }
 
 // sendTrace observes one request; net/http calls it from several goroutines.
@@ -127,17 +135,27 @@
 	return t.conn == nil || t.conn.written.Load() == t.before
 }
 
-func (t *sendTrace) sentAt() time.Time {
+// answer describes an answer to the traced request.
+func (t *sendTrace) answer(response *http.Response) *UpstreamAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sent
+	answer := &UpstreamAnswer{Response: response, Sent: t.sent}
+	if t.conn != nil {
+		answer.conn = t.conn
+	}
+	return answer
 }
 
 // Do sends a request and returns once the answer's header is there. It returns ErrNotWritten only if that is proved.
 func (c *UpstreamClient) Do(ctx context.Context, request UpstreamRequest) (*UpstreamAnswer, error) {
 	trace := &sendTrace{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn, WroteRequest: trace.wrote})
-	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+c.address+request.URI, request.Body)
+	body := request.Body
+	if body == nil {
+		// net/http sends a request without a body again by itself when a kept connection breaks.
+		body = emptyBody{}
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+c.address+request.URI, body)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotWritten, "%v", err)
 	}
@@ -145,9 +163,7 @@
 	outgoing.Header = request.Header
 	outgoing.Trailer = request.Trailer
 	outgoing.ContentLength = request.ContentLength
-	if request.Once {
-		forbidReplay(outgoing)
-	}
+	forbidReplay(outgoing)
 	response, err := c.transport.RoundTrip(outgoing)
 	if err != nil {
 		if trace.untouched() {
@@ -155,10 +171,17 @@
 		}
 		return nil, errors.Wrapf(ErrBroken, "%v", err)
 	}
-	return &UpstreamAnswer{Response: response, Sent: trace.sentAt()}, nil
+	return trace.answer(response), nil
 }
 
-// forbidReplay hides the idempotency key from net/http, which otherwise sends a request with a key again by itself when a
+// emptyBody is a body that net/http does not know to be empty.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// forbidReplay keeps net/http from sending a request again: whether that is allowed is decided where the retry budget
+// and the other upstreams are known. It hides the idempotency key from net/http, which otherwise sends a request with a key again by itself when a
 // reused connection breaks after the request was written. The field reaches the upstream unchanged, since field names
 // have no case on the wire.
 func forbidReplay(request *http.Request) {
