Leave a member that was cut off within the time in which a configuration must be in force

Cause: a node keeps following a member that is cut off from the quorum until its state is 4 s old, and nodes prefer to follow each other. Ruled out: the leader's distribution; nodes below other members had each version after 15 ms. Poll interval, limit of staleness and the order of candidates are settings of the relay now; the platform polls every 400 ms and leaves after 1.2 s.

--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -127,8 +127,8 @@
 	return l
 }
 
-// roundTargets lists the candidates in order of preference: neighbours, the members of the zone, the configured
-// addresses, then members elsewhere.
+// roundTargets lists the candidates in order of preference: neighbours, the members of the zone (before the neighbours
+// with MembersFirst), the configured addresses, then members elsewhere.
 func (p *Peer) roundTargets() []target {
 	targets := p.neighbours()
 	known := len(targets) > 0
@@ -140,7 +140,11 @@
 	if known && len(home) > 0 {
 		home[0].wait = orphanWait
 	}
-	targets = append(targets, home...)
+	if p.config.MembersFirst {
+		targets = append(home, targets...)
+	} else {
+		targets = append(targets, home...)
+	}
 	join := slices.Clone(p.config.Join)
 	p.shuffle(join)
 	anyZone := p.attach.round > 0 || len(p.members) > 0 && len(home) == 0
@@ -330,7 +334,7 @@
 }
 
 func (p *Peer) improves(accept Accept) bool {
-	return accept.Fresh.Confirmed && time.Duration(accept.Fresh.AgeMs)*time.Millisecond < staleAfter
+	return accept.Fresh.Confirmed && time.Duration(accept.Fresh.AgeMs)*time.Millisecond < p.config.StaleAfter
 }
 
 func (p *Peer) adopt(l *link, accept Accept) {
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"time"
 
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
@@ -43,6 +44,14 @@
 	JoinBurst      int
 	// JoinSpread spreads the first joins after a start, and joins at a member after the loss of a parent.
 	JoinSpread time.Duration
+	// PollInterval is the time between polls of the parent.
+	PollInterval time.Duration
+	// StaleAfter is the confirmed age at which a child of a member looks for another parent. It must be longer than
+	// PollInterval and the time in which a quorum confirms the member's state.
+	StaleAfter time.Duration
+	// MembersFirst makes nodes follow members as long as those have room, rather than each other. It suits deployments
+	// that are small enough for the members to serve all nodes: no node then depends on another one.
+	MembersFirst bool
 	// TableLimit bounds the endpoint table.
 	TableLimit int
 }
@@ -56,6 +65,10 @@
 	DefaultJoinBurst       = 16
 	// DefaultJoinSpread spreads a herd of 16,000 nodes so that its joins cost the members no more than they can serve.
 	DefaultJoinSpread = 2 * time.Second
+	// DefaultPollInterval keeps the polls of 16,000 nodes within their 5 KB/s.
+	DefaultPollInterval = endpoints.PollInterval
+	// DefaultStaleAfter is a few polls, so that one lost poll moves no node.
+	DefaultStaleAfter = 4 * time.Second
 )
 
 // Order is a peer's place in the tree: a node follows members and nodes of lower order only.
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -190,6 +190,8 @@
 	setDefault(&c.JoinsPerSecond, DefaultJoinsPerSecond)
 	setDefault(&c.JoinBurst, DefaultJoinBurst)
 	setDefault(&c.JoinSpread, DefaultJoinSpread)
+	setDefault(&c.PollInterval, DefaultPollInterval)
+	setDefault(&c.StaleAfter, DefaultStaleAfter)
 	return c
 }
 
--- a/coordination/relay/poll.go
+++ b/coordination/relay/poll.go
@@ -57,7 +57,7 @@
 
 // staleLimit is the confirmed age from which on the peer looks for another parent.
 func (p *Peer) staleLimit() time.Duration {
-	return staleAfter + time.Duration(max(0, p.fresh.depth-1))*staleStep
+	return p.config.StaleAfter + time.Duration(max(0, p.fresh.depth-1))*staleStep
 }
 
 // stale reports whether the parent fails to give freshness.
@@ -80,8 +80,8 @@
 func (p *Peer) poll(l *link) {
 	l.sequence++
 	l.pollSent[l.sequence%uint64(len(l.pollSent))] = p.now
-	jitter := time.Duration((2*p.config.Rand.Float64() - 1) * pollJitter * float64(pollInterval))
-	l.nextPoll = p.now.Add(pollInterval + jitter)
+	jitter := time.Duration((2*p.config.Rand.Float64() - 1) * pollJitter * float64(p.config.PollInterval))
+	l.nextPoll = p.now.Add(p.config.PollInterval + jitter)
 	poll := &Poll{Sequence: l.sequence, TableDigest: p.spread.table.Digest()}
 	if report := p.report(); !report.equal(l.sentCounts) {
 		poll.Counts = &report
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -27,6 +27,28 @@
 	return s
 }
 
+// quickMesh has the times of a deployment in which a version comes into force within 2 s also beside a member that has
+// just been cut off.
+func quickMesh(seed int64) *sim {
+	s := newSim(seed)
+	mesh(s, 3, 4)
+	for _, id := range s.ids {
+		h := s.hosts[id]
+		h.config = func(c *relay.Config) {
+			c.PollInterval, c.StaleAfter = 400*time.Millisecond, 1200*time.Millisecond
+			c.JoinSpread, c.MembersFirst = 200*time.Millisecond, true
+			c.ZoneFollowers, c.RemoteFollowers = 32, 32
+		}
+		if h.member {
+			s.kill(h)
+			s.start(h)
+		}
+	}
+	first := s.approve(s.stage(bundleOf(1, 20)))
+	s.await(5*time.Second, s.allInForce(first))
+	return s
+}
+
 var _ = Describe("Catch-up", func() {
 	// Guards against replaying missed versions one by one, or sending more than the whole bundle.
 	It("takes one message after 300 missed versions", func() {
@@ -75,6 +97,20 @@
 		}
 	})
 
+	// Guards against nodes that keep an old version for longer than 2 s because the member that they follow has just been
+	// cut off from the quorum, while they reach the other members.
+	It("leaves a member that is cut off within the time of a short limit", func() {
+		for seed := range int64(10) {
+			s := quickMesh(seed)
+			s.run(30 * time.Second)
+			s.detached["m1"] = true
+			s.blocked = func(a, b *host) bool { return a.member && b.member && (a.id == "m1" || b.id == "m1") }
+			s.run(s.now + time.Second)
+			version := s.approve(s.stage(bundleOf(2, 20)))
+			s.await(2*time.Second, s.allInForce(version))
+		}
+	})
+
 	// Guards against an old version coming into force on a node that restarts beside a member without a quorum, and
 	// against live upstreams staying removed: other zones drop them while they are cut off, and remember the removal
 	// for ten minutes.
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -8,7 +8,6 @@
 
 // Times of the protocol.
 const (
-	pollInterval = endpoints.PollInterval
 	// pollJitter spreads polls by this share of the interval in both directions.
 	pollJitter = 0.1
 	// silenceLimit is the time after which a silent link is given up.
@@ -26,8 +25,6 @@
 	// roundPause bounds the pause after the first unsuccessful round; it grows by as much per round, up to
 	// Config.JoinSpread.
 	roundPause = 500 * time.Millisecond
-	// staleAfter is the confirmed age at which a child of a member looks for another parent.
-	staleAfter = 4 * time.Second
 	// staleStep is added per level below the first, so that the child closest to the stale source moves first and
 	// the subtrees below it stay as they are.
 	staleStep = 2 * time.Second
