Decide placement, refusal and return by the time in which an answer has its full value

Cause: under load, calls left their zone for any free slot elsewhere, waited beyond the time in which their answer counts, were answered with the failure of a faulty upstream, and were told to come back after 1 s whatever the cause.

- A call stays in its zone while an upstream there is expected to answer in time.
- An executor refuses a call whose wait would make it late.
- An answer of failure to a repeatable request is retried within the budget.
- Faults of an upstream raise its cost instead of ejecting it.
- Retry-After follows the cause and the queue of the upstream that refused.

What is left: bytes between zones.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -36,6 +36,8 @@
 	ReasonQueueFull
 	// ReasonDraining means that the upstream is leaving.
 	ReasonDraining
+	// ReasonTarget means that waiting would take the call beyond the time in which its answer has its full value.
+	ReasonTarget
 
 	reasonCount = iota
 )
@@ -61,6 +63,10 @@
 	// Route groups calls that take about as long as each other.
 	Route    string
 	Deadline time.Time
+	// Target is the time until which an answer has its full value; zero if there is none. A call that would wait beyond it
+	// is refused at once: under overload a slot is worth more to a call that is still in time, and the caller can use the
+	// time that is left elsewhere or later.
+	Target time.Time
 	// Alone means that the call must be the only one in flight on the upstream.
 	Alone bool
 }
@@ -150,6 +156,8 @@
 		return run
 	case c.remaining(now) < q.need(c, now)+q.expectedWait(c, now):
 		return q.shed(c, ReasonDeadline)
+	case q.wouldMissTarget(c, now):
+		return q.shed(c, ReasonTarget)
 	case !q.makeRoom(c, now):
 		return q.shed(c, ReasonQueueFull)
 	}
@@ -270,6 +278,16 @@
 	return time.Duration(ahead) * q.total.mean / time.Duration(q.config.Slots)
 }
 
+// wouldMissTarget reports whether a call is late because of its wait. A call that is too long for its target in any case
+// is judged by its deadline only.
+func (q *Queue) wouldMissTarget(c *call, now time.Time) bool {
+	if c.target.IsZero() {
+		return false
+	}
+	left := c.target.Sub(now) - q.need(c, now)
+	return left > 0 && q.expectedWait(c, now) > left
+}
+
 // mayStart reports whether a new call may start without waiting.
 func (q *Queue) mayStart(c *call) bool {
 	if q.reserved != nil {
--- a/coordination/admission/class.go
+++ b/coordination/admission/class.go
@@ -34,6 +34,7 @@
 	alone    bool
 	arrived  time.Time
 	deadline time.Time
+	target   time.Time
 	element  *list.Element
 	index    int // position in byDeadline
 }
@@ -42,7 +43,8 @@
 const noDeadline = 24 * time.Hour
 
 func newCall(t Ticket, now time.Time) *call {
-	c := &call{id: t.ID, class: rankOf(t), route: t.Route, alone: t.Alone, arrived: now, deadline: t.Deadline}
+	c := &call{id: t.ID, class: rankOf(t), route: t.Route, alone: t.Alone, arrived: now, deadline: t.Deadline,
+		target: t.Target}
 	if c.deadline.IsZero() {
 		c.deadline = now.Add(noDeadline)
 	}
--- a/coordination/admission/status.go
+++ b/coordination/admission/status.go
@@ -63,6 +63,8 @@
 		return "queue-full"
 	case ReasonDraining:
 		return "draining"
+	case ReasonTarget:
+		return "target"
 	default:
 		return "none"
 	}
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -118,6 +118,10 @@
 	Zone    bundle.ZonePolicy
 	// Exclude lists the identifiers of upstreams that were already tried. They are avoided while others exist.
 	Exclude []string
+	// Patience is the time within which an answer has its full value; 0 if that is not known. A call stays in its zone
+	// as long as the upstreams there are expected to answer well within it: links between zones are slow and costly, and
+	// spreading an overload over all zones serves nobody sooner.
+	Patience time.Duration
 	// Rand must not be shared between goroutines unless it is safe for that.
 	Rand rand.Source
 }
@@ -144,6 +148,8 @@
 	Refused
 	// Failed means that the call failed after the connection was made, or timed out.
 	Failed
+	// Faulty means that the upstream refused the call itself, or answered that it failed.
+	Faulty
 	// ConnectFailed means that no connection could be made or that it broke. The endpoint is ejected for a while.
 	ConnectFailed
 	// Canceled means that the caller left; it says nothing about the upstream.
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -24,6 +24,10 @@
 	initialLatency = 5 * time.Millisecond
 	// minSlowStartShare keeps a few calls on a new upstream, so that it warms up.
 	minSlowStartShare = 0.1
+	// maxFaultRate bounds the part of failed calls that counts: such an upstream costs four times its delay.
+	maxFaultRate = 0.75
+	// faultLifetimes is how much longer than a load report a fault is remembered: faulty upstreams get few calls.
+	faultLifetimes = 2
 	// maxEjectDoublings bounds the shift in the ejection time.
 	maxEjectDoublings = 16
 )
@@ -50,6 +54,8 @@
 	latency      atomic.Int64
 	latencyAt    atomic.Int64
 	failures     atomic.Int64
+	faults       atomic.Int64 // part of the calls that the upstream failed, in thousandths
+	faultAt      atomic.Int64
 	ejectedUntil atomic.Int64
 }
 
@@ -113,9 +119,36 @@
 	return max(latency, average/latencyFloorDivisor)
 }
 
-// score is the expected delay of a call in nanoseconds, without the delay between zones.
+// completion is the expected time until the answer in nanoseconds, without the delay between zones: a call waits for as
+// many service times as there are calls for each slot beyond the first.
+func (e *endpoint) completion(c *Config, at time.Duration) float64 {
+	return max(1, e.load(c, at)) * e.expectedLatency(c, at) / (1 - e.faultRate(c, at))
+}
+
+// faultRate is the part of the calls that the upstream lately failed. It is bounded, so that a faulty upstream still gets
+// a few calls that show when it has recovered.
+func (e *endpoint) faultRate(c *Config, at time.Duration) float64 {
+	faultAt := e.faultAt.Load()
+	if faultAt == 0 {
+		return 0
+	}
+	return min(maxFaultRate, float64(e.faults.Load())/milli*freshness(at, faultAt, faultLifetimes*c.ReportLifetime))
+}
+
+// score is the expected delay of a call in nanoseconds, without the delay between zones. Each fault costs another try.
 func (e *endpoint) score(c *Config, at time.Duration) float64 {
-	return e.load(c, at) * e.expectedLatency(c, at)
+	return e.load(c, at) * e.expectedLatency(c, at) / (1 - e.faultRate(c, at))
+}
+
+// observeFault moves the part of failed calls by one call.
+func (e *endpoint) observeFault(at time.Duration, failed bool) {
+	sample := int64(0)
+	if failed {
+		sample = milli
+		e.faultAt.Store(stamp(at))
+	}
+	old := e.faults.Load()
+	e.faults.Store(old + (sample-old)>>averageShift)
 }
 
 // observe takes over what the end of a call tells about the endpoint.
@@ -124,6 +157,7 @@
 	switch r.Outcome {
 	case Done:
 		e.failures.Store(0)
+		e.observeFault(at, false)
 		e.observeLatency(at, e.serviceTime(r))
 	case Refused:
 		e.failures.Store(0)
@@ -131,7 +165,11 @@
 			e.others.Store(e.slots.Load() * milli)
 			e.reportedAt.Store(stamp(at))
 		}
+	case Faulty:
+		e.failures.Store(0)
+		e.observeFault(at, true)
 	case Failed:
+		e.observeFault(at, true)
 		// A failure may be quick; it must not make the endpoint look fast.
 		e.penalize(at, e.serviceTime(r))
 	case ConnectFailed:
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -16,6 +16,12 @@
 	slowStartDraws = 4
 	// leastOutstandingSample is the number of candidates that LeastOutstanding compares.
 	leastOutstandingSample = 5
+	// spillPatience is the part of a call's patience that the expected answer of a local upstream may take. Service times
+	// vary by about their mean, so that half of the patience leaves most calls within it.
+	spillPatience = 0.5
+	// spillGain is the part of the local upstream's cost that one in another zone may have: what is known of other zones
+	// is older, and the way there has a price.
+	spillGain = 0.6
 )
 
 // strictness tells which endpoints are acceptable. Less strict levels are tried when a stricter one yields none.
@@ -74,10 +80,25 @@
 		return p.better(p.best(p.remoteZone()), p.best(p.remoteZone()))
 	}
 	local := p.best(p.service.local)
-	if local != nil && local.load(p.config, p.at) <= p.config.SpillLoad {
+	if local != nil && p.satisfies(local) {
 		return local
 	}
-	return p.better(local, p.best(p.remoteZone()))
+	remote := p.best(p.remoteZone())
+	if p.request.Patience == 0 || local == nil || remote == nil {
+		return p.better(local, remote)
+	}
+	if p.cost(remote) < spillGain*p.cost(local) {
+		return remote
+	}
+	return local
+}
+
+// satisfies reports whether a call need not leave the zone of a local upstream.
+func (p *picker) satisfies(e *endpoint) bool {
+	if p.request.Patience == 0 {
+		return e.load(p.config, p.at) <= p.config.SpillLoad
+	}
+	return e.completion(p.config, p.at) <= spillPatience*float64(p.request.Patience)
 }
 
 // remoteZone draws another zone by weight. It returns nil if there is none.
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -28,6 +28,8 @@
 	Final bool
 	// Reached is set if the upstream itself refused the request, rather than a process of ours before it.
 	Reached bool
+	// Failed is set on a complete answer that says that the upstream failed. Another upstream may do better.
+	Failed bool
 	// Suspect is set if the request was in flight when an upstream crashed.
 	Suspect bool
 }
@@ -92,7 +94,7 @@
 	c.stopped = c.stopped || r.Final
 	switch r.Outcome {
 	case retry.Done:
-		return Decision{Action: Answer}
+		return c.answered(now, r, source)
 	case retry.Unknown:
 		c.uncertain = true
 	}
@@ -112,6 +114,19 @@
 	return Decision{Action: Send, After: delay}
 }
 
+// answered ends the call with a complete answer, unless that says that the upstream failed and the budget allows to try
+// another one. The answer stays good enough for the caller if that does not help.
+func (c *Call) answered(now time.Time, r Result, source rand.Source) Decision {
+	if !r.Failed || c.pending > 0 || c.stopped || !c.config.Resendable {
+		return Decision{Action: Answer}
+	}
+	delay, again := c.config.Budget.Decide(now, c.attempt(now, retry.Unknown), source)
+	if !again {
+		return Decision{Action: Answer}
+	}
+	return Decision{Action: Send, After: delay}
+}
+
 // freeRetry reports whether a call may try another upstream at once and outside the budget. An attempt that reached no
 // upstream cost none any work, so the first one is not charged: with a full queue here and a free slot elsewhere, the
 // budget would refuse calls that there is capacity for. A refusal by the upstream is charged: upstreams that refuse a
--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -235,7 +235,7 @@
 	if p.now.Before(a.homeAt) {
 		return
 	}
-	a.homeAt = p.now.Add(homeProbe/2 + p.random(homeProbe))
+	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
 	home, _ := p.memberTargets()
 	p.startRound(append(p.neighbours(), home...))
 	p.probeNext()
@@ -363,7 +363,7 @@
 	a.queue, a.round, a.hops = nil, 0, 0
 	a.probePause = probeMin
 	a.probeAt = p.now
-	a.homeAt = p.now.Add(homeProbe/2 + p.random(homeProbe))
+	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
 }
 
 // parentLost starts the search for another parent.
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -192,6 +192,7 @@
 	setDefault(&c.JoinSpread, DefaultJoinSpread)
 	setDefault(&c.PollInterval, DefaultPollInterval)
 	setDefault(&c.StaleAfter, DefaultStaleAfter)
+	setDefault(&c.HomeProbe, DefaultHomeProbe)
 	return c
 }
 
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -31,8 +31,6 @@
 	// probeMax bounds the pause between two probes of a stale peer; it doubles from probeMin.
 	probeMin = 2 * time.Second
 	probeMax = 60 * time.Second
-	// homeProbe is the mean time between two attempts of a node that follows another zone to return to its own.
-	homeProbe = 30 * time.Second
 	// fetchTimeout is the time after which an unanswered Fetch is sent again.
 	fetchTimeout = time.Second
 	// reportDelay collects changes of the counts before they are sent upward.
--- a/node/answer.go
+++ b/node/answer.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/coordination/retry"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/ledger"
 )
@@ -54,7 +58,7 @@
 	n.metrics.refusals.Add(string(reason), 1)
 	key := r.Header.Get(protocol.HeaderKey)
 	if key == "" || len(key) > maxKeyBytes {
-		n.writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason))
+		n.writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason), protocol.LoadReport{})
 		return
 	}
 	answer := n.confirmNotRun(r.Context(), ledger.Query{Key: key}, reason)
@@ -65,7 +69,7 @@
 		writeRecorded(w, answer)
 		return
 	}
-	n.writeVerdict(w, answer.head.Outcome, answer.head.Reason, refusalCode(reason))
+	n.writeVerdict(w, answer.head.Outcome, answer.head.Reason, refusalCode(reason), protocol.LoadReport{})
 }
 
 // confirm asks the ledger before an irreversible call is reported as not run: an earlier attempt of the caller under
@@ -116,7 +120,9 @@
 	return http.StatusServiceUnavailable
 }
 
-func (n *Node) writeVerdict(w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int) {
+func (n *Node) writeVerdict(
+	w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int, load protocol.LoadReport,
+) {
 	header := w.Header()
 	if n.options.Dialect.Verdicts {
 		header.Set(protocol.HeaderOutcome, string(outcome))
@@ -124,7 +130,8 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests {
-		header.Set("Retry-After", "1")
+		after := retry.After(retryCauses[reason], balanceLoad(load), rand.Float64())
+		header.Set("Retry-After", n.formatRetryAfter(after))
 	}
 	w.WriteHeader(status)
 	text := advice[reason]
@@ -134,6 +141,30 @@
 	fmt.Fprintf(w, "%s: %s\n", outcome, text)
 }
 
+// retryCauses tells when a refused request can succeed; other reasons mean that the upstreams are full.
+var retryCauses = map[protocol.Reason]retry.Cause{
+	protocol.ReasonUpstreamRefused: retry.CauseFaulty,
+	protocol.ReasonUnreachable:     retry.CauseFaulty,
+	protocol.ReasonNodeFailed:      retry.CauseFaulty,
+	protocol.ReasonNoUpstream:      retry.CauseAbsent,
+	protocol.ReasonNotReady:        retry.CauseAbsent,
+	protocol.ReasonDraining:        retry.CauseAbsent,
+}
+
+func balanceLoad(load protocol.LoadReport) balance.Load {
+	return balance.Load{
+		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
+	}
+}
+
+// formatRetryAfter writes whole seconds, as the standard wants them, unless the callers understand fractions.
+func (n *Node) formatRetryAfter(after time.Duration) string {
+	if n.options.Dialect.FractionalRetryAfter {
+		return strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(after.Seconds())))
+}
+
 // write passes the reply on to the caller.
 func (c *ingressCall) write(w http.ResponseWriter, answer *reply) {
 	header := w.Header()
@@ -144,7 +175,7 @@
 	case protocol.OutcomeDone:
 		c.writeAnswer(w, answer)
 	case protocol.OutcomeNotRun:
-		c.node.writeVerdict(w, protocol.OutcomeNotRun, answer.head.Reason, refusalCode(answer.head.Reason))
+		c.node.writeVerdict(w, protocol.OutcomeNotRun, answer.head.Reason, refusalCode(answer.head.Reason), answer.head.Load)
 	default:
 		c.writeUnknown(w, answer)
 	}
@@ -154,7 +185,7 @@
 	if c.head.Key != "" {
 		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(c.head.Key))
 	}
-	c.node.writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, unknownCode(answer.head.Reason))
+	c.node.writeVerdict(w, protocol.OutcomeUnknown, answer.head.Reason, unknownCode(answer.head.Reason), answer.head.Load)
 }
 
 func unknownCode(reason protocol.Reason) int {
@@ -262,7 +293,7 @@
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
-		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalCode(protocol.ReasonKeyMissing))
+		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalCode(protocol.ReasonKeyMissing), protocol.LoadReport{})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), outcomeTimeout)
@@ -270,14 +301,14 @@
 	result, err := n.executor.ledger.do(ctx, key, ledger.Command{Query: &ledger.Query{Key: key}})
 	switch {
 	case err != nil:
-		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable)
+		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonLedger, http.StatusServiceUnavailable, protocol.LoadReport{})
 	case result.Status == ledger.Done:
 		writeRecorded(w, answerReply(result.Answer))
 	case result.Status == ledger.Released:
-		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict)
+		n.writeVerdict(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict, protocol.LoadReport{})
 	default:
 		// An absent key may belong to a request that is still on its way to its executor.
-		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted)
+		n.writeVerdict(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted, protocol.LoadReport{})
 	}
 }
 
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// failedByUpstream reports whether the answer says that the upstream ran the call and failed.
+func (r *reply) failedByUpstream() bool {
+	return r.head.Outcome == protocol.OutcomeDone && r.head.Status >= http.StatusInternalServerError
+}
+
 // refusal is the reply to a call that was not run.
 func refusal(reason protocol.Reason) *reply {
 	return &reply{head: protocol.ReplyHead{Outcome: protocol.OutcomeNotRun, Reason: reason}}
--- a/node/executor.go
+++ b/node/executor.go
@@ -94,6 +94,9 @@
 	ticket := admission.Ticket{
 		ID: id, Class: head.Class, Priority: head.Priority, Route: head.Route, Deadline: deadline, Alone: call.alone,
 	}
+	if head.Patience > 0 {
+		ticket.Target = now.Add(head.Patience)
+	}
 	admitted := e.queue.Offer(now, ticket)
 	e.running[id] = call
 	var waiter chan admission.Verdict
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -33,8 +33,12 @@
 	// cancels ends the attempts, in the order in which they were started.
 	cancels []context.CancelFunc
 	pending int
+	// failed is an upstream's answer that it failed, which the caller gets if nothing better comes.
+	failed *attemptResult
 	// last is why the latest attempt gave no answer.
 	last protocol.Reason
+	// load is what the executor of that attempt reported.
+	load protocol.LoadReport
 }
 
 func (f *forwarding) run(ctx context.Context) *reply {
@@ -111,7 +115,7 @@
 func (f *forwarding) begin(ctx context.Context) (*attempt, bool) {
 	c := f.call
 	target, err := c.node.balancer.Pick(time.Now(), balance.Request{
-		Service: c.head.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source,
+		Service: c.head.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source, Patience: c.patience(),
 	})
 	if err != nil {
 		f.last = protocol.ReasonNoUpstream
@@ -140,11 +144,16 @@
 	decision := f.plan.Ended(time.Now(), forward.Result{
 		Outcome: outcomes[head.Outcome], Final: final(head.Reason), Suspect: head.Suspect,
 		Reached: head.Reason == protocol.ReasonUpstreamRefused,
+		Failed:  result.answer.failedByUpstream() && result.answer.stream == nil,
 	}, f.source)
 	if decision.Action == forward.Answer {
 		return forward.Answer
 	}
-	f.last = head.Reason
+	if head.Outcome == protocol.OutcomeDone {
+		f.failed = &result
+	} else {
+		f.last, f.load = head.Reason, head.Load
+	}
 	result.answer.finish()
 	f.cancels[result.number]()
 	if decision.Action != forward.Send {
@@ -198,8 +207,13 @@
 // fail ends a call without an answer.
 func (f *forwarding) fail() *reply {
 	f.abandon(noAttempt)
+	if f.failed != nil {
+		return f.failed.answer
+	}
 	if f.plan.Verdict() == retry.NotRun {
-		return refusal(f.last)
+		refused := refusal(f.last)
+		refused.head.Load = f.load
+		return refused
 	}
 	return uncertain(f.last)
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -265,6 +265,7 @@
 	head := c.head
 	// The answer needs the way back: one that ends later is of no use.
 	head.Remaining = c.deadline.Sub(now) - c.node.options.zoneDelay(target.Zone)
+	head.Patience = c.patience()
 	head.Incarnation = target.Incarnation
 	head.Alone = c.alone
 	head.Retry = c.head.Retry || retried
@@ -280,20 +281,29 @@
 	return attemptResult{answer: answer, elsewhere: elsewhere}
 }
 
+// patience returns how much longer an answer has its full value; 0 if the route sets no target.
+func (c *ingressCall) patience() time.Duration {
+	if c.route.TargetMs == 0 {
+		return 0
+	}
+	target := time.Duration(c.route.TargetMs) * time.Millisecond
+	return max(target-time.Since(c.started), time.Millisecond)
+}
+
 func (c *ingressCall) report(ctx context.Context, answer *reply, took time.Duration) balance.Report {
 	report := balance.Report{Outcome: balance.Done, Latency: took}
 	if load := answer.head.Load; load.Slots > 0 {
-		report.Load = &balance.Load{
-			InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
-		}
+		reported := balanceLoad(load)
+		report.Load = &reported
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), answer.head.Reason == protocol.ReasonTooLarge:
 		// The caller ended the call; this says nothing about the upstream.
 		report.Outcome = balance.Canceled
-	case answer.head.Reason == protocol.ReasonNodeFailed, answer.head.Reason == protocol.ReasonUnreachable,
-		answer.head.Reason == protocol.ReasonUpstreamRefused:
+	case answer.head.Reason == protocol.ReasonNodeFailed, answer.head.Reason == protocol.ReasonUnreachable:
 		report.Outcome = balance.ConnectFailed
+	case answer.head.Reason == protocol.ReasonUpstreamRefused, answer.failedByUpstream():
+		report.Outcome = balance.Faulty
 	case answer.head.Outcome == protocol.OutcomeNotRun:
 		report.Outcome = balance.Refused
 	case answer.head.Outcome == protocol.OutcomeUnknown:
--- a/protocol/dialect.go
+++ b/protocol/dialect.go
@@ -25,6 +25,8 @@
 	// empty means any.
 	NotRun      string
 	NotRunValue string
+	// FractionalRetryAfter is set if callers understand fractions of a second in Retry-After.
+	FractionalRetryAfter bool
 	// Verdicts adds the headers that explain an answer to its caller, such as HeaderOutcome.
 	Verdicts bool
 }
