--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -122,6 +122,9 @@
 	// as long as the upstreams there are expected to answer well within it: links between zones are slow and costly, and
 	// spreading an overload over all zones serves nobody sooner.
 	Patience time.Duration
+	// InTimeOnly asks for an upstream that is expected to answer within the patience, or none. It is set for calls that an
+	// upstream has refused for lack of slots: under overload, every other attempt would be refused too.
+	InTimeOnly bool
 	// Rand must not be shared between goroutines unless it is safe for that.
 	Rand rand.Source
 }
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -16,9 +16,9 @@
 	slowStartDraws = 4
 	// leastOutstandingSample is the number of candidates that LeastOutstanding compares.
 	leastOutstandingSample = 5
-	// spillPatience is the part of a call's patience that the expected answer of a local upstream may take. Service times
-	// vary by about their mean, so that half of the patience leaves most calls within it.
-	spillPatience = 0.5
+	// spillPatience is the part of a call's patience that the expected answer of a local upstream may take. Links between
+	// zones have a price, so that a call leaves its zone only to be in time at all.
+	spillPatience = 0.9
 	// spillGain is the part of the local upstream's cost that one in another zone may have: what is known of other zones
 	// is older, and the way there has a price.
 	spillGain = 0.6
@@ -43,6 +43,14 @@
 }
 
 func (p *picker) pick() *endpoint {
+	if p.request.InTimeOnly && p.request.Patience > 0 {
+		p.level = onlyHealthy
+		chosen := p.better(p.pickServing(), p.pickServing())
+		if chosen == nil || !p.satisfies(chosen) {
+			return nil
+		}
+		return chosen
+	}
 	for _, level := range []strictness{onlyHealthy, allowEjected} {
 		p.level = level
 		if e := p.pickServing(); e != nil {
@@ -98,7 +106,7 @@
 	if p.request.Patience == 0 {
 		return e.load(p.config, p.at) <= p.config.SpillLoad
 	}
-	return e.completion(p.config, p.at) <= spillPatience*float64(p.request.Patience)
+	return e.completion(p.config, p.at)+2*float64(e.delay.Load()) <= spillPatience*float64(p.request.Patience)
 }
 
 // remoteZone draws another zone by weight. It returns nil if there is none.
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -116,9 +117,10 @@
 	c := f.call
 	target, err := c.node.balancer.Pick(time.Now(), balance.Request{
 		Service: c.head.Service, Zone: c.route.Zone, Exclude: f.tried, Rand: f.source, Patience: c.patience(),
+		InTimeOnly: f.last == protocol.ReasonShed,
 	})
 	if err != nil {
-		f.last = protocol.ReasonNoUpstream
+		f.last = cmp.Or(f.last, protocol.ReasonNoUpstream)
 		return nil, false
 	}
 	f.tried = append(f.tried, target.ID)
