Place calls by the time of their own route, and return faster after all processes were lost

Cause 2: after a final fault the members waited a full election timeout (1.45 s), and nodes that had joined a member without a state kept waiting for it (up to 1.3 s more). Ruled out for 2: start of the processes (30 ms), heartbeats of the upstreams.

- Service times are averaged by route; faults decay to the service's average.
- The first election of a started member comes after 1/8 to 1/2 of the timeout.
- A node without a version polls and probes more often.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -101,6 +101,10 @@
 	return c
 }
 
+// targetWaitShare is the part of the time that a call has beside its service time that it may wait. Service times vary by
+// about their mean; a call that waits until the last moment is late every second time.
+const targetWaitShare = 0.8
+
 // maxRouteEstimates bounds the routes with an estimate of their own.
 const maxRouteEstimates = 256
 
@@ -285,7 +289,7 @@
 		return false
 	}
 	left := c.target.Sub(now) - q.need(c, now)
-	return left > 0 && q.expectedWait(c, now) > left
+	return left > 0 && float64(q.expectedWait(c, now)) > targetWaitShare*float64(left)
 }
 
 // mayStart reports whether a new call may start without waiting.
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -115,7 +115,9 @@
 // Request describes the call that needs an upstream.
 type Request struct {
 	Service string
-	Zone    bundle.ZonePolicy
+	// Route groups calls that take about as long as each other; empty if that is not known.
+	Route string
+	Zone  bundle.ZonePolicy
 	// Exclude lists the identifiers of upstreams that were already tried. They are avoided while others exist.
 	Exclude []string
 	// Patience is the time within which an answer has its full value; 0 if that is not known. A call stays in its zone
@@ -164,6 +166,9 @@
 	Outcome Outcome
 	// Latency is measured at the ingress, from sending the call to receiving the response.
 	Latency time.Duration
+	// Route and Service are the call's route and the time that the upstream itself took, if they are known.
+	Route   string
+	Service time.Duration
 	// Load is the executor's first-hand load. It takes precedence over UpstreamLoad.
 	Load *Load
 	// UpstreamLoad is the load that the upstream reports about itself. It may lag or be wrong.
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -24,6 +25,10 @@
 	initialLatency = 5 * time.Millisecond
 	// minSlowStartShare keeps a few calls on a new upstream, so that it warms up.
 	minSlowStartShare = 0.1
+	// maxRoutes bounds the routes of a service with an average of their own.
+	maxRoutes = 256
+	// maxSpeed bounds how much faster or slower than the average of its service an upstream is taken to be.
+	maxSpeed = 4
 	// maxFaultRate bounds the part of failed calls that counts: such an upstream costs four times its delay.
 	maxFaultRate = 0.75
 	// faultLifetimes is how much longer than a load report a fault is remembered: faulty upstreams get few calls.
@@ -36,6 +41,35 @@
 type averages struct {
 	latency atomic.Int64 // nanoseconds
 	others  atomic.Int64 // calls of other nodes per slot, in thousandths
+	faults  atomic.Int64 // part of the calls that upstreams failed, in thousandths
+	// routes holds the service time of each route in nanoseconds, as *atomic.Int64: short calls of one route share their
+	// upstreams with long ones of another. Routes beyond maxRoutes are not told apart.
+	routes     sync.Map
+	routeCount atomic.Int64
+}
+
+// observeRoute takes in the service time of one call.
+func (a *averages) observeRoute(name string, took time.Duration) {
+	if name == "" || took <= 0 {
+		return
+	}
+	known, ok := a.routes.Load(name)
+	if !ok {
+		if a.routeCount.Add(1) > maxRoutes {
+			return
+		}
+		known, _ = a.routes.LoadOrStore(name, new(atomic.Int64))
+	}
+	addSample(known.(*atomic.Int64), int64(took))
+}
+
+// route returns the service time of a route, or 0 if it is not known.
+func (a *averages) route(name string) float64 {
+	known, ok := a.routes.Load(name)
+	if !ok {
+		return 0
+	}
+	return float64(known.(*atomic.Int64).Load())
 }
 
 // endpoint is one incarnation of an upstream with the counters of this process. Times are offsets from epoch.
@@ -119,20 +153,30 @@
 	return max(latency, average/latencyFloorDivisor)
 }
 
-// completion is the expected time until the answer in nanoseconds, without the delay between zones: a call waits for as
-// many service times as there are calls for each slot beyond the first.
-func (e *endpoint) completion(c *Config, at time.Duration) float64 {
-	return max(1, e.load(c, at)) * e.expectedLatency(c, at) / (1 - e.faultRate(c, at))
+// completion is the expected time until the answer to a call of a route in nanoseconds, with the way there and back. A
+// call waits for as many service times of the present mix of calls as there are calls for each slot beyond the first;
+// then it takes the time of its own route, at the speed of this upstream.
+func (e *endpoint) completion(c *Config, at time.Duration, route string) float64 {
+	latency := e.expectedLatency(c, at)
+	service := latency
+	if known := e.averages.route(route); known > 0 {
+		average := cmp.Or(float64(e.averages.latency.Load()), latency)
+		service = known * min(max(latency/average, 1/maxSpeed), maxSpeed)
+	}
+	wait := max(0, e.load(c, at)-1) * latency
+	return wait + service + 2*float64(e.delay.Load())
 }
 
-// faultRate is the part of the calls that the upstream lately failed. It is bounded, so that a faulty upstream still gets
-// a few calls that show when it has recovered.
+// faultRate is the part of the calls that the upstream lately failed. What is known of it decays to the average of the
+// service: when all upstreams are faulty, those that were not tried lately are no better. It is bounded, so that a
+// faulty upstream still gets a few calls that show when it has recovered.
 func (e *endpoint) faultRate(c *Config, at time.Duration) float64 {
-	faultAt := e.faultAt.Load()
-	if faultAt == 0 {
-		return 0
+	average := float64(e.averages.faults.Load())
+	rate := average
+	if faultAt := e.faultAt.Load(); faultAt != 0 {
+		rate += (float64(e.faults.Load()) - average) * freshness(at, faultAt, faultLifetimes*c.ReportLifetime)
 	}
-	return min(maxFaultRate, float64(e.faults.Load())/milli*freshness(at, faultAt, faultLifetimes*c.ReportLifetime))
+	return min(maxFaultRate, rate/milli)
 }
 
 // score is the expected delay of a call in nanoseconds, without the delay between zones. Each fault costs another try.
@@ -145,10 +189,12 @@
 	sample := int64(0)
 	if failed {
 		sample = milli
-		e.faultAt.Store(stamp(at))
 	}
-	old := e.faults.Load()
-	e.faults.Store(old + (sample-old)>>averageShift)
+	e.faultAt.Store(stamp(at))
+	for _, rate := range []*atomic.Int64{&e.faults, &e.averages.faults} {
+		old := rate.Load()
+		rate.Store(old + (sample-old)>>averageShift)
+	}
 }
 
 // observe takes over what the end of a call tells about the endpoint.
@@ -157,6 +203,7 @@
 	switch r.Outcome {
 	case Done:
 		e.failures.Store(0)
+		e.averages.observeRoute(r.Route, r.Service)
 		e.observeFault(at, false)
 		e.observeLatency(at, e.serviceTime(r))
 	case Refused:
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -19,6 +19,9 @@
 	// spillPatience is the part of a call's patience that the expected answer of a local upstream may take. Links between
 	// zones have a price, so that a call leaves its zone only to be in time at all.
 	spillPatience = 0.9
+	// maxFaultExcess is by how much the part of failed calls of a local upstream may exceed that of others. A failed call
+	// is worth nothing to its caller, so that the price of the link counts less than for a late one.
+	maxFaultExcess = 0.15
 	// spillGain is the part of the local upstream's cost that one in another zone may have: what is known of other zones
 	// is older, and the way there has a price.
 	spillGain = 0.6
@@ -95,18 +98,26 @@
 	if p.request.Patience == 0 || local == nil || remote == nil {
 		return p.better(local, remote)
 	}
-	if p.cost(remote) < spillGain*p.cost(local) {
+	sooner := p.completion(remote) < spillGain*p.completion(local)
+	if sooner || local.faultRate(p.config, p.at) > remote.faultRate(p.config, p.at)+maxFaultExcess {
 		return remote
 	}
 	return local
 }
 
+func (p *picker) completion(e *endpoint) float64 {
+	return e.completion(p.config, p.at, p.request.Route)
+}
+
 // satisfies reports whether a call need not leave the zone of a local upstream.
 func (p *picker) satisfies(e *endpoint) bool {
 	if p.request.Patience == 0 {
 		return e.load(p.config, p.at) <= p.config.SpillLoad
 	}
-	return e.completion(p.config, p.at)+2*float64(e.delay.Load()) <= spillPatience*float64(p.request.Patience)
+	if e.faultRate(p.config, p.at) > float64(e.averages.faults.Load())/milli+maxFaultExcess {
+		return false
+	}
+	return p.completion(e) <= spillPatience*float64(p.request.Patience)
 }
 
 // remoteZone draws another zone by weight. It returns nil if there is none.
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -7,6 +7,13 @@
 	"github.com/cockroachdb/errors"
 )
 
+// setFirstDeadline draws a shorter timeout for a member that has just started: when all members return at the same moment,
+// there is no leader to wait for. If there is one, the pre-vote fails and changes nothing.
+func (n *Node) setFirstDeadline() {
+	shortest := n.config.ElectionTimeout / 8
+	n.electionDeadline = n.now.Add(shortest + time.Duration(n.rng.Int63n(int64(3*shortest)+1)))
+}
+
 // resetElectionDeadline draws a timeout between 1 and 1.5 election timeouts, so that members rarely start together.
 func (n *Node) resetElectionDeadline() {
 	timeout := n.config.ElectionTimeout
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -126,7 +126,7 @@
 	}
 	// A random start keeps replies to polls of an earlier run of this member from matching a poll of this one.
 	n.freshness.poll = n.rng.Uint64() >> 1
-	n.resetElectionDeadline()
+	n.setFirstDeadline()
 	return n, nil
 }
 
--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -42,9 +42,16 @@
 }
 
 func newAttach(next time.Time) attach {
-	return attach{next: next, tried: make(map[string]bool), failed: make(map[string]time.Time), probePause: probeMin}
+	return attach{next: next, tried: make(map[string]bool), failed: make(map[string]time.Time)}
 }
 
+// failedPause keeps an address that failed out of the selection. It is a little longer than the limit of staleness, so
+// that a node tries all others first.
+func (p *Peer) failedPause() time.Duration { return p.config.StaleAfter * 5 / 4 }
+
+// probeMin is the first pause between two probes of a stale peer; it doubles up to probeMax.
+func (p *Peer) probeMin() time.Duration { return p.config.StaleAfter / 2 }
+
 // seekParent starts the next attempt if one is due.
 func (p *Peer) seekParent() {
 	if p.attach.link != nil {
@@ -58,7 +65,7 @@
 	case p.parent.remote.Zone != p.config.Zone:
 		p.probeHome()
 	default:
-		p.attach.probePause = probeMin
+		p.attach.probePause = p.probeMin()
 	}
 }
 
@@ -273,7 +280,7 @@
 // attemptFailed continues with the next address.
 func (p *Peer) attemptFailed(l *link) {
 	a := &p.attach
-	a.failed[l.address] = p.now.Add(failedPause)
+	a.failed[l.address] = p.now.Add(p.failedPause())
 	if a.link == l {
 		a.link = nil
 	}
@@ -322,7 +329,7 @@
 	if p.parent != nil && !p.improves(accept) {
 		p.send(l, Message{Leave: &Leave{}})
 		p.discard(l)
-		p.attach.failed[l.address] = p.now.Add(failedPause)
+		p.attach.failed[l.address] = p.now.Add(p.failedPause())
 		return
 	}
 	if former := p.parent; former != nil {
@@ -361,7 +368,7 @@
 func (p *Peer) resetAttach() {
 	a := &p.attach
 	a.queue, a.round, a.hops = nil, 0, 0
-	a.probePause = probeMin
+	a.probePause = p.probeMin()
 	a.probeAt = p.now
 	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
 }
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -50,6 +50,7 @@
 		spread:   newSpread(now, c),
 	}
 	p.attach = newAttach(now.Add(p.random(p.config.JoinSpread)))
+	p.attach.probePause = p.probeMin()
 	if !c.Member {
 		p.Announce(now, endpoints.Record{State: endpoints.Serving, Address: c.Address})
 	}
--- a/coordination/relay/poll.go
+++ b/coordination/relay/poll.go
@@ -57,6 +57,10 @@
 
 // staleLimit is the confirmed age from which on the peer looks for another parent.
 func (p *Peer) staleLimit() time.Duration {
+	if p.content.current() == 0 && !p.config.Member {
+		// Nothing is in force: any member that has the confirmation of a quorum is better than waiting for this one.
+		return p.config.StaleAfter / 3
+	}
 	return p.config.StaleAfter + time.Duration(max(0, p.fresh.depth-1))*staleStep
 }
 
@@ -80,8 +84,13 @@
 func (p *Peer) poll(l *link) {
 	l.sequence++
 	l.pollSent[l.sequence%uint64(len(l.pollSent))] = p.now
-	jitter := time.Duration((2*p.config.Rand.Float64() - 1) * pollJitter * float64(p.config.PollInterval))
-	l.nextPoll = p.now.Add(p.config.PollInterval + jitter)
+	interval := p.config.PollInterval
+	if p.content.current() == 0 && !p.config.Member {
+		// The node serves nobody until a quorum has confirmed its first version.
+		interval /= hungryPolls
+	}
+	jitter := time.Duration((2*p.config.Rand.Float64() - 1) * pollJitter * float64(interval))
+	l.nextPoll = p.now.Add(interval + jitter)
 	poll := &Poll{Sequence: l.sequence, TableDigest: p.spread.table.Digest()}
 	if report := p.report(); !report.equal(l.sentCounts) {
 		poll.Counts = &report
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -8,6 +8,8 @@
 
 // Times of the protocol.
 const (
+	// hungryPolls is how much more often a node without a version polls.
+	hungryPolls = 4
 	// pollJitter spreads polls by this share of the interval in both directions.
 	pollJitter = 0.1
 	// silenceLimit is the time after which a silent link is given up.
@@ -17,8 +19,6 @@
 	orphanJitter = 200 * time.Millisecond
 	// attemptTimeout bounds one attempt to join, from the dial to the answer.
 	attemptTimeout = 2 * time.Second
-	// failedPause keeps an address that failed out of the selection.
-	failedPause = 5 * time.Second
 	// formerPause does the same for a lost parent. It is shorter, since only the link may have failed and there may be
 	// no other candidate; a node that takes longer than SuspectAfter to rejoin becomes suspect.
 	formerPause = 500 * time.Millisecond
@@ -28,8 +28,7 @@
 	// staleStep is added per level below the first, so that the child closest to the stale source moves first and
 	// the subtrees below it stay as they are.
 	staleStep = 2 * time.Second
-	// probeMax bounds the pause between two probes of a stale peer; it doubles from probeMin.
-	probeMin = 2 * time.Second
+	// probeMax bounds the pause between two probes of a stale peer.
 	probeMax = 60 * time.Second
 	// fetchTimeout is the time after which an unanswered Fetch is sent again.
 	fetchTimeout = time.Second
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -291,7 +291,9 @@
 }
 
 func (c *ingressCall) report(ctx context.Context, answer *reply, took time.Duration) balance.Report {
-	report := balance.Report{Outcome: balance.Done, Latency: took}
+	report := balance.Report{
+		Outcome: balance.Done, Latency: took, Route: c.route.Name, Service: answer.head.Upstream,
+	}
 	if load := answer.head.Load; load.Slots > 0 {
 		reported := balanceLoad(load)
 		report.Load = &reported
