--- a/control/member.go
+++ b/control/member.go
@@ -19,6 +19,7 @@
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/mesh"
 	"sapphiregate.example/sapphiregate/protocol"
@@ -262,13 +263,13 @@
 }
 
 func (m *Member) begin(recovered []wal.Recovered) error {
-	now := time.Now()
-	incarnation := uint64(now.UnixNano())
+	now := clock.Now()
+	incarnation := uint64(time.Now().UnixNano())
 	m.quarantine = quarantine.New(quarantine.Config{ID: m.ID(), Incarnation: incarnation})
 	config := m.options.Relay
 	config.ID, config.Zone, config.Address = m.ID(), m.options.Zone, m.options.Advertise
 	config.Incarnation, config.Member, config.Keys = incarnation, true, m.options.Keys
-	config.Rand = rand.New(rand.NewSource(now.UnixNano()))
+	config.Rand = rand.New(rand.NewSource(int64(incarnation)))
 	m.peer = relay.New(now, config)
 	m.host = mesh.NewHost(mesh.Options{
 		Peer: m.peer, Pool: m.pool, Logger: m.logger, Output: m.handleOutput, Tick: m.tick, AfterBatch: m.pump,
--- a/daemon/check.go
+++ b/daemon/check.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"sapphiregate.example/sapphiregate/experiment"
 	"sapphiregate.example/sapphiregate/experiment/standin"
@@ -22,7 +24,11 @@
 	checkLookups      = 200
 	checkIrreversible = 20
 	checkTimeout      = 20 * time.Second
-	checkPause        = 200 * time.Microsecond
+	// checkCallers is the number of calls in flight. It is well below the slots of any profile.
+	checkCallers = 8
+	// checkProgress is the number of calls after which the progress is shown.
+	checkProgress = 50
+	checkPause    = 200 * time.Microsecond
 	// stagingTime lets the parts reach the nodes ahead of the sign-off, as an operator's pause between the two does.
 	stagingTime = 200 * time.Millisecond
 )
@@ -54,7 +60,7 @@
 }
 
 func (d *devDeployment) checkLookups(ctx context.Context, out io.Writer, route bundle.Route) error {
-	for i := range checkLookups {
+	err := sideBySide(ctx, out, "lookups", checkLookups, func(ctx context.Context, i int) error {
 		node := d.spec.Nodes[i%len(d.spec.Nodes)]
 		answer, err := d.send(ctx, node.ID, route, uuid.NewString(), "")
 		if err != nil {
@@ -63,14 +69,39 @@
 		if answer.outcome != protocol.OutcomeDone {
 			return errors.Wrapf(errCheck, "lookup through %s: outcome %q, %s", node.ID, answer.outcome, answer.reason)
 		}
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	fmt.Fprintf(out, "Lookups: %d of %d got their whole answer.\n", checkLookups, checkLookups)
 	return nil
 }
 
+// sideBySide makes calls as callers do, several at a time, and shows its progress. It ends with the first fault.
+func sideBySide(
+	ctx context.Context, out io.Writer, what string, count int, call func(ctx context.Context, i int) error,
+) error {
+	var done atomic.Int64
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(checkCallers)
+	for i := range count {
+		group.Go(func() error {
+			if err := call(ctx, i); err != nil {
+				return err
+			}
+			if made := done.Add(1); made%checkProgress == 0 {
+				fmt.Fprintf(out, "... %d of %d %s\n", made, count, what)
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
 // checkIrreversible sends each request twice through different nodes and compares with what the upstreams ran.
 func (d *devDeployment) checkIrreversible(ctx context.Context, out io.Writer, route bundle.Route) error {
-	for i := range checkIrreversible {
+	err := sideBySide(ctx, out, "irreversible calls", checkIrreversible, func(ctx context.Context, i int) error {
 		request, key := uuid.NewString(), uuid.Must(uuid.NewV7()).String()
 		var bodies []string
 		for turn := range 2 {
@@ -90,6 +121,10 @@
 		if runs := d.runs(request); runs != 1 {
 			return errors.Wrapf(errCheck, "an irreversible request ran %d times", runs)
 		}
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	fmt.Fprintf(out, "Irreversible calls: %d sent twice each, every one ran once and both got the same answer.\n",
 		checkIrreversible)
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,21 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"sapphiregate.example/sapphiregate/internal/clock"
+)
+
+// Guards against an origin that differs between the two clocks: ages would start with that difference.
+func TestNowFollowsTheMonotonicClock(t *testing.T) {
+	const tolerance = 50 * time.Millisecond
+	if difference := clock.Now().Sub(time.Now()).Abs(); difference > tolerance {
+		t.Fatalf("differs from the monotonic clock by %s without a suspension", difference)
+	}
+	first := clock.Now()
+	time.Sleep(5 * time.Millisecond)
+	if elapsed := clock.Now().Sub(first); elapsed < 5*time.Millisecond {
+		t.Fatalf("only %s passed during a sleep of 5 ms", elapsed)
+	}
+}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 )
@@ -47,6 +48,8 @@
 	Tick func(now time.Time)
 	// AfterBatch runs after each batch of inputs; it may be nil.
 	AfterBatch func(now time.Time)
+	// Now is the clock that the peer lives by; nil takes one that counts suspensions of the machine.
+	Now func() time.Time
 }
 
 // Host owns the control goroutine of one process. Its exported methods are safe for concurrent use.
@@ -63,6 +66,9 @@
 
 // NewHost returns a host that does not run yet.
 func NewHost(options Options) *Host {
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
 	return &Host{
 		options: options,
 		inbox:   make(chan func(now time.Time), inboxLength),
@@ -83,7 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.tick(time.Now())
+			h.tick(h.options.Now())
 		case input := <-h.inbox:
 			h.batch(input)
 		}
@@ -100,7 +106,7 @@
 
 // batch runs the inputs that are already waiting, so that costs per batch, such as a synced write, are shared.
 func (h *Host) batch(input func(now time.Time)) {
-	now := time.Now()
+	now := h.options.Now()
 	input(now)
 	for range batchLength {
 		select {
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/mesh"
 	"sapphiregate.example/sapphiregate/protocol"
@@ -177,7 +178,7 @@
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
 	n.executor = n.newExecutor()
-	n.peer = relay.New(now, n.relayConfig())
+	n.peer = relay.New(clock.Now(), n.relayConfig())
 	n.control = mesh.NewHost(mesh.Options{
 		Peer: n.peer, Pool: n.controlPool, Logger: logging.Part(options.Logger, "control"),
 		Output: n.handleOutput, AfterBatch: n.refreshEndpoints,
