--- /dev/null
+++ b/control/staff_test.go
@@ -0,0 +1,150 @@
+package control_test
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/control"
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/disk"
+)
+
+// crew is a group that manages itself: five processes, of which the first three form it.
+type crew struct {
+	addresses []string
+	members   []*control.Member
+	founders  []control.Founder
+}
+
+func listenAt(address string) net.Listener {
+	var listener net.Listener
+	Eventually(func() (err error) {
+		listener, err = net.Listen("tcp", address)
+		return err
+	}, patience).Should(Succeed())
+	return listener
+}
+
+func newCrew() *crew {
+	c := &crew{members: make([]*control.Member, 5)}
+	for range c.members {
+		listener := listenAt("127.0.0.1:0")
+		c.addresses = append(c.addresses, listener.Addr().String())
+		Expect(listener.Close()).To(Succeed())
+	}
+	for _, address := range c.addresses[:3] {
+		c.founders = append(c.founders, control.Founder{Address: address})
+	}
+	for i := range c.members {
+		c.start(i, c.founders)
+	}
+	DeferCleanup(func() {
+		for _, m := range c.members {
+			m.Kill()
+		}
+	})
+	return c
+}
+
+// start starts a process with an empty disk. Only founders at the first start form the group.
+func (c *crew) start(i int, founders []control.Founder) {
+	if i >= 3 {
+		founders = nil
+	}
+	m, err := control.New(control.Options{
+		Zone: "a", Mesh: listenAt(c.addresses[i]), Admin: listenAt("127.0.0.1:0"), Founders: founders,
+		Registry: disk.NewFake(rand.New(rand.NewSource(int64(i)))), Keys: bundle.NewKeyring(nil).Trust("ops"),
+		Voters: 5, Seeds: func() []string { return c.addresses[:3] },
+		ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+		Logger: zerolog.New(GinkgoWriter),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	m.Start()
+	c.members[i] = m
+}
+
+// wipe ends a process and starts it again with an empty disk.
+func (c *crew) wipe(i int) {
+	c.members[i].Kill()
+	c.start(i, nil)
+}
+
+// put brings a version into force through any member.
+func (c *crew) put(version, base uint64) {
+	EventuallyWithOffset(1, func() error {
+		for _, m := range c.members {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := m.Put(ctx, control.Put{Version: version, Base: base, Operator: "ops", Bundle: &bundle.Bundle{
+				Services: []bundle.Service{{Name: "desk", QueueLimit: int(version)}},
+			}})
+			cancel()
+			if err == nil {
+				return nil
+			}
+		}
+		return operator.ErrNoQuorum
+	}, patience).Should(Succeed())
+}
+
+// whole reports whether all processes vote and hold a version that a quorum confirms, and no lost member is left.
+func (c *crew) whole(version uint64) func() bool {
+	return func() bool {
+		var ids []string
+		for _, m := range c.members {
+			ids = append(ids, m.ID())
+		}
+		slices.Sort(ids)
+		for _, m := range c.members {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			latest, b, err := m.Latest(ctx)
+			cancel()
+			if err != nil || latest != version || b.Services[0].QueueLimit != int(version) {
+				return false
+			}
+			if !slices.Equal(slices.Sorted(slices.Values(m.Voters())), ids) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+var _ = Describe("a group that manages itself", func() {
+	// Guards against the loss of what was acknowledged when two disks are lost, and two others right after the repair.
+	It("repairs the loss of two disks, and then of two others", func() {
+		c := newCrew()
+		c.put(1, 0)
+		Eventually(c.whole(1), patience).Should(BeTrue())
+		c.wipe(1)
+		c.wipe(3)
+		Eventually(c.whole(1), patience).Should(BeTrue())
+		c.put(2, 1)
+		c.wipe(0)
+		c.wipe(4)
+		Eventually(c.whole(2), patience).Should(BeTrue())
+	})
+
+	// Guards against a member that was cut off and answers with an old version.
+	It("answers no read beside members that are gone", func() {
+		c := newCrew()
+		c.put(1, 0)
+		Eventually(c.whole(1), patience).Should(BeTrue())
+		for _, m := range c.members[1:4] {
+			m.Kill()
+		}
+		Eventually(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_, _, err := c.members[0].Latest(ctx)
+			return err
+		}, patience).Should(MatchError(operator.ErrNoQuorum))
+	})
+})
--- /dev/null
+++ b/node/keyless_test.go
@@ -0,0 +1,187 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/node"
+	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
+)
+
+// foreign is the dialect of callers and upstreams that number their requests.
+var foreign = protocol.Dialect{
+	Deadline: "X-Left-Ms", RequestID: "X-Request", CallerService: "X-From", ExpectUpstream: "X-For", Proof: "X-Proof",
+	NotRun: "X-Not-Run", FractionalRetryAfter: true,
+}
+
+// foreignNode starts a node with that dialect and an upstream, and returns the callers' address.
+func foreignNode(handler http.HandlerFunc) (started *node.Node, callers, upstream string) {
+	server := httptest.NewServer(handler)
+	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+	callersAt := listen()
+	started = node.New(node.Options{
+		ID: "n1", Zone: "a", Callers: callersAt, Mesh: listen(), Admin: listen(), Members: []string{"127.0.0.1:9"},
+		Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(), Dialect: foreign, Service: "desk", NoHedging: true,
+		Limits: node.Limits{HealthInterval: -1},
+	})
+	started.Start()
+	DeferCleanup(started.Kill)
+	b := testBundle()
+	for i := range b.Routes {
+		b.Routes[i].Keyless = b.Routes[i].Class == bundle.ClassIrreversible
+	}
+	Expect(started.PutInForce(bundle.Approval{Version: 1}, b)).To(Succeed())
+	return started, callersAt.Addr().String(), strings.TrimPrefix(server.URL, "http://")
+}
+
+func beat(n *node.Node, address, id string, born int64, sequence uint64, leaving bool) error {
+	return n.Heartbeat(node.Heartbeat{
+		Announcement: node.Announcement{Service: "desk", Address: address, Slots: 4, ID: id, Incarnation: born},
+		Sequence:     sequence, Leaving: leaving,
+	})
+}
+
+// learn hands the node its own record, which the distribution tree would bring.
+func learn(n *node.Node) {
+	Eventually(func() bool { _, ok := n.OwnRecord(); return ok }, patience).Should(BeTrue())
+	record, _ := n.OwnRecord()
+	Expect(n.Learn(record)).To(Succeed())
+}
+
+func call(address, path, id string) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("X-Request", id)
+	request.Header.Set("X-From", "forged")
+	response, err := http.DefaultClient.Do(request)
+	if err == nil {
+		response.Body.Close()
+	}
+	return response, err
+}
+
+var _ = Describe("a keyless irreversible call", func() {
+	var runs atomic.Int64
+	var behaviour atomic.Pointer[http.HandlerFunc]
+	var callers, upstream string
+	var n *node.Node
+
+	answerWith := func(handler http.HandlerFunc) { behaviour.Store(&handler) }
+	genuine := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		w.Header().Set("X-Proof", "1")
+		fmt.Fprint(w, r.Header.Get("X-From"), " ", r.Header.Get("X-For"))
+	}
+
+	BeforeEach(func() {
+		runs.Store(0)
+		answerWith(genuine)
+		n, callers, upstream = foreignNode(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			(*behaviour.Load())(w, r)
+		})
+		Expect(beat(n, upstream, "u1", 1, 1, false)).To(Succeed())
+		learn(n)
+	})
+
+	It("runs once without a key, for the upstream that it was meant for", func() {
+		answerWith(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.Header.Get("X-From")).To(Equal("desk"), "set by the node whatever the caller says")
+			Expect(r.Header.Get("X-For")).To(Equal("u1"))
+			Expect(r.Header.Get("X-Left-Ms")).NotTo(BeEmpty())
+			genuine(w, r)
+		})
+		response, err := call(callers, "/promote", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(response.Header).NotTo(HaveKey(protocol.HeaderOutcome))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against a success that is not one: without the upstream's proof, or the answer to another request.
+	DescribeTable("passes on no success that is not the upstream's answer to it", func(change func(http.Header)) {
+		answerWith(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request", r.Header.Get("X-Request"))
+			w.Header().Set("X-Proof", "1")
+			change(w.Header())
+			fmt.Fprint(w, "text")
+		})
+		response, err := call(callers, "/promote", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	},
+		Entry("no proof", func(h http.Header) { h.Del("X-Proof") }),
+		Entry("of another request", func(h http.Header) { h.Set("X-Request", "r0") }),
+		Entry("of no request", func(h http.Header) { h.Del("X-Request") }),
+		Entry("encoded", func(h http.Header) { h.Set("Content-Encoding", "gzip") }),
+	)
+
+	// Guards against a false "not run" after the request reached the upstream, and against a second run.
+	It("is reported as unknown, and not sent again, when its connection breaks", func() {
+		answerWith(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		response, err := call(callers, "/promote", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	DescribeTable("is reported as not run when the upstream says so", func(status int, header string) {
+		answerWith(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request", r.Header.Get("X-Request"))
+			if header != "" {
+				w.Header().Set(header, "1")
+			}
+			w.WriteHeader(status)
+		})
+		response, err := call(callers, "/promote", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).To(MatchRegexp(`^0\.\d+$`))
+	},
+		Entry("full", http.StatusServiceUnavailable, "X-Not-Run"),
+		Entry("another upstream at the address", http.StatusMisdirectedRequest, ""),
+	)
+
+	Describe("with heartbeats of its upstream", func() {
+		accepted := func() int {
+			response, err := call(callers, "/promote", "r")
+			Expect(err).NotTo(HaveOccurred())
+			return response.StatusCode
+		}
+
+		// Guards against a late heartbeat that brings a leaving upstream back, or one that has been replaced.
+		It("ignores those that were overtaken", func() {
+			Expect(beat(n, upstream, "u1", 1, 3, true)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusServiceUnavailable))
+			Expect(beat(n, upstream, "u1", 1, 2, false)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusServiceUnavailable))
+			Expect(beat(n, upstream, "u2", 2, 1, false)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusOK))
+			Expect(beat(n, upstream, "u1", 1, 9, true)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusOK))
+		})
+
+		// Guards against the counts of a former start being taken for those of this one.
+		It("takes a restart under the same identity for a new upstream", func() {
+			Expect(beat(n, upstream, "u1", 1, 90, true)).To(Succeed())
+			Expect(beat(n, upstream, "u1", 2, 1, false)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusOK))
+		})
+
+		It("gives an upstream that departs no more calls, whatever it says after", func() {
+			n.Depart("u1")
+			Expect(accepted()).To(Equal(http.StatusServiceUnavailable))
+			Expect(beat(n, upstream, "u1", 1, 2, false)).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusServiceUnavailable))
+		})
+	})
+})
