Look for a member with a quorum again as soon as there may be one

Ruled out: the distribution in the greater half, 10 ms after the leader. Test: all members lose their quorum for 1.8 s; fails on the former code.

--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -49,7 +49,8 @@
 // that a node tries all others first.
 func (p *Peer) failedPause() time.Duration { return p.config.StaleAfter * 5 / 4 }
 
-// probeMin is the first pause between two probes of a stale peer; it doubles up to probeMax.
+// probeMin is the first pause between two probes of a stale peer; it doubles up to
+// Config.ProbeMax.
 func (p *Peer) probeMin() time.Duration { return p.config.StaleAfter / 2 }
 
 // seekParent starts the next attempt if one is due.
@@ -222,7 +223,7 @@
 		return
 	}
 	a.probeAt = p.now.Add(a.probePause/2 + p.random(a.probePause))
-	a.probePause = min(2*a.probePause, probeMax)
+	a.probePause = min(2*a.probePause, p.config.ProbeMax)
 	home, remote := p.memberTargets()
 	p.startRound(append(home, remote...))
 	if len(p.members) == 0 {
@@ -329,7 +330,8 @@
 	if p.parent != nil && !p.improves(accept) {
 		p.send(l, Message{Leave: &Leave{}})
 		p.discard(l)
-		p.attach.failed[l.address] = p.now.Add(p.failedPause())
+		// It may have the confirmation of a quorum by the next round: after a split, a leader is elected meanwhile.
+		p.attach.failed[l.address] = p.now.Add(p.probeMin() / 2)
 		return
 	}
 	if former := p.parent; former != nil {
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -49,6 +49,8 @@
 	// StaleAfter is the confirmed age at which a child of a member looks for another parent. It must be longer than
 	// PollInterval and the time in which a quorum confirms the member's state.
 	StaleAfter time.Duration
+	// ProbeMax bounds the pause between two rounds in which a node with a stale parent looks for another one.
+	ProbeMax time.Duration
 	// HomeProbe is the mean time between two attempts of a node that follows another zone to return to its own.
 	HomeProbe time.Duration
 	// MembersFirst makes nodes follow members as long as those have room, rather than each other. It suits deployments
@@ -69,6 +71,8 @@
 	DefaultJoinSpread = 2 * time.Second
 	// DefaultPollInterval keeps the polls of 16,000 nodes within their 5 KB/s.
 	DefaultPollInterval = endpoints.PollInterval
+	// DefaultProbeMax keeps an outage of the quorum, in which no parent can help, from being filled with probes.
+	DefaultProbeMax = time.Minute
 	// DefaultHomeProbe keeps a zone that lost its members from being asked by all its nodes at once.
 	DefaultHomeProbe = 30 * time.Second
 	// DefaultStaleAfter is a few polls, so that one lost poll moves no node.
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -194,6 +194,7 @@
 	setDefault(&c.PollInterval, DefaultPollInterval)
 	setDefault(&c.StaleAfter, DefaultStaleAfter)
 	setDefault(&c.HomeProbe, DefaultHomeProbe)
+	setDefault(&c.ProbeMax, DefaultProbeMax)
 	return c
 }
 
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -36,7 +36,7 @@
 		h := s.hosts[id]
 		h.config = func(c *relay.Config) {
 			c.PollInterval, c.StaleAfter = 400*time.Millisecond, 1200*time.Millisecond
-			c.JoinSpread, c.MembersFirst = 200*time.Millisecond, true
+			c.JoinSpread, c.ProbeMax, c.MembersFirst = 200*time.Millisecond, 600*time.Millisecond, true
 			c.ZoneFollowers, c.RemoteFollowers = 32, 32
 		}
 		if h.member {
@@ -111,6 +111,24 @@
 		}
 	})
 
+	// Guards against nodes that look for another parent while no member has a quorum, and then not again for seconds: after
+	// a split of the members, the greater half elects a leader a little later than the nodes notice.
+	It("finds the members that have a quorum again soon after they do", func() {
+		for seed := range int64(10) {
+			s := quickMesh(seed)
+			s.run(30 * time.Second)
+			for _, m := range s.members {
+				s.detached[m.ID] = true
+			}
+			s.blocked = func(a, b *host) bool { return a.member && b.member && (a.id == "m1" || b.id == "m1") }
+			s.run(s.now + 1800*time.Millisecond)
+			delete(s.detached, "m0")
+			delete(s.detached, "m2")
+			version := s.approve(s.stage(bundleOf(2, 20)))
+			s.await(2*time.Second, s.allInForce(version))
+		}
+	})
+
 	// Guards against an old version coming into force on a node that restarts beside a member without a quorum, and
 	// against live upstreams staying removed: other zones drop them while they are cut off, and remember the removal
 	// for ten minutes.
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -28,8 +28,6 @@
 	// staleStep is added per level below the first, so that the child closest to the stale source moves first and
 	// the subtrees below it stay as they are.
 	staleStep = 2 * time.Second
-	// probeMax bounds the pause between two probes of a stale peer.
-	probeMax = 60 * time.Second
 	// fetchTimeout is the time after which an unanswered Fetch is sent again.
 	fetchTimeout = time.Second
 	// reportDelay collects changes of the counts before they are sent upward.
