Write one line for each request that fails, without ever blocking one

Each process logs to standard output through a bounded queue that drops lines and says how many. A request without an answer of success gets a line with its id, what was tried, why it failed, the version and its age, and the load of the upstream; 20 lines a second at most.

--- a/daemon/root.go
+++ b/daemon/root.go
@@ -40,7 +40,7 @@
 
 // logger also reports violated invariants.
 func (f *logFlags) logger() (zerolog.Logger, error) {
-	logger, err := logging.New(os.Stderr, f.format, f.level)
+	logger, err := logging.New(logging.NonBlocking(os.Stdout), f.format, f.level)
 	if err != nil {
 		return logger, errors.Mark(err, errUsage)
 	}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -2,11 +2,13 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"sapphiregate.example/sapphiregate/invariant"
 )
@@ -36,6 +38,18 @@
 	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
 }
 
+// queueLength bounds the lines that wait for a slow reader of the log.
+const queueLength = 4096
+
+// NonBlocking returns a writer that never makes a request wait for the reader of the log: lines beyond queueLength are
+// dropped, and a line says how many.
+func NonBlocking(out io.Writer) io.WriteCloser {
+	return diode.NewWriter(out, queueLength, 0, func(missed int) {
+		// The logger itself is behind this writer; a blocked reader gets the line once it reads again.
+		_, _ = fmt.Fprintf(out, `{"level":"warn","part":"log:","dropped":%d,"message":"log lines dropped"}`+"\n", missed)
+	})
+}
+
 // Part returns the logger of one part of the process.
 func Part(logger zerolog.Logger, name string) zerolog.Logger {
 	return logger.With().Str(partField, name+":").Logger()
--- a/node/answer.go
+++ b/node/answer.go
@@ -56,6 +56,7 @@
 // attempt, so the ledger is asked before the caller is told that it was not run.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason protocol.Reason) {
 	n.metrics.refusals.Add(string(reason), 1)
+	n.journal.refused(r, n, reason)
 	key := r.Header.Get(protocol.HeaderKey)
 	if key == "" || len(key) > maxKeyBytes {
 		n.writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason), protocol.LoadReport{})
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -146,9 +146,9 @@
 
 // callRemote sends a call to the node beside the target. It calls reached once the executor has shown that it has it.
 func (n *Node) callRemote(
-	ctx context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
+	caller context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
 ) *reply {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(caller)
 	stream, err := n.calls.Call(ctx, target.Address)
 	if err != nil {
 		cancel()
@@ -157,7 +157,7 @@
 	}
 	if err := sendCall(stream, head, body); err != nil {
 		cancel()
-		return uncertain(protocol.ReasonNodeFailed)
+		return brokenCall(caller, err)
 	}
 	first, err := stream.Recv()
 	if err == nil && first.Progress {
@@ -166,7 +166,7 @@
 	}
 	if err != nil || first.Head == nil {
 		cancel()
-		return n.brokenCall(ctx, err)
+		return brokenCall(caller, err)
 	}
 	answer := &reply{head: *first.Head, body: first.Body, trailer: first.Trailer, done: cancel}
 	if first.Last {
@@ -176,9 +176,13 @@
 	return answer
 }
 
-func (n *Node) brokenCall(ctx context.Context, err error) *reply {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(err, rpc.ErrTimeout) {
+// brokenCall explains why a call that was sent has no answer.
+func brokenCall(caller context.Context, err error) *reply {
+	switch {
+	case errors.Is(caller.Err(), context.DeadlineExceeded), errors.Is(err, rpc.ErrTimeout):
 		return uncertain(protocol.ReasonDeadline)
+	case caller.Err() != nil:
+		return uncertain(protocol.ReasonCallerGone)
 	}
 	return uncertain(protocol.ReasonNodeFailed)
 }
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -124,6 +124,7 @@
 		return nil, false
 	}
 	f.tried = append(f.tried, target.ID)
+	c.tried = f.tried
 	f.plan.Sent()
 	f.pending++
 	started := &attempt{forwarding: f, number: len(f.cancels), target: target}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -48,6 +48,8 @@
 	bounded  *boundedReader
 	deadline time.Time
 	alone    bool
+	// tried lists the instances that the call was sent to, in order.
+	tried []string
 	// elsewhere is the time of the last attempt outside our processes: the upstream's time and the zone links' delay.
 	elsewhere time.Duration
 }
@@ -77,6 +79,9 @@
 	answer := call.confirm(ctx, call.forward(ctx))
 	defer answer.finish()
 	n.metrics.count(call.route.Class, answer.head.Outcome)
+	if answer.head.Outcome != protocol.OutcomeDone || answer.failedByUpstream() {
+		n.journal.failed(call, answer)
+	}
 	call.write(w, answer)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,7 @@
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
 	gate       gate
+	journal    *journal
 	// leaving tells callers to close their connections.
 	leaving atomic.Bool
 	// stopping makes the node not ready.
@@ -173,6 +174,7 @@
 		changedIDs:  make(map[string]bool),
 		seen:        make(map[string]seenEndpoint),
 	}
+	n.journal = newJournal(n.logger)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.connect()
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
