Return to the own zone by following a member, and overtake long calls of one rank by short ones

Cause: a node that returned to its zone tried the nodes there before the member. The step per level is half of the limit of staleness now. Ruled out: refused joins, attempts that time out; no process was down that the node asked.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -150,6 +150,7 @@
 func (q *Queue) Offer(now time.Time, t Ticket) Verdict {
 	q.seen = now
 	c := newCall(t, now)
+	c.order = now.Add(shortFirst * q.need(c, now))
 	switch {
 	case q.draining:
 		return q.shed(c, ReasonDraining)
--- a/coordination/admission/class.go
+++ b/coordination/admission/class.go
@@ -35,6 +35,7 @@
 	arrived  time.Time
 	deadline time.Time
 	target   time.Time
+	order    time.Time // place among calls with a target
 	element  *list.Element
 	index    int // position in byDeadline
 }
@@ -58,7 +59,7 @@
 
 // class holds the waiting calls of one class.
 type class struct {
-	ordinary   list.List // in order of targets, calls without one in order of arrival
+	ordinary   list.List // in order of arrival, short calls with a target before long ones
 	alone      list.List // in order of arrival
 	byDeadline deadlineHeap
 	service    estimate
@@ -87,12 +88,16 @@
 	heap.Push(&q.byDeadline, c)
 }
 
-// before reports whether a call is served before another one of its class that came earlier: its target is closer. A
-// short call that another call waits for would otherwise be late behind long ones.
+// before reports whether a call is served before another one of its class that came earlier. Of calls with a target, short
+// ones may overtake long ones: they take little from those, and often a call on another upstream waits for them.
 func (c *call) before(other *call) bool {
-	return !c.target.IsZero() && !other.target.IsZero() && c.target.Before(other.target)
+	return !c.target.IsZero() && !other.target.IsZero() && c.order.Before(other.order)
 }
 
+// shortFirst is how many of its own service times a call lets shorter ones pass. The bound keeps long calls from waiting
+// for ever: a call of 120 ms is overtaken by one of 20 ms that comes up to 400 ms later.
+const shortFirst = 4
+
 func (q *class) remove(c *call) {
 	q.listOf(c).Remove(c.element)
 	heap.Remove(&q.byDeadline, c.index)
--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -245,7 +245,11 @@
 	}
 	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
 	home, _ := p.memberTargets()
-	p.startRound(append(p.neighbours(), home...))
+	if p.config.MembersFirst && len(home) > 0 {
+		p.startRound(home)
+	} else {
+		p.startRound(append(p.neighbours(), home...))
+	}
 	p.probeNext()
 }
 
--- a/coordination/relay/poll.go
+++ b/coordination/relay/poll.go
@@ -55,13 +55,14 @@
 	p.fresh.update(p.now, f.Version, sent, time.Duration(f.AgeMs)*time.Millisecond)
 }
 
-// staleLimit is the confirmed age from which on the peer looks for another parent.
+// staleLimit is the confirmed age from which on the peer looks for another parent. Each level below the first adds half of
+// the limit, so that the child closest to the stale source moves first and the subtrees below it stay as they are.
 func (p *Peer) staleLimit() time.Duration {
 	if p.content.current() == 0 && !p.config.Member {
 		// Nothing is in force: any member that has the confirmation of a quorum is better than waiting for this one.
 		return p.config.StaleAfter / 3
 	}
-	return p.config.StaleAfter + time.Duration(max(0, p.fresh.depth-1))*staleStep
+	return p.config.StaleAfter + time.Duration(max(0, p.fresh.depth-1))*p.config.StaleAfter/2
 }
 
 // stale reports whether the parent fails to give freshness.
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -36,6 +36,7 @@
 		h := s.hosts[id]
 		h.config = func(c *relay.Config) {
 			c.PollInterval, c.StaleAfter = 400*time.Millisecond, 1200*time.Millisecond
+			c.HomeProbe = 2 * time.Second
 			c.JoinSpread, c.ProbeMax, c.MembersFirst = 200*time.Millisecond, 600*time.Millisecond, true
 			c.ZoneFollowers, c.RemoteFollowers = 32, 32
 		}
@@ -111,6 +112,25 @@
 		}
 	})
 
+	// Guards against nodes that return to their zone by following another node there although a member has room: such a
+	// node notices a member that was cut off later than others do.
+	It("follows members as long as they have room", func() {
+		for seed := range int64(10) {
+			s := quickMesh(seed)
+			s.run(30 * time.Second)
+			node := s.hosts["n1-002"]
+			s.detached["m1"] = true
+			s.blocked = func(a, b *host) bool { return a.member && b.member && (a.id == "m1" || b.id == "m1") }
+			s.run(s.now + 5*time.Second)
+			s.heal()
+			s.run(s.now + time.Minute)
+			Expect(node.peer.Status().ParentZone).To(Equal("z1"))
+			for _, h := range s.nodes() {
+				Expect(h.peer.Status().Depth).To(Equal(1), h.id)
+			}
+		}
+	})
+
 	// Guards against nodes that look for another parent while no member has a quorum, and then not again for seconds: after
 	// a split of the members, the greater half elects a leader a little later than the nodes notice.
 	It("finds the members that have a quorum again soon after they do", func() {
--- a/coordination/relay/times.go
+++ b/coordination/relay/times.go
@@ -25,9 +25,6 @@
 	// roundPause bounds the pause after the first unsuccessful round; it grows by as much per round, up to
 	// Config.JoinSpread.
 	roundPause = 500 * time.Millisecond
-	// staleStep is added per level below the first, so that the child closest to the stale source moves first and
-	// the subtrees below it stay as they are.
-	staleStep = 2 * time.Second
 	// fetchTimeout is the time after which an unanswered Fetch is sent again.
 	fetchTimeout = time.Second
 	// reportDelay collects changes of the counts before they are sent upward.
