--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
+import "github.com/cockroachdb/errors"
 
 // Heartbeat is an announcement that an upstream repeats. Heartbeats may arrive late, out of order, or after a new
 // process has taken the address.
@@ -14,8 +10,6 @@
 	Sequence uint64
 	// Leaving is set by an upstream that is about to stop.
 	Leaving bool
-	// Warmup is the time for which an upstream that has just started is still slow.
-	Warmup time.Duration
 }
 
 // ErrForeignUpstream reports a heartbeat for a service that the configuration does not know, or of an upstream that is
@@ -76,7 +70,8 @@
 		e.mu.Unlock()
 		return nil
 	}
-	same := e.upstream != nil && e.upstream.announcement == h.Announcement
+	same := e.upstream != nil && e.upstream.announcement.ID == h.Announcement.ID &&
+		e.upstream.announcement.Incarnation == h.Announcement.Incarnation
 	e.lineage = lineage{
 		id: h.Announcement.ID, incarnation: h.Announcement.Incarnation, sequence: h.Sequence,
 	}
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -170,6 +170,15 @@
 			Expect(accepted()).To(Equal(http.StatusOK))
 		})
 
+		// Guards against an upstream that keeps its calls because something else changes in the heartbeat that says it leaves.
+		It("drains an upstream whose other figures change as it leaves", func() {
+			Expect(n.Heartbeat(node.Heartbeat{
+				Announcement: node.Announcement{Service: "desk", Address: upstream, Slots: 2, ID: "u1", Incarnation: 1},
+				Sequence:     2, Leaving: true,
+			})).To(Succeed())
+			Expect(accepted()).To(Equal(http.StatusServiceUnavailable))
+		})
+
 		// Guards against the counts of a former start being taken for those of this one.
 		It("takes a restart under the same identity for a new upstream", func() {
 			Expect(beat(n, upstream, "u1", 1, 90, true)).To(Succeed())
