Count a candidate only while it was heard after the member at its address

Cause of the known red test (repairs the loss of two disks): the leader kept a former identity of an address as a candidate for two seconds. A later identity of the same process had joined meanwhile; the stale candidate counted as proof that this member's disk was lost, and the live member was removed.

Ruled out: a slow machine (the trace shows the removal 0.4 s after the promotion), and the candidate's lifetime alone (shorter, it would miss candidates whose announcements are delayed).

Before: the new test 'keeps a voter or a learner that was heard after a candidate at its address' proposes to add the former identity.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -44,7 +44,7 @@
 	c.byAddress[candidate.Address] = candidate
 }
 
-// waiting lists the candidates that were heard of lately, those of zones with the fewest members first.
+// waiting lists the candidates that were heard of lately and still hold their address, those of zones with the fewest members first.
 func (c *Candidates) waiting(now time.Time, status raft.Status) []Candidate {
 	members := make(map[string]int)
 	for _, member := range status.Membership.Members {
@@ -56,7 +56,7 @@
 			delete(c.byAddress, address)
 			continue
 		}
-		if _, member := status.Membership.Find(candidate.ID); !member {
+		if _, member := status.Membership.Find(candidate.ID); !member && !outdated(now, status, candidate) {
 			list = append(list, candidate)
 		}
 	}
@@ -66,6 +66,14 @@
 	return list
 }
 
+// outdated reports whether a member has been heard at a candidate's address since the candidate was: the process there
+// has joined under a later identity.
+func outdated(now time.Time, status raft.Status, candidate Candidate) bool {
+	return slices.ContainsFunc(status.Membership.Members, func(member raft.Member) bool {
+		return member.Address == candidate.Address && !candidate.Seen.After(now.Add(-status.Progress[member.ID].Silence))
+	})
+}
+
 // Next returns the membership change that the leader proposes now, if any. voters is the number of members that vote
 // when nothing has failed.
 func Next(now time.Time, status raft.Status, candidates *Candidates, voters int) (raft.MembershipChange, bool) {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -164,6 +164,24 @@
 			g.processes[3].id, g.processes[4].id))
 	})
 
+	// Guards against the removal of a live member because its address was lately that of another candidate, which is
+	// still counted as waiting for two seconds after it was last heard.
+	It("keeps a voter or a learner that was heard after a candidate at its address", func() {
+		for _, learner := range []bool{false, true} {
+			g := newGroup(voters)
+			g.members.Members[1].Learner = learner
+			g.candidates.Announce(membership.Candidate{
+				ID: "former", Address: g.members.Members[1].Address, Seen: g.now.Add(-time.Second),
+			})
+			change, proposed := membership.Next(g.now, g.status(), &g.candidates, voters)
+			if learner {
+				Expect(change.Kind).To(Equal(raft.ChangePromote))
+			} else {
+				Expect(proposed).To(BeFalse(), "proposed: %+v", change)
+			}
+		}
+	})
+
 	It("grows the group of founders by the processes that ask to join", func() {
 		g := newGroup(voters)
 		g.members.Members = g.members.Members[:3]
