Write the last log lines of a process before it ends

Cause: the log is written by a goroutine of its own, and nothing waited for it at the end of a process. A control member logged nothing at its end.

Ruled out: a kill by the platform before the line (nodes that had ended by themselves lacked it as well).

The process test passed with the former code too: there the goroutine wins the race.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -34,11 +34,9 @@
 			if err != nil {
 				return errors.Mark(err, errUsage)
 			}
-			logger, err := logs.logger()
-			if err != nil {
-				return err
-			}
-			return runControl(command.Context(), file, loaded, logger)
+			return logs.run(func(logger zerolog.Logger) error {
+				return runControl(command.Context(), file, loaded, logger)
+			})
 		},
 	}
 	registerSettings(command, &file)
@@ -84,12 +82,16 @@
 		return err
 	})
 	if member.Stopped().Err() != nil {
-		return memberEnd(member)
+		err := memberEnd(member)
+		logger.Error().Err(err).Msg("control member stopped")
+		return err
 	}
 	logger.Info().Msg("control member leaves")
 	stopping, cancel := context.WithTimeout(context.Background(), memberStopTimeout)
 	defer cancel()
-	return member.Stop(stopping)
+	err = member.Stop(stopping)
+	logger.Info().Err(err).Msg("control member stopped")
+	return err
 }
 
 // memberEnd explains why a member stopped by itself.
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"sapphiregate.example/sapphiregate/examples"
@@ -48,7 +49,9 @@
 			"zones of the profile, applies the profile's example bundle and prints commands to try. TLS is off.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runDev(command.Context(), flags, command.OutOrStdout())
+			return flags.logs.run(func(logger zerolog.Logger) error {
+				return runDev(command.Context(), flags, logger, command.OutOrStdout())
+			})
 		},
 	}
 	command.Flags().StringVar(&flags.profile, "profile", "kalasag", "the deployment to emulate: kalasag or kartuli")
@@ -73,15 +76,11 @@
 	truth      *standin.Truth
 }
 
-func runDev(ctx context.Context, flags devFlags, out io.Writer) error {
+func runDev(ctx context.Context, flags devFlags, logger zerolog.Logger, out io.Writer) error {
 	profile, err := experiment.FindProfile(flags.profile)
 	if err != nil {
 		return errors.Mark(err, errUsage)
 	}
-	logger, err := flags.logs.logger()
-	if err != nil {
-		return err
-	}
 	folder, err := os.MkdirTemp("", "sapphiregate-dev-")
 	if err != nil {
 		return errors.Wrap(err, "daemon: create data folder")
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -28,11 +28,9 @@
 			if err != nil {
 				return errors.Mark(err, errUsage)
 			}
-			logger, err := logs.logger()
-			if err != nil {
-				return err
-			}
-			return runNode(command.Context(), file, loaded, logger)
+			return logs.run(func(logger zerolog.Logger) error {
+				return runNode(command.Context(), file, loaded, logger)
+			})
 		},
 	}
 	registerSettings(command, &file)
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -114,10 +114,16 @@
 	return binary
 }
 
+// process is a running command. Its output may be read once it has ended.
+type process struct {
+	*exec.Cmd
+	output bytes.Buffer
+}
+
 // start runs a process until the end of the test.
-func start(binary string, arguments ...string) *exec.Cmd {
-	command := exec.Command(binary, arguments...)
-	command.Stdout, command.Stderr = GinkgoWriter, GinkgoWriter
+func start(binary string, arguments ...string) *process {
+	command := &process{Cmd: exec.Command(binary, arguments...)}
+	command.Stdout, command.Stderr = io.MultiWriter(GinkgoWriter, &command.output), GinkgoWriter
 	Expect(command.Start()).To(Succeed())
 	DeferCleanup(func() {
 		_ = command.Process.Kill()
@@ -174,7 +180,7 @@
 			mesh, admin = append(mesh, freeAddress()), append(admin, freeAddress())
 			peers = append(peers, map[string]any{"address": mesh[i], "zone": fmt.Sprintf("zone-%d", i), "admin": admin[i]})
 		}
-		var controls []*exec.Cmd
+		var controls []*process
 		for i := range 3 {
 			name := fmt.Sprintf("control-%d", i)
 			file := writeSettings(folder, name, map[string]any{
@@ -190,7 +196,7 @@
 		}))
 		DeferCleanup(upstream.Close)
 		var callers []string
-		var nodes []*exec.Cmd
+		var nodes []*process
 		for i := range 2 {
 			name := fmt.Sprintf("node-%d", i)
 			callers = append(callers, freeAddress())
@@ -235,6 +241,7 @@
 		Expect(controls[0].Process.Kill()).To(Succeed())
 		Expect(nodes[0].Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Expect(nodes[0].Wait()).To(Succeed(), "a planned stop must exit with 0")
+		Expect(nodes[0].output.String()).To(ContainSubstring(`"node stopped"`), "the last line of a process must not be lost")
 		if usage, ok := nodes[0].ProcessState.SysUsage().(*syscall.Rusage); ok {
 			AddReportEntry("largest resident size of the node in KiB", usage.Maxrss)
 		}
--- a/daemon/root.go
+++ b/daemon/root.go
@@ -38,14 +38,16 @@
 	command.Flags().StringVar(&f.level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
 }
 
-// logger also reports violated invariants.
-func (f *logFlags) logger() (zerolog.Logger, error) {
-	logger, err := logging.New(logging.NonBlocking(os.Stdout), f.format, f.level)
+// run calls a command with the logger of the process, which also reports violated invariants. It returns once the lines
+// that the command logged are written.
+func (f *logFlags) run(command func(logger zerolog.Logger) error) error {
+	output := logging.NonBlocking(os.Stdout)
+	logger, err := logging.New(output, f.format, f.level)
 	if err != nil {
-		return logger, errors.Mark(err, errUsage)
+		return errors.Mark(err, errUsage)
 	}
 	logging.ReportViolations(logger)
-	return logger, nil
+	return errors.CombineErrors(command(logger), output.Close())
 }
 
 // Main runs the command line and returns the exit code.
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -38,16 +39,46 @@
 	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
 }
 
-// queueLength bounds the lines that wait for a slow reader of the log.
-const queueLength = 4096
+const (
+	// queueLength bounds the lines that wait for a slow reader of the log.
+	queueLength = 4096
+	// flushTimeout bounds the end of a process whose log nobody reads. A reader that keeps up needs a few milliseconds for
+	// queueLength lines.
+	flushTimeout = 500 * time.Millisecond
+)
+
+// ErrNotFlushed means that the reader of the log did not take the last lines of a process in time.
+var ErrNotFlushed = errors.New("logging: the last lines were not written")
 
-// NonBlocking returns a writer that never makes a request wait for the reader of the log: lines beyond queueLength are
+// Output writes log lines on a goroutine of its own.
+type Output struct {
+	queue diode.Writer
+}
+
+// NonBlocking returns an output that never makes a request wait for the reader of the log: lines beyond queueLength are
 // dropped, and a line says how many.
-func NonBlocking(out io.Writer) io.WriteCloser {
-	return diode.NewWriter(out, queueLength, 0, func(missed int) {
+func NonBlocking(out io.Writer) *Output {
+	// Only the Write method is passed on: the queue closes writers that can be closed.
+	writer := struct{ io.Writer }{out}
+	return &Output{queue: diode.NewWriter(writer, queueLength, 0, func(missed int) {
 		// The logger itself is behind this writer; a blocked reader gets the line once it reads again.
 		_, _ = fmt.Fprintf(out, `{"level":"warn","part":"log:","dropped":%d,"message":"log lines dropped"}`+"\n", missed)
-	})
+	})}
+}
+
+// Write queues a line.
+func (o *Output) Write(line []byte) (int, error) { return o.queue.Write(line) }
+
+// Close writes the lines that wait, for flushTimeout at most. Nothing may be written afterwards.
+func (o *Output) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- o.queue.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(flushTimeout):
+		return ErrNotFlushed
+	}
 }
 
 // Part returns the logger of one part of the process.
