Look for a parent in the own zone soon after the members are known

Cause: a deployment that starts all at once finds any member before the members know each other.

A node in another zone tries its own zone at once and then with pauses that double up to HomeProbe; a parent at home that is as stale as the present one is an improvement.

--- a/coordination/relay/attach.go
+++ b/coordination/relay/attach.go
@@ -36,6 +36,7 @@
 	probeAt    time.Time
 	probePause time.Duration
 	homeAt     time.Time
+	homePause  time.Duration
 	// lastParent and lostAt describe the former parent.
 	lastParent string
 	lostAt     time.Time
@@ -243,7 +244,8 @@
 	if p.now.Before(a.homeAt) {
 		return
 	}
-	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
+	a.homeAt = p.now.Add(a.homePause/2 + p.random(a.homePause))
+	a.homePause = min(2*a.homePause, p.config.HomeProbe)
 	home, _ := p.memberTargets()
 	if p.config.MembersFirst && len(home) > 0 {
 		p.startRound(home)
@@ -331,7 +333,7 @@
 // accepted makes the other side the parent. A node that already has a parent changes only for a fresh one.
 func (p *Peer) accepted(l *link, accept Accept) {
 	p.attach.link = nil
-	if p.parent != nil && !p.improves(accept) {
+	if p.parent != nil && !p.improves(l, accept) {
 		p.send(l, Message{Leave: &Leave{}})
 		p.discard(l)
 		// It may have the confirmation of a quorum by the next round: after a split, a leader is elected meanwhile.
@@ -346,8 +348,11 @@
 	p.adopt(l, accept)
 }
 
-func (p *Peer) improves(accept Accept) bool {
-	return accept.Fresh.Confirmed && time.Duration(accept.Fresh.AgeMs)*time.Millisecond < p.config.StaleAfter
+// improves reports whether a candidate is better than the parent: it is fresh, or it is as stale but in the own zone.
+func (p *Peer) improves(l *link, accept Accept) bool {
+	fresh := accept.Fresh.Confirmed && time.Duration(accept.Fresh.AgeMs)*time.Millisecond < p.config.StaleAfter
+	homeward := l.remote.Zone == p.config.Zone && p.parent.remote.Zone != p.config.Zone
+	return fresh || homeward && p.stale()
 }
 
 func (p *Peer) adopt(l *link, accept Accept) {
@@ -376,7 +381,15 @@
 	a.queue, a.round, a.hops = nil, 0, 0
 	a.probePause = p.probeMin()
 	a.probeAt = p.now
-	a.homeAt = p.now.Add(p.config.HomeProbe/2 + p.random(p.config.HomeProbe))
+	p.seekHomeSoon()
+}
+
+// seekHomeSoon lets a node that follows another zone look for a parent in its own one without a long pause. The pauses
+// after that grow to Config.HomeProbe.
+func (p *Peer) seekHomeSoon() {
+	a := &p.attach
+	a.homePause = p.config.JoinSpread
+	a.homeAt = p.now.Add(p.random(a.homePause))
 }
 
 // parentLost starts the search for another parent.
--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -41,12 +41,21 @@
 	if len(members) == 0 || len(members) > maxMembers || slices.Equal(members, p.members) {
 		return
 	}
+	knewHome := p.knowsHomeMember()
 	p.members = slices.Clone(members)
+	if !knewHome && p.knowsHomeMember() {
+		// The whole content follows soon after the first list; it should not come from another zone.
+		p.seekHomeSoon()
+	}
 	for _, child := range p.children() {
 		p.send(child, Message{Members: &Members{Members: p.members}})
 	}
 }
 
+func (p *Peer) knowsHomeMember() bool {
+	return slices.ContainsFunc(p.members, func(m MemberInfo) bool { return m.Zone == p.config.Zone })
+}
+
 func (p *Peer) memberLink(id string) *link {
 	for _, l := range p.linksOf(roleMember) {
 		if l.remote.ID == id {
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -27,19 +27,22 @@
 	return s
 }
 
-// quickMesh has the times of a deployment in which a version comes into force within 2 s also beside a member that has
-// just been cut off.
+// quickTimes suits a deployment in which a version comes into force within 2 s also beside a member that has just been
+// cut off.
+func quickTimes(c *relay.Config) {
+	c.PollInterval, c.StaleAfter = 400*time.Millisecond, 1200*time.Millisecond
+	c.HomeProbe = 2 * time.Second
+	c.JoinSpread, c.ProbeMax, c.MembersFirst = 200*time.Millisecond, 600*time.Millisecond, true
+	c.ZoneFollowers, c.RemoteFollowers = 32, 32
+}
+
+// quickMesh is a mesh of three zones with quickTimes.
 func quickMesh(seed int64) *sim {
 	s := newSim(seed)
 	mesh(s, 3, 4)
 	for _, id := range s.ids {
 		h := s.hosts[id]
-		h.config = func(c *relay.Config) {
-			c.PollInterval, c.StaleAfter = 400*time.Millisecond, 1200*time.Millisecond
-			c.HomeProbe = 2 * time.Second
-			c.JoinSpread, c.ProbeMax, c.MembersFirst = 200*time.Millisecond, 600*time.Millisecond, true
-			c.ZoneFollowers, c.RemoteFollowers = 32, 32
-		}
+		h.config = quickTimes
 		if h.member {
 			s.kill(h)
 			s.start(h)
@@ -131,6 +134,47 @@
 		}
 	})
 
+	// Guards against a deployment that starts all at once: its nodes find any member before the members know each other,
+	// and each would then fetch the first version over a link between zones.
+	It("follows the member of its zone as soon as the members are known", func() {
+		for seed := range int64(10) {
+			s := newSim(seed)
+			var nodes []*host
+			for z := range 3 {
+				zone := fmt.Sprintf("z%d", z)
+				s.add(fmt.Sprintf("m%d", z), zone, true).config = quickTimes
+				for n := range 8 {
+					h := s.add(fmt.Sprintf("n%d-%03d", z, n), zone, false, "m0", "m1", "m2")
+					h.config = quickTimes
+					nodes = append(nodes, h)
+				}
+			}
+			members := s.members
+			s.members = nil
+			for _, m := range members {
+				s.start(s.hosts[m.ID])
+			}
+			for _, h := range nodes {
+				s.at(time.Duration(s.rng.Intn(300))*time.Millisecond, func() { s.start(h) })
+			}
+			s.run(800 * time.Millisecond)
+			s.members = members
+			for _, m := range members {
+				s.hosts[m.ID].peer.SetMembers(s.local(s.hosts[m.ID]), members)
+			}
+			s.run(s.now + 300*time.Millisecond)
+			copies := 0
+			s.onSend = func(from, to *host, m relay.Message) {
+				if !to.member && m.Parts != nil && from.zone != to.zone {
+					copies++
+				}
+			}
+			version := s.approve(s.stage(bundleOf(1, 20)))
+			s.await(2*time.Second, s.allInForce(version))
+			Expect(copies).To(BeZero())
+		}
+	})
+
 	// Guards against nodes that look for another parent while no member has a quorum, and then not again for seconds: after
 	// a split of the members, the greater half elects a leader a little later than the nodes notice.
 	It("finds the members that have a quorum again soon after they do", func() {
