Serve metrics with latency histograms as text; log each decision about failed requests at both nodes

Cause: an on-call engineer had lines of the node that took a request in only, no histograms, and no request that succeeded to compare with. Metrics were JSON of expvar, which scrapers do not read.

- Metrics by client_golang on GET /metrics of the administration address of nodes and control members; /debug/vars is gone.
- Lines of the node beside the upstream (call refused, call failed), of repeated attempts, and of one request in 64 that succeeds; samples have a bound of their own and never displace failures.

Tests: both sides of a failure, the inputs of a refusal, the bound of 20 lines a second (600 failing requests) with the count of what is left out, and samples at both nodes.

--- a/control/admin.go
+++ b/control/admin.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,14 +19,14 @@
 
 // Paths on the administration address, beside those of the operator API.
 const (
-	PathDump = "/debug/dump"
-	PathVars = "/debug/vars"
+	PathDump    = "/debug/dump"
+	PathMetrics = "/metrics"
 )
 
 func (m *Member) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathDump, m.serveDump)
-	mux.HandleFunc("GET "+PathVars, m.serveVars)
+	mux.Handle("GET "+PathMetrics, m.metrics.registry.Handler())
 	mux.Handle("/v1/", operator.NewHandler(backend{member: m}))
 	return mux
 }
@@ -103,49 +101,6 @@
 	_ = encoder.Encode(dump)
 }
 
-func (m *Member) serveVars(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	vars := new(expvar.Map).Init()
-	if dump, err := m.dump(r.Context()); err == nil {
-		vars.Set("control", expvar.Func(func() any { return metricsOf(dump) }))
-	}
-	expvar.Do(func(item expvar.KeyValue) { vars.Set(item.Key, item.Value) })
-	_, _ = io.WriteString(w, vars.String())
-}
-
-// memberMetrics are the figures of a member that a monitoring system follows.
-type memberMetrics struct {
-	Groups         []groupMetrics `json:"groups"`
-	ConfirmedAgeMs int64          `json:"confirmed_age_ms"`
-	LedgerKeys     int            `json:"ledger_keys"`
-	Followers      int            `json:"direct_followers"`
-	Relay          relay.Stats    `json:"relay"`
-}
-
-type groupMetrics struct {
-	Group      uint32 `json:"group"`
-	Term       uint64 `json:"term"`
-	Commit     uint64 `json:"commit"`
-	Applied    uint64 `json:"applied"`
-	Leader     bool   `json:"leader"`
-	QuorumLost bool   `json:"quorum_lost"`
-	Proposals  int    `json:"open_proposals"`
-}
-
-func metricsOf(dump Dump) memberMetrics {
-	result := memberMetrics{
-		ConfirmedAgeMs: dump.ConfirmedAgeMs, LedgerKeys: dump.LedgerKeys, Followers: len(dump.Relay.Children),
-		Relay: dump.Relay.Stats,
-	}
-	for _, group := range dump.Groups {
-		result.Groups = append(result.Groups, groupMetrics{
-			Group: group.Group, Term: group.Raft.Term, Commit: group.Raft.Commit, Applied: group.Raft.Applied,
-			Leader: group.Raft.Role == raft.RoleLeader, QuorumLost: group.Raft.QuorumLost, Proposals: group.Proposals,
-		})
-	}
-	return result
-}
-
 func (m *Member) observeReports(now time.Time, reports []relay.CrashReport) {
 	for _, encoded := range reports {
 		report, err := protocol.DecodeCrashReport(encoded)
--- a/control/configure.go
+++ b/control/configure.go
@@ -51,6 +51,7 @@
 // operator.ErrNoQuorum when the context ends before.
 func (m *Member) Latest(ctx context.Context) (uint64, *bundle.Bundle, error) {
 	b := backend{member: m}
+	started := time.Now()
 	for {
 		var version uint64
 		var latest *bundle.Bundle
@@ -70,6 +71,7 @@
 		case err != nil || ctx.Err() != nil:
 			return 0, nil, &operator.Error{Kind: operator.ErrNoQuorum, Message: "the state is not confirmed by a quorum"}
 		case fresh:
+			m.metrics.readTime.Observe(time.Since(started).Seconds())
 			return version, latest, errors.Wrap(found, "control: read the latest bundle")
 		}
 		pause(ctx, readPause)
--- a/control/member.go
+++ b/control/member.go
@@ -87,6 +87,7 @@
 type Member struct {
 	options Options
 	logger  zerolog.Logger
+	metrics *metrics
 
 	host       *mesh.Host
 	peer       *relay.Peer
@@ -133,6 +134,7 @@
 		options: options, logger: logging.Part(options.Logger, "control"), ready: make(chan struct{}),
 		formedGroups: make(map[uint32]bool), founding: make(map[uint32]raft.Membership), removed: make(chan struct{}),
 	}
+	m.metrics = newMetrics(m)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.connect()
 	recovered, err := m.openReplicas()
@@ -370,6 +372,7 @@
 	if err != nil {
 		return &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}, nil
 	}
+	started := time.Now()
 	done := make(chan *protocol.ProposeReply, 1)
 	posted := m.host.Post(func(now time.Time) {
 		if request.Target == protocol.TargetMembership {
@@ -388,6 +391,7 @@
 	case <-ctx.Done():
 	}
 	reply.LedgerGroups = len(m.ledgers)
+	m.metrics.proposalTime.WithLabelValues(proposalResults[reply.Status]).Observe(time.Since(started).Seconds())
 	return reply, nil
 }
 
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -2,8 +2,6 @@
 package invariant
 
 import (
-	"expvar"
-	"sync"
 	"sync/atomic"
 )
 
@@ -37,15 +35,16 @@
 type Handler func(name Name, message string, values map[string]any)
 
 var (
-	counts  = expvar.NewMap("sapphiregate_violations")
+	counts  = newCounts()
 	handler atomic.Pointer[Handler]
-	once    sync.Once
 )
 
-func initCounts() {
+func newCounts() map[Name]*atomic.Int64 {
+	counts := make(map[Name]*atomic.Int64)
 	for _, name := range Names() {
-		counts.Add(string(name), 0)
+		counts[name] = new(atomic.Int64)
 	}
+	return counts
 }
 
 // SetHandler installs the receiver of violations: a logger in the daemons, a failing assertion in tests.
@@ -53,8 +52,7 @@
 
 // Violated reports a violation.
 func Violated(name Name, message string, values map[string]any) {
-	once.Do(initCounts)
-	counts.Add(string(name), 1)
+	counts[name].Add(1)
 	if h := handler.Load(); h != nil {
 		(*h)(name, message, values)
 	}
@@ -70,12 +68,9 @@
 
 // Counts returns the violations seen by this process.
 func Counts() map[Name]int64 {
-	once.Do(initCounts)
-	result := make(map[Name]int64)
-	for _, name := range Names() {
-		if value, ok := counts.Get(string(name)).(*expvar.Int); ok {
-			result[name] = value.Value()
-		}
+	result := make(map[Name]int64, len(counts))
+	for name, count := range counts {
+		result[name] = count.Load()
 	}
 	return result
 }
--- a/node/admin.go
+++ b/node/admin.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"encoding/json"
-	"expvar"
 	"io"
 	"net/http"
 	"time"
@@ -22,7 +21,7 @@
 	// PathUpstream takes announcements: PUT announces the upstream, DELETE tells that it is leaving.
 	PathUpstream   = "/v1/upstream"
 	PathDump       = "/debug/dump"
-	PathVars       = "/debug/vars"
+	PathMetrics    = "/metrics"
 	PathReady      = "/ready"
 	PathQuarantine = "/v1/quarantine"
 )
@@ -36,7 +35,7 @@
 	mux.HandleFunc("GET "+PathDump, n.serveDump)
 	mux.HandleFunc("GET "+PathReady, n.serveReady)
 	mux.HandleFunc("DELETE "+PathQuarantine, n.serveClear)
-	mux.HandleFunc("GET "+PathVars, n.serveVars)
+	mux.Handle("GET "+PathMetrics, n.metrics.registry.Handler())
 	return mux
 }
 
@@ -96,14 +95,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (n *Node) serveVars(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	vars := new(expvar.Map).Init()
-	vars.Set("node", n.metrics.vars())
-	expvar.Do(func(item expvar.KeyValue) { vars.Set(item.Key, item.Value) })
-	_, _ = io.WriteString(w, vars.String())
-}
-
 // Dump is the state of a node.
 type Dump struct {
 	ID          string                   `json:"id"`
--- a/node/answer.go
+++ b/node/answer.go
@@ -55,8 +55,8 @@
 // refuse answers a request that this node did not let in. A request with an idempotency key may have run at an earlier
 // attempt, so the ledger is asked before the caller is told that it was not run.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason protocol.Reason) {
-	n.metrics.refusals.Add(string(reason), 1)
-	n.journal.refused(r, n, reason)
+	n.metrics.refusals.WithLabelValues(string(reason)).Inc()
+	n.requestLog.refused(r, n, reason)
 	key := r.Header.Get(protocol.HeaderKey)
 	if key == "" || len(key) > maxKeyBytes {
 		n.writeVerdict(w, protocol.OutcomeNotRun, reason, refusalCode(reason), protocol.LoadReport{})
@@ -251,7 +251,7 @@
 	for answer.stream != nil {
 		frame, err := answer.stream.Next()
 		if err != nil {
-			c.node.metrics.cutAnswers.Add(1)
+			c.node.metrics.cutAnswers.Inc()
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := w.Write(frame.Body); err != nil {
--- a/node/control.go
+++ b/node/control.go
@@ -24,6 +24,7 @@
 		logger:      logging.Part(n.options.Logger, "executor"),
 		quarantine:  n.quarantine,
 		metrics:     n.metrics,
+		requestLog:  newRequestLog(logging.Part(n.options.Logger, "executor"), n.metrics.linesDropped),
 
 		settingsService: n.options.Service,
 		dialect:         &n.options.Dialect,
@@ -98,7 +99,7 @@
 	n.refreshAll = true
 	n.executor.reconfigure()
 	n.peer.Activated(now, next.version)
-	n.metrics.activations.Add(1)
+	n.metrics.activations.Inc()
 	if n.options.OnApplied != nil {
 		n.options.OnApplied(output.Approval, output.Bundle, time.Now())
 	}
--- a/node/crash.go
+++ b/node/crash.go
@@ -88,7 +88,7 @@
 	if e.upstream != died || e.state != upstreamServing {
 		return
 	}
-	e.metrics.upstreamCrashes.Add(1)
+	e.metrics.upstreamCrashes.Inc()
 	e.logger.Warn().Str("address", died.announcement.Address).Int("in_flight", len(suspects)).
 		Msg("upstream refuses connections; it gets no calls until it accepts them again")
 	e.state = upstreamDown
--- a/node/executor.go
+++ b/node/executor.go
@@ -30,6 +30,7 @@
 	// publish spreads crash reports and clearances.
 	publish        func(quarantine.Report)
 	metrics        *metrics
+	requestLog     *requestLog
 	dialect        *protocol.Dialect
 	healthInterval time.Duration
 	// background holds what outlives its caller: recording answers and probing.
@@ -110,6 +111,9 @@
 	if waiter != nil {
 		admitted = e.await(ctx, id, waiter)
 	}
+	if admitted.Action == admission.Run {
+		e.metrics.waitTime.Observe(time.Since(now).Seconds())
+	}
 	return e.conclude(ctx, id, chosen, admitted)
 }
 
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -89,7 +89,7 @@
 	if f.firstEnded || f.reached.Load() || !f.plan.Hedge(time.Now()) {
 		return
 	}
-	f.call.node.metrics.hedges.Add(1)
+	f.call.node.metrics.hedges.Inc()
 	second, ok := f.begin(ctx)
 	if !ok {
 		return
@@ -162,11 +162,12 @@
 	if decision.Action != forward.Send {
 		return decision.Action
 	}
+	f.call.node.requestLog.repeated(f.call, result.answer, f.tried[result.number], decision.After)
 	sleep(ctx, decision.After)
 	if ctx.Err() != nil {
 		return forward.Wait
 	}
-	f.call.node.metrics.retries.Add(1)
+	f.call.node.metrics.retries.Inc()
 	next, ok := f.begin(ctx)
 	if !ok {
 		return forward.Fail
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -78,10 +78,8 @@
 	defer cancel()
 	answer := call.confirm(ctx, call.forward(ctx))
 	defer answer.finish()
-	n.metrics.count(call.route.Class, answer.head.Outcome)
-	if answer.head.Outcome != protocol.OutcomeDone || answer.failedByUpstream() {
-		n.journal.failed(call, answer)
-	}
+	n.metrics.ended(call.route.Class, answer.head.Outcome, time.Since(started))
+	n.requestLog.ended(call, answer)
 	call.write(w, answer)
 }
 
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -23,15 +23,21 @@
 }
 
 // foreignNode starts a node with that dialect and an upstream, and returns the callers' address.
-func foreignNode(handler http.HandlerFunc) (started *node.Node, callers, upstream string) {
+func foreignNode(
+	handler http.HandlerFunc, configure ...func(*node.Options),
+) (started *node.Node, callers, upstream string) {
 	server := httptest.NewServer(handler)
 	DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
 	callersAt := listen()
-	started = node.New(node.Options{
+	options := node.Options{
 		ID: "n1", Zone: "a", Callers: callersAt, Mesh: listen(), Admin: listen(), Members: []string{"127.0.0.1:9"},
 		Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(), Dialect: foreign, Service: "desk", NoHedging: true,
 		Limits: node.Limits{HealthInterval: -1},
-	})
+	}
+	for _, change := range configure {
+		change(&options)
+	}
+	started = node.New(options)
 	started.Start()
 	DeferCleanup(started.Kill)
 	b := testBundle()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,12 +1,13 @@
 package node
 
 import (
-	"expvar"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"sapphiregate.example/sapphiregate/internal/telemetry"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
@@ -17,33 +18,74 @@
 	addedDigits    = 2
 )
 
-// metrics are the counters of one node. The daemon publishes them by expvar; several nodes in one process keep apart.
+// metrics are the counters and histograms of one node; docs/observability.md describes each.
 type metrics struct {
-	calls           *expvar.Map
-	refusals        *expvar.Map
-	retries         expvar.Int
-	hedges          expvar.Int
-	cutAnswers      expvar.Int
-	upstreamCrashes expvar.Int
-	activations     expvar.Int
+	registry *telemetry.Registry
 
+	requests        *prometheus.CounterVec
+	requestTime     *prometheus.HistogramVec
+	refusals        *prometheus.CounterVec
+	addedTime       prometheus.Histogram
+	retries         prometheus.Counter
+	hedges          prometheus.Counter
+	cutAnswers      prometheus.Counter
+	waitTime        prometheus.Histogram
+	shed            *prometheus.CounterVec
+	upstreamTime    prometheus.Histogram
+	upstreamCrashes prometheus.Counter
+	activations     prometheus.Counter
+	linesDropped    prometheus.Counter
+
+	// added gives exact quantiles for the dump; those of a scraper's buckets are a factor of two apart.
 	mu    sync.Mutex
 	added *hdrhistogram.Histogram
 }
 
 func newMetrics() *metrics {
+	r := telemetry.NewRegistry()
 	return &metrics{
-		calls:    new(expvar.Map).Init(),
-		refusals: new(expvar.Map).Init(),
-		added:    hdrhistogram.New(1, maxAddedMicros, addedDigits),
+		registry: r,
+		requests: r.Counters("requests_total", "Requests that were let in, by their end.", "class", "outcome"),
+		requestTime: r.Latencies("request_seconds", "Time from a request's header to its answer, by its end.",
+			"class", "outcome"),
+		refusals:  r.Counters("requests_refused_total", "Requests that the node did not let in.", "reason"),
+		addedTime: r.Latency("added_seconds", "Time of a request in sapphiregate's processes; waits for a slot count."),
+		retries:   r.Counter("retries_total", "Attempts after the first one."),
+		hedges:    r.Counter("hedges_total", "Attempts beside a first one that showed no sign of life."),
+		cutAnswers: r.Counter("cut_answers_total",
+			"Streamed answers that an upstream cut; the caller's connection was aborted."),
+		waitTime: r.Latency("upstream_wait_seconds", "Time for which a call waited for a slot of the upstream beside the node."),
+		shed:     r.Counters("upstream_refusals_total", "Calls that got no slot of the upstream beside the node.", "reason"),
+		upstreamTime: r.Latency("upstream_seconds",
+			"Time from a request written to the upstream beside the node to its answer."),
+		upstreamCrashes: r.Counter("upstream_crashes_total", "Crashes of the upstream beside the node."),
+		activations:     r.Counter("activations_total", "Versions put into force."),
+		linesDropped:    r.Counter("log_lines_dropped_total", "Lines about requests beyond the bound of the log."),
+		added:           hdrhistogram.New(1, maxAddedMicros, addedDigits),
+	}
+}
+
+// observeState adds what is read from the node when it is scraped.
+func (m *metrics) observeState(n *Node) {
+	m.registry.Gauge("version", "Version in force; 0 if there is none.", func() float64 { return float64(n.Version()) })
+	load := func(read func(protocol.LoadReport) int) func() float64 {
+		return func() float64 { return float64(read(n.executor.load())) }
 	}
+	m.registry.Gauge("upstream_slots", "Calls that the upstream beside the node takes at once.",
+		load(func(l protocol.LoadReport) int { return l.Slots }))
+	m.registry.Gauge("upstream_running", "Calls that run on the upstream beside the node.",
+		load(func(l protocol.LoadReport) int { return l.InFlight }))
+	m.registry.Gauge("upstream_waiting", "Calls that wait for a slot of the upstream beside the node.",
+		load(func(l protocol.LoadReport) int { return l.Queued }))
 }
 
-func (m *metrics) count(class bundle.Class, outcome protocol.Outcome) {
-	m.calls.Add(string(class)+"_"+string(outcome), 1)
+func (m *metrics) ended(class bundle.Class, outcome protocol.Outcome, took time.Duration) {
+	m.requests.WithLabelValues(string(class), string(outcome)).Inc()
+	m.requestTime.WithLabelValues(string(class), string(outcome)).Observe(took.Seconds())
 }
 
 func (m *metrics) observeAdded(added time.Duration) {
+	m.addedTime.Observe(added.Seconds())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	_ = m.added.RecordValue(min(max(added.Microseconds(), 1), maxAddedMicros))
@@ -67,17 +109,3 @@
 		MaxMicros: m.added.Max(),
 	}
 }
-
-// vars returns the metrics for expvar.
-func (m *metrics) vars() *expvar.Map {
-	vars := new(expvar.Map).Init()
-	vars.Set("calls", m.calls)
-	vars.Set("refusals", m.refusals)
-	vars.Set("retries", &m.retries)
-	vars.Set("hedges", &m.hedges)
-	vars.Set("cut_answers", &m.cutAnswers)
-	vars.Set("upstream_crashes", &m.upstreamCrashes)
-	vars.Set("activations", &m.activations)
-	vars.Set("added_latency", expvar.Func(func() any { return m.quantiles() }))
-	return vars
-}
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,7 @@
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
 	gate       gate
-	journal    *journal
+	requestLog *requestLog
 	// leaving tells callers to close their connections.
 	leaving atomic.Bool
 	// stopping makes the node not ready.
@@ -174,7 +174,8 @@
 		changedIDs:  make(map[string]bool),
 		seen:        make(map[string]seenEndpoint),
 	}
-	n.journal = newJournal(n.logger)
+	n.requestLog = newRequestLog(n.logger, n.metrics.linesDropped)
+	n.metrics.observeState(n)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.connect()
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
--- /dev/null
+++ b/node/requestlog_test.go
@@ -0,0 +1,169 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/node"
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// lines collects the log of a node.
+type lines struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (l *lines) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.Write(data)
+}
+
+// about returns the lines about a request, or about any request.
+func (l *lines) about(request string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(l.data.Bytes()))
+	for {
+		var line map[string]any
+		if err := decoder.Decode(&line); err != nil {
+			Expect(err).To(MatchError(io.EOF))
+			return found
+		}
+		if id, ok := line["request"]; ok && (request == "" || id == request) {
+			found = append(found, line)
+		}
+	}
+}
+
+// metric reads one sample from a node's metrics.
+func metric(admin net.Addr, name string) float64 {
+	response, err := http.Get("http://" + admin.String() + node.PathMetrics)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	sample := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (\S+)$`).FindSubmatch(text)
+	if sample == nil {
+		return 0
+	}
+	value, err := strconv.ParseFloat(string(sample[1]), 64)
+	Expect(err).NotTo(HaveOccurred())
+	return value
+}
+
+var _ = Describe("the log about requests", func() {
+	var log *lines
+	var admin net.Addr
+	start := func(handler http.HandlerFunc) string {
+		log = &lines{}
+		n, callers, upstream := foreignNode(handler, func(options *node.Options) {
+			options.Logger, admin = zerolog.New(log), options.Admin.Addr()
+		})
+		Expect(beat(n, upstream, "u1", 1, 1, false)).To(Succeed())
+		learn(n)
+		return callers
+	}
+	genuine := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request", r.Header.Get("X-Request"))
+		w.Header().Set("X-Proof", "1")
+	}
+
+	// Guards against a failed request whose cause cannot be found afterwards: the node that took it in names the instance
+	// that it tried, and that instance's log says what happened there.
+	It("tells at both nodes why a request failed", func() {
+		callers := start(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, err := call(callers, "/promote", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return len(log.about("r1")) }, patience).Should(Equal(2))
+		found := log.about("r1")
+		Expect(found[0]).To(HaveKeyWithValue("message", "call failed"))
+		Expect(found[0]).To(HaveKeyWithValue("reason", string(protocol.ReasonUpstreamFailed)))
+		Expect(found[1]).To(HaveKeyWithValue("message", "request failed"))
+		Expect(found[1]).To(HaveKeyWithValue("outcome", "unknown"))
+		Expect(found[1]).To(HaveKeyWithValue("tried", ConsistOf("n1")))
+		Expect(found[1]).To(HaveKeyWithValue("version", BeEquivalentTo(1)))
+		Expect(metric(admin, `sapphiregate_requests_total{class="irreversible",outcome="unknown"}`)).To(Equal(1.0))
+	})
+
+	// Guards against a refusal under overload that does not show what the decision was based on.
+	It("tells why a call got no slot", func() {
+		release := make(chan struct{})
+		callers := start(func(w http.ResponseWriter, r *http.Request) {
+			<-release
+			genuine(w, r)
+		})
+		var running sync.WaitGroup
+		for i := range 4 {
+			running.Go(func() {
+				defer GinkgoRecover()
+				_, err := call(callers, "/lookup", fmt.Sprintf("held-%d", i))
+				Expect(err).NotTo(HaveOccurred())
+			})
+		}
+		DeferCleanup(running.Wait)
+		DeferCleanup(func() { close(release) })
+		Eventually(func() float64 { return metric(admin, "sapphiregate_upstream_running") }, patience).Should(Equal(4.0))
+		request, err := http.NewRequest(http.MethodGet, "http://"+callers+"/lookup", nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("X-Request", "late")
+		request.Header.Set("X-Left-Ms", "50")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Eventually(func() int { return len(log.about("late")) }, patience).Should(BeNumerically(">=", 2))
+		found := log.about("late")[0]
+		Expect(found).To(HaveKeyWithValue("message", "call refused"))
+		Expect(found).To(HaveKeyWithValue("slots", BeEquivalentTo(4)))
+		Expect(found).To(HaveKeyWithValue("running", BeEquivalentTo(4)))
+		Expect(found).To(HaveKeyWithValue("given_ms", BeNumerically("<=", 50)))
+	})
+
+	// Guards against a log that grows with the load: 20 lines a second and a burst of 100 at each side of a call.
+	It("stays within its bound when every request fails, and counts what it leaves out", func() {
+		callers := start(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		const requests = 600
+		started := time.Now()
+		for i := range requests {
+			_, err := call(callers, "/promote", fmt.Sprintf("r%d", i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		bound := 2 * (100 + 20*(time.Since(started).Seconds()+1))
+		written := len(log.about(""))
+		Expect(written).To(BeNumerically("<=", bound))
+		Expect(metric(admin, "sapphiregate_log_lines_dropped_total")).To(BeEquivalentTo(2*requests - written))
+		Expect(metric(admin, `sapphiregate_request_seconds_count{class="irreversible",outcome="unknown"}`)).
+			To(BeEquivalentTo(requests))
+	})
+
+	// Guards against a failed request without a good one to compare it with.
+	It("follows a sample of the requests that succeed at both nodes", func() {
+		callers := start(genuine)
+		for i := range 300 {
+			_, err := call(callers, "/lookup", fmt.Sprintf("r%d", i))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		found := log.about("")
+		Expect(found).NotTo(BeEmpty())
+		messages := make(map[any]int)
+		for _, line := range found {
+			messages[line["message"]]++
+		}
+		Expect(messages).To(HaveLen(2))
+		Expect(messages["request answered"]).To(Equal(messages["call answered"]))
+	})
+})
--- a/node/run.go
+++ b/node/run.go
@@ -20,11 +20,12 @@
 
 // run carries out one call. The context ends when the caller leaves or the deadline passes.
 func (e *executor) run(ctx context.Context, head *protocol.CallHead, body *requestBody) *reply {
-	deadline := time.Now().Add(head.Remaining)
+	arrived := time.Now()
+	deadline := arrived.Add(head.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	if head.Class == bundle.ClassIrreversible && head.Key != "" {
 		defer cancel()
-		return e.withLoad(e.runOnce(ctx, head, body, deadline))
+		return e.report(head, e.runOnce(ctx, head, body, deadline), arrived)
 	}
 	answer := e.runRepeatable(ctx, head, body, deadline)
 	previous := answer.done
@@ -34,11 +35,19 @@
 			previous()
 		}
 	}
-	return e.withLoad(answer)
+	return e.report(head, answer, arrived)
 }
 
-func (e *executor) withLoad(answer *reply) *reply {
+// report adds the upstream's load to an answer, and counts and logs the call.
+func (e *executor) report(head *protocol.CallHead, answer *reply, arrived time.Time) *reply {
 	answer.head.Load = e.load()
+	switch {
+	case answer.head.Outcome == protocol.OutcomeNotRun:
+		e.metrics.shed.WithLabelValues(string(answer.head.Reason)).Inc()
+	case answer.head.Upstream > 0:
+		e.metrics.upstreamTime.Observe(answer.head.Upstream.Seconds())
+	}
+	e.requestLog.call(e, head, answer, time.Since(arrived)-answer.head.Upstream)
 	return answer
 }
 
