Add sapphirectl trace, which prints a request's path through the processes

Cause: the lines of a request lie in the logs of several instances whose clocks differ; grep showed them by file.

The verb orders them by cause: attempts in the order in which the ingress made them, its own last line at the end.

--- /dev/null
+++ b/ctl/trace.go
@@ -0,0 +1,215 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+// maxLogLine bounds one line of a log file. A line about a request has less than 1 KiB.
+const maxLogLine = 1 << 20
+
+// ErrNotLogged reports that no line of the given logs names a request.
+var ErrNotLogged = errors.New("the request is not in the logs")
+
+// logLine is a line about a request. Fields that a line lacks are zero.
+type logLine struct {
+	Instance       string           `json:"instance,omitempty"`
+	Time           time.Time        `json:"time"`
+	Request        string           `json:"request"`
+	Message        string           `json:"message"`
+	Route          string           `json:"route,omitempty"`
+	Service        string           `json:"service,omitempty"`
+	Outcome        protocol.Outcome `json:"outcome,omitempty"`
+	Reason         protocol.Reason  `json:"reason,omitempty"`
+	UpstreamStatus int              `json:"upstream_status,omitempty"`
+	Tried          []string         `json:"tried,omitempty"`
+	TriedInstance  string           `json:"tried_instance,omitempty"`
+	TookMs         int64            `json:"took_ms,omitempty"`
+	WaitedMs       int64            `json:"waited_ms,omitempty"`
+	UpstreamMs     int64            `json:"upstream_ms,omitempty"`
+	GivenMs        int64            `json:"given_ms,omitempty"`
+	LeftMs         int64            `json:"left_ms,omitempty"`
+	PauseMs        int64            `json:"pause_ms,omitempty"`
+	PatienceMs     int64            `json:"patience_ms,omitempty"`
+	Version        uint64           `json:"version,omitempty"`
+	VersionAgeMs   int64            `json:"version_age_ms,omitempty"`
+	Slots          int              `json:"slots,omitempty"`
+	Running        int              `json:"running,omitempty"`
+	Waiting        int              `json:"waiting,omitempty"`
+	LinesDropped   int              `json:"lines_dropped,omitempty"`
+}
+
+// requestTrace is the path of one request through the processes.
+type requestTrace struct {
+	Request string    `json:"request"`
+	Lines   []logLine `json:"lines"`
+	// Dropped is the number of lines about requests that the given logs left out; the path may then have gaps.
+	Dropped int `json:"lines_dropped"`
+	// Cause explains the reason that ended the request.
+	Cause string `json:"cause,omitempty"`
+}
+
+func (a *app) traceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace REQUEST FILE...",
+		Short: "Show a request's path through the processes from their log files, in the order of cause",
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) < 2 {
+				return usage("%s takes a request and at least one log file", c.CommandPath())
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			trace := requestTrace{Request: args[0]}
+			for _, file := range args[1:] {
+				if err := trace.readFile(file); err != nil {
+					return err
+				}
+			}
+			if len(trace.Lines) == 0 {
+				return errors.Wrapf(ErrNotLogged, "%s, in %d files; %d lines were left out of them", args[0], len(args)-1, trace.Dropped)
+			}
+			trace.order()
+			return a.print(c, trace, trace.print)
+		},
+	}
+}
+
+func (t *requestTrace) readFile(name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer file.Close()
+	return errors.Wrapf(t.read(file), "read %s", name)
+}
+
+// read takes the lines about the request. Text before the JSON object of a line, as log collectors add it, is skipped, and
+// so are lines of other programs.
+func (t *requestTrace) read(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		var line logLine
+		if json.Unmarshal(scanner.Bytes()[start:], &line) != nil {
+			continue
+		}
+		t.Dropped += line.LinesDropped
+		if line.Request == t.Request {
+			t.Lines = append(t.Lines, line)
+		}
+	}
+	return scanner.Err()
+}
+
+// order sorts the lines by cause: clocks of instances differ, but the node that took the request in lists the instances
+// in the order in which it tried them, and its own last line comes after theirs.
+func (t *requestTrace) order() {
+	var tried []string
+	for _, line := range t.Lines {
+		if len(line.Tried) > len(tried) {
+			tried = line.Tried
+		}
+	}
+	rank := func(line logLine) int {
+		if line.ends() {
+			return 2 * (len(tried) + 1)
+		}
+		index := slices.Index(tried, cmp.Or(line.TriedInstance, line.Instance))
+		if index < 0 {
+			index = len(tried)
+		}
+		if line.Message == messageAttemptFailed {
+			return 2*index + 1
+		}
+		return 2 * index
+	}
+	slices.SortStableFunc(t.Lines, func(a, b logLine) int {
+		if byCause := rank(a) - rank(b); byCause != 0 {
+			return byCause
+		}
+		return a.Time.Compare(b.Time)
+	})
+	t.Cause = causes[t.Lines[len(t.Lines)-1].Reason]
+}
+
+// Messages of the lines that the order depends on.
+const (
+	messageAttemptFailed   = "attempt failed; another instance gets the request"
+	messageRequestFailed   = "request failed"
+	messageRequestAnswered = "request answered"
+	messageRequestRefused  = "request refused"
+)
+
+// ends reports whether the line is the last one of the node that took the request in.
+func (l *logLine) ends() bool {
+	return l.Message == messageRequestFailed || l.Message == messageRequestAnswered || l.Message == messageRequestRefused
+}
+
+// about names the instance that a line is about, if that is not the one that wrote it.
+func (l *logLine) about() string {
+	if l.TriedInstance == "" {
+		return ""
+	}
+	return " (tried " + l.TriedInstance + ")"
+}
+
+func (t *requestTrace) print(w io.Writer) {
+	fmt.Fprintln(w, "STEP\tINSTANCE\tWHAT\tREASON\tSTATUS\tTOOK\tWAITED\tLEFT\tSLOTS\tVERSION")
+	for i, line := range t.Lines {
+		took, left := line.TookMs, line.LeftMs
+		if !line.ends() && line.Message != messageAttemptFailed {
+			took, left = line.UpstreamMs, line.GivenMs
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%d ms\t%d ms\t%d ms\t%d of %d, %d wait\t%d, %d ms old\n", i+1,
+			printable(line.Instance), printable(line.Message+line.about()), printable(string(line.Reason)), line.UpstreamStatus, took,
+			line.WaitedMs, left, line.Running, line.Slots, line.Waiting, line.Version, line.VersionAgeMs)
+	}
+	if t.Cause != "" {
+		fmt.Fprintln(w, "cause:", t.Cause)
+	}
+	if t.Dropped > 0 {
+		fmt.Fprintf(w, "%d lines about requests were left out of these logs, so the path may have gaps\n", t.Dropped)
+	}
+}
+
+// causes explains the reasons and names the next place to look.
+var causes = map[protocol.Reason]string{
+	protocol.ReasonShed: "no slot was expected in time; see SLOTS, and which upstreams of the service announced " +
+		"themselves or left before",
+	protocol.ReasonDeadline:        "the time ran out; see which step took or waited longest",
+	protocol.ReasonNoUpstream:      "no instance of the service takes calls; see which upstreams left or never announced themselves",
+	protocol.ReasonNoRoute:         "no route of the version matched; see when the node put which version into force",
+	protocol.ReasonNotReady:        "the node had no configuration yet; see its start and its first 'bundle in force'",
+	protocol.ReasonDraining:        "the instance was leaving; see its 'upstream is leaving'",
+	protocol.ReasonCallLimit:       "the route's call limit was reached",
+	protocol.ReasonQuarantined:     "the request is in quarantine, since it crashed upstreams; see 'sapphirectl quarantine'",
+	protocol.ReasonUpstreamFailed:  "the upstream broke the connection or its answer was not genuine; see its own log",
+	protocol.ReasonUpstreamRefused: "the upstream said that it has not run the request",
+	protocol.ReasonUnreachable:     "the upstream took no connection",
+	protocol.ReasonTruncated:       "the upstream cut its answer",
+	protocol.ReasonNodeFailed:      "the instance or the way to it broke; see whether its process ended or started at that time",
+	protocol.ReasonCallerGone:      "the caller closed its connection",
+	protocol.ReasonLedger:          "the control members did not answer; see who leads them",
+	protocol.ReasonInProgress:      "an earlier request with this key has no recorded answer yet",
+	protocol.ReasonKeyReused:       "the key belongs to a different request",
+	protocol.ReasonKeyExpired:      "the key is too old",
+	protocol.ReasonTooLarge:        "the body is larger than the route allows",
+	protocol.ReasonTooDeep:         "the chain of calls is too deep",
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -35,7 +35,7 @@
 				return errors.Mark(err, errUsage)
 			}
 			return logs.run(func(logger zerolog.Logger) error {
-				return runControl(command.Context(), file, loaded, logger)
+				return runControl(command.Context(), file, loaded, logger.With().Str("instance", loaded.Instance).Logger())
 			})
 		},
 	}
@@ -62,7 +62,7 @@
 		return err
 	}
 	member.Start()
-	logger.Info().Str("instance", loaded.Instance).Str("member", member.ID()).Msg("control member started")
+	logger.Info().Str("member", member.ID()).Msg("control member started")
 	if loaded.Platform != nil {
 		adapter, err := platform.ServeControl(member, *loaded.Platform, logger)
 		if err != nil {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -29,7 +29,7 @@
 				return errors.Mark(err, errUsage)
 			}
 			return logs.run(func(logger zerolog.Logger) error {
-				return runNode(command.Context(), file, loaded, logger)
+				return runNode(command.Context(), file, loaded, logger.With().Str("instance", loaded.Instance).Logger())
 			})
 		},
 	}
@@ -61,7 +61,7 @@
 	}
 	process := node.New(options)
 	process.Start()
-	logger.Info().Str("instance", loaded.Instance).Str("callers", loaded.Callers).Msg("node started")
+	logger.Info().Str("callers", loaded.Callers).Msg("node started")
 	if loaded.Platform != nil {
 		adapter, err := platform.ServeNode(process, *loaded.Platform, logger)
 		if err != nil {
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -124,7 +124,7 @@
 	if event == nil {
 		return
 	}
-	event.Str("route", c.route.Name).Str("service", c.head.Service).Str("instance", instance).
+	event.Str("route", c.route.Name).Str("service", c.head.Service).Str("tried_instance", instance).
 		Str("outcome", string(failed.head.Outcome)).Str("reason", string(failed.head.Reason)).
 		Int("upstream_status", failed.head.Status).Int64("pause_ms", pause.Milliseconds()).
 		Int64("left_ms", time.Until(c.deadline).Milliseconds()).
