Take calls away from an instance that gives no sign of life

Cause: after a loss of power the connections to an instance stay open and silent.

Ruled out: keepalive of gRPC (10 s at least), TCP_USER_TIMEOUT (grpc-go sets its own), a sign of life on each call (bytes), the silence limit of the distribution tree (3 s; shorter, it would publish slow instances as suspect).

An instance that owes an answer for 0.4 s and says nothing is asked; without an answer its repeatable calls go elsewhere and others avoid it until it answers on a new connection.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -237,6 +237,22 @@
 	t.endpoint.observe(&b.config, now.Sub(t.endpoint.epoch), r)
 }
 
+// Suspend keeps calls away from a target's upstream until a time, as long as others exist: its instance gives no sign of
+// life.
+func (b *Balancer) Suspend(t Target, until time.Time) {
+	if t.endpoint != nil {
+		t.endpoint.ejectedUntil.Store(int64(until.Sub(t.endpoint.epoch)))
+	}
+}
+
+// Resume ends a suspension, and forgets the failures of connections before it.
+func (b *Balancer) Resume(t Target) {
+	if t.endpoint != nil {
+		t.endpoint.ejectedUntil.Store(0)
+		t.endpoint.failures.Store(0)
+	}
+}
+
 // counterSource is a random source over an atomic counter (SplitMix64), safe for concurrent use.
 type counterSource atomic.Uint64
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -118,6 +118,10 @@
 func (p *process) Follow(stream rpc.FollowServerStream) error { return p.host.Follow(stream) }
 func (p *process) Call(rpc.CallServerStream) error            { return nil }
 
+func (p *process) Alive(context.Context, *protocol.AliveRequest) (*protocol.AliveReply, error) {
+	return &protocol.AliveReply{}, nil
+}
+
 // stop ends the process as a node does.
 func (p *process) stop() {
 	p.cancel()
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -149,6 +149,8 @@
 	caller context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
 ) *reply {
 	ctx, cancel := context.WithCancel(caller)
+	owed := n.liveness.sent(target, head.Class, cancel)
+	defer owed.end()
 	stream, err := n.calls.Call(ctx, target.Address)
 	if err != nil {
 		cancel()
@@ -162,12 +164,14 @@
 	first, err := stream.Recv()
 	if err == nil && first.Progress {
 		reached()
+		owed.heard()
 		first, err = stream.Recv()
 	}
 	if err != nil || first.Head == nil {
 		cancel()
 		return brokenCall(caller, err)
 	}
+	owed.heard()
 	answer := &reply{head: *first.Head, body: first.Body, trailer: first.Trailer, done: cancel}
 	if first.Last {
 		return answer
--- a/node/node.go
+++ b/node/node.go
@@ -138,9 +138,12 @@
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
 	calls       *rpc.Pool
-	mesh        *rpc.Server
-	callers     *http.Server
-	admin       *http.Server
+	// questions has the connections of liveness.
+	questions *rpc.Pool
+	liveness  *liveness
+	mesh      *rpc.Server
+	callers   *http.Server
+	admin     *http.Server
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -181,6 +184,10 @@
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
 	n.executor = n.newExecutor()
+	n.liveness = &liveness{
+		balancer: n.balancer, calls: n.calls, fresh: n.questions, zoneDelay: options.zoneDelay, logger: n.logger,
+		instances: make(map[string]*instance),
+	}
 	n.peer = relay.New(clock.Now(), n.relayConfig())
 	n.control = mesh.NewHost(mesh.Options{
 		Peer: n.peer, Pool: n.controlPool, Logger: logging.Part(options.Logger, "control"),
@@ -203,6 +210,7 @@
 	n.controlPool = rpc.NewPool(n.options.ControlDialer, transport)
 	n.ledgerPool = rpc.NewPool(n.options.LedgerDialer, transport)
 	n.calls = rpc.NewPool(n.options.CallDialer, transport)
+	n.questions = rpc.NewPool(n.options.CallDialer, transport)
 	n.mesh = rpc.NewServer(n.options.Mesh, transport)
 }
 
@@ -275,7 +283,9 @@
 	_ = n.admin.Close()
 	n.controlPool.Close()
 	n.ledgerPool.Close()
+	n.liveness.stop()
 	n.calls.Close()
+	n.questions.Close()
 	n.tasks.Wait()
 }
 
--- a/protocol/mesh.go
+++ b/protocol/mesh.go
@@ -22,3 +22,11 @@
 
 // StepAck ends a stream of StepFrame.
 type StepAck struct{}
+
+// AliveRequest asks a node for a sign of life.
+type AliveRequest struct{}
+
+// AliveReply shows which process answers.
+type AliveReply struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+}
--- a/transport/rpc/client.go
+++ b/transport/rpc/client.go
@@ -138,6 +138,11 @@
 	return openStream[protocol.CallFrame, protocol.ReplyFrame](ctx, p, address, &callStream, methodCall)
 }
 
+// Alive asks the process at an address for a sign of life.
+func (p *Pool) Alive(ctx context.Context, address string) (*protocol.AliveReply, error) {
+	return invoke[protocol.AliveReply](ctx, p, address, methodAlive, &protocol.AliveRequest{})
+}
+
 // Step opens a stream of log messages.
 func (p *Pool) Step(ctx context.Context, address string) (StepClientStream, error) {
 	return openStream[protocol.StepFrame, protocol.StepAck](ctx, p, address, &stepStream, methodStep)
--- a/transport/rpc/server.go
+++ b/transport/rpc/server.go
@@ -53,10 +53,7 @@
 }
 
 // ServeNode registers a node's handlers.
-func (s *Server) ServeNode(handler interface {
-	Follower
-	Executor
-}) {
+func (s *Server) ServeNode(handler nodeHandler) {
 	s.server.RegisterService(&callDesc, handler)
 }
 
--- a/transport/rpc/service.go
+++ b/transport/rpc/service.go
@@ -38,6 +38,11 @@
 	Call(stream CallServerStream) error
 }
 
+// Witness shows that a process is alive.
+type Witness interface {
+	Alive(ctx context.Context, request *protocol.AliveRequest) (*protocol.AliveReply, error)
+}
+
 // Proposer serves proposals and tells who the member is.
 type Proposer interface {
 	Propose(ctx context.Context, request *protocol.ProposeRequest) (*protocol.ProposeReply, error)
@@ -53,6 +58,7 @@
 const (
 	methodFollow   = "/sapphiregate.Mesh/Follow"
 	methodCall     = "/sapphiregate.Mesh/Call"
+	methodAlive    = "/sapphiregate.Mesh/Alive"
 	methodPropose  = "/sapphiregate.Control/Propose"
 	methodIdentify = "/sapphiregate.Control/Identify"
 	methodStep     = "/sapphiregate.Raft/Step"
@@ -73,6 +79,7 @@
 var callDesc = grpc.ServiceDesc{
 	ServiceName: "sapphiregate.Mesh",
 	HandlerType: (*nodeHandler)(nil),
+	Methods:     []grpc.MethodDesc{{MethodName: "Alive", Handler: unary(methodAlive, Witness.Alive)}},
 	Streams: []grpc.StreamDesc{followDesc.Streams[0], {
 		StreamName: "Call", ServerStreams: true, ClientStreams: true,
 		Handler: func(server any, stream grpc.ServerStream) error {
@@ -86,6 +93,7 @@
 type nodeHandler interface {
 	Follower
 	Executor
+	Witness
 }
 
 var controlDesc = grpc.ServiceDesc{
@@ -98,8 +106,8 @@
 }
 
 // unary adapts a typed method to grpc-go's handler signature.
-func unary[Request, Reply any](
-	method string, call func(Proposer, context.Context, *Request) (*Reply, error),
+func unary[Server, Request, Reply any](
+	method string, call func(Server, context.Context, *Request) (*Reply, error),
 ) grpc.MethodHandler {
 	return func(
 		server any, ctx context.Context, decode func(any) error, interceptor grpc.UnaryServerInterceptor,
@@ -109,11 +117,11 @@
 			return nil, err
 		}
 		if interceptor == nil {
-			return call(server.(Proposer), ctx, request)
+			return call(server.(Server), ctx, request)
 		}
 		info := &grpc.UnaryServerInfo{Server: server, FullMethod: method}
 		return interceptor(ctx, request, info, func(ctx context.Context, request any) (any, error) {
-			return call(server.(Proposer), ctx, request.(*Request))
+			return call(server.(Server), ctx, request.(*Request))
 		})
 	}
 }
