Refuse calls whose instances all give no sign of life, and reconnect to an instance that started again

After the restart of an instance, calls went out on the connection to its former process, which stays open and silent.

A suspended upstream gets no calls at all: the caller hears at once that the call has not run. The first call to a new incarnation closes the old connection.

Both tests failed before.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -237,17 +237,18 @@
 	t.endpoint.observe(&b.config, now.Sub(t.endpoint.epoch), r)
 }
 
-// Suspend keeps calls away from a target's upstream until a time, as long as others exist: its instance gives no sign of
-// life.
+// Suspend keeps all calls away from a target's upstream until a time: its instance gives no sign of life. A call that has
+// no other place is better refused at once than lost there.
 func (b *Balancer) Suspend(t Target, until time.Time) {
 	if t.endpoint != nil {
-		t.endpoint.ejectedUntil.Store(int64(until.Sub(t.endpoint.epoch)))
+		t.endpoint.suspendedUntil.Store(int64(until.Sub(t.endpoint.epoch)))
 	}
 }
 
 // Resume ends a suspension, and forgets the failures of connections before it.
 func (b *Balancer) Resume(t Target) {
 	if t.endpoint != nil {
+		t.endpoint.suspendedUntil.Store(0)
 		t.endpoint.ejectedUntil.Store(0)
 		t.endpoint.failures.Store(0)
 	}
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -130,6 +130,28 @@
 		Expect(counts["a-0"] + counts["a-1"]).To(BeNumerically("~", 1000, 200))
 	})
 
+	// Guards against calls that are lost at instances without power when those are all that is left: a refusal at once
+	// tells the caller that the call has not run.
+	DescribeTable("sends no call to a suspended upstream, and refuses when there is no other", func(policy balance.Policy) {
+		h := newHarness(policy, append(endpointsIn("a", 20), endpointsIn("b", 1)...))
+		suspended := make(map[string]balance.Target)
+		for len(suspended) < 20 {
+			target := h.pick()
+			suspended[target.ID] = target
+			h.Suspend(target, h.now.Add(time.Second))
+			h.Done(h.now, target, balance.Report{Outcome: balance.ConnectFailed})
+		}
+		left := h.pick()
+		Expect(suspended).NotTo(HaveKey(left.ID))
+		h.Suspend(left, h.now.Add(time.Second))
+		_, err := h.Pick(h.now, h.request)
+		Expect(err).To(MatchError(balance.ErrNoUpstream))
+		h.Resume(left)
+		Expect(h.pick().ID).To(Equal(left.ID))
+		h.now = h.now.Add(2 * time.Second)
+		Expect(len(h.counts(400, fine))).To(BeNumerically(">", 1), "a suspension that is not renewed ends")
+	}, policies)
+
 	It("ejects an upstream for a growing time after connection failures", func() {
 		h := newHarness(balance.ChoiceOfTwo, endpointsIn("a", 2))
 		failing := func(t balance.Target) balance.Report {
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -91,6 +91,8 @@
 	faults       atomic.Int64 // part of the calls that the upstream failed, in thousandths
 	faultAt      atomic.Int64
 	ejectedUntil atomic.Int64
+	// suspendedUntil is set while the instance gives no sign of life.
+	suspendedUntil atomic.Int64
 }
 
 func newEndpoint(epoch time.Time, e Endpoint, a *averages) *endpoint {
@@ -113,6 +115,8 @@
 		e.Zone == other.Zone && e.Address == other.Address
 }
 
+func (e *endpoint) suspended(at time.Duration) bool { return int64(at) < e.suspendedUntil.Load() }
+
 func (e *endpoint) ejected(at time.Duration) bool { return int64(at) < e.ejectedUntil.Load() }
 
 // share returns the part of its full share of calls that a new endpoint receives.
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -67,7 +67,24 @@
 	if e := p.pickServing(); e != nil {
 		return e
 	}
-	return p.best(p.service.suspects)
+	if e := p.best(p.service.suspects); e != nil {
+		return e
+	}
+	return p.anyAcceptable()
+}
+
+// anyAcceptable looks at all endpoints. The bounded search finds none where many in a row are suspended, as after the
+// loss of a rack.
+func (p *picker) anyAcceptable() *endpoint {
+	if p.service.all == nil {
+		return nil
+	}
+	for _, e := range p.service.all.endpoints {
+		if p.acceptable(e) {
+			return e
+		}
+	}
+	return nil
 }
 
 // pickServing returns the best candidate of the preferred zones, or of any zone if those have none.
@@ -226,6 +243,9 @@
 }
 
 func (p *picker) acceptable(e *endpoint) bool {
+	if e.suspended(p.at) {
+		return false
+	}
 	if p.level < allowExcluded && slices.Contains(p.request.Exclude, e.ID) {
 		return false
 	}
--- a/node/liveness.go
+++ b/node/liveness.go
@@ -60,7 +60,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.instances[target.ID]
-	if known == nil || known.target.Incarnation != target.Incarnation {
+	if known != nil && known.target.Incarnation != target.Incarnation {
+		// The former process is gone, and its connection may stay open and silent.
+		l.calls.Forget(known.target.Address)
+		known = nil
+	}
+	if known == nil {
 		known = &instance{target: target, repeatable: make(map[uint64]context.CancelFunc)}
 		l.instances[target.ID] = known
 	}
--- a/node/liveness_test.go
+++ b/node/liveness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,26 +30,66 @@
 		return nil, ctx.Err()
 	}
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	return &silentConn{Conn: conn, link: l}, err
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: conn, link: l, closed: make(chan struct{})}, nil
 }
 
+// silentConn stays open and silent once its link has been silent, also when the other side is gone.
 type silentConn struct {
 	net.Conn
-	link *silentLink
+	link   *silentLink
+	dead   atomic.Bool
+	once   sync.Once
+	closed chan struct{}
 }
 
-func (c *silentConn) Write(data []byte) (int, error) {
+func (c *silentConn) lost() bool {
 	if c.link.silent.Load() {
+		c.dead.Store(true)
+	}
+	return c.dead.Load()
+}
+
+func (c *silentConn) Write(data []byte) (int, error) {
+	if c.lost() {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
 }
 
+func (c *silentConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.lost() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *silentConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 var _ = Describe("an instance that loses power", func() {
 	var link *silentLink
 	var ingress string
 	var silentRuns, otherRuns atomic.Int64
 	var release chan struct{}
+	var ingressNode *node.Node
+	// restart starts the first instance anew at its address.
+	var restart func()
+
+	lookup := func(query string) time.Duration {
+		started := time.Now()
+		response, err := http.Get("http://" + ingress + "/lookup" + query)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		return time.Since(started)
+	}
 
 	// Two instances serve lookups; the link to the first one can fall silent. Calls that ask for it are held there.
 	BeforeEach(func() {
@@ -64,13 +105,13 @@
 			}
 			return new(net.Dialer).DialContext(ctx, "tcp", address)
 		}
-		started := node.New(node.Options{
+		ingressNode = node.New(node.Options{
 			ID: "ingress", Zone: "a", Callers: callersAt, Mesh: listen(), Admin: listen(), Members: []string{"127.0.0.1:9"},
 			Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(), NoHedging: true, CallDialer: dial,
 		})
-		started.Start()
-		DeferCleanup(started.Kill)
-		Expect(started.PutInForce(bundle.Approval{Version: 1}, testBundle())).To(Succeed())
+		ingressNode.Start()
+		DeferCleanup(ingressNode.Kill)
+		Expect(ingressNode.PutInForce(bundle.Approval{Version: 1}, testBundle())).To(Succeed())
 		ingress = callersAt.Addr().String()
 		for i, runs := range []*atomic.Int64{&silentRuns, &otherRuns} {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -81,35 +122,43 @@
 				fmt.Fprint(w, "ok")
 			}))
 			DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
-			executor, _, _ := startNode(fmt.Sprintf("executor%d", i), "127.0.0.1:9")
-			Expect(executor.AcceptUpstream(node.Announcement{
-				Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4,
-			})).To(Succeed())
-			Eventually(func() bool { _, ok := executor.OwnRecord(); return ok }, patience).Should(BeTrue())
-			record, _ := executor.OwnRecord()
+			start := func(mesh net.Listener) *node.Node {
+				executor := node.New(node.Options{
+					ID: fmt.Sprintf("executor%d", i), Zone: "a", Callers: listen(), Mesh: mesh, Admin: listen(),
+					Members: []string{"127.0.0.1:9"}, Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(),
+				})
+				executor.Start()
+				DeferCleanup(executor.Kill)
+				Expect(executor.PutInForce(bundle.Approval{Version: 1}, testBundle())).To(Succeed())
+				Expect(executor.AcceptUpstream(node.Announcement{
+					Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4,
+				})).To(Succeed())
+				Eventually(func() bool { _, ok := executor.OwnRecord(); return ok }, patience).Should(BeTrue())
+				record, _ := executor.OwnRecord()
+				Expect(ingressNode.Learn(record)).To(Succeed())
+				return executor
+			}
+			mesh := listen()
+			executor := start(mesh)
 			if i == 0 {
-				lossy = record.Address
+				lossy = mesh.Addr().String()
+				restart = func() {
+					executor.Kill()
+					again, err := net.Listen("tcp", lossy)
+					Expect(err).NotTo(HaveOccurred())
+					start(again)
+				}
 			}
-			Expect(started.Learn(record)).To(Succeed())
 		}
 		DeferCleanup(func() { close(release) })
+		for silentRuns.Load() == 0 || otherRuns.Load() == 0 {
+			lookup("")
+		}
 	})
 
-	lookup := func(query string) time.Duration {
-		started := time.Now()
-		response, err := http.Get("http://" + ingress + "/lookup" + query)
-		Expect(err).NotTo(HaveOccurred())
-		response.Body.Close()
-		Expect(response.StatusCode).To(Equal(http.StatusOK))
-		return time.Since(started)
-	}
-
 	// Guards against lookups that wait for their whole deadline (15 s here) for an instance that has lost power, and against
 	// further ones that are sent there.
 	It("loses its lookups to another instance within two seconds, and gets calls again once it answers", func() {
-		for silentRuns.Load() == 0 || otherRuns.Load() == 0 {
-			lookup("")
-		}
 		held := make(chan time.Duration, 40)
 		before := silentRuns.Load()
 		sent := 0
@@ -139,4 +188,16 @@
 			return silentRuns.Load()
 		}, 3*time.Second).Should(BeNumerically(">", before))
 	})
+
+	// Guards against calls to an instance that has started again which go out on the connection to its former process.
+	It("gets calls on a new connection after it has started again", func() {
+		link.silent.Store(true)
+		Expect(lookup("")).To(BeNumerically("<", 2*time.Second))
+		restart()
+		link.silent.Store(false)
+		before := silentRuns.Load()
+		for silentRuns.Load() == before {
+			Expect(lookup("")).To(BeNumerically("<", 300*time.Millisecond))
+		}
+	})
 })
