--- a/state/bundle/part.go
+++ b/state/bundle/part.go
@@ -91,14 +91,25 @@
 // maxPartDepth bounds the nesting of a part: a map of the part, one of a field and one of headers.
 const maxPartDepth = 4
 
-// strict rejects duplicate map keys, unknown fields, tags and indefinite lengths, so that one value has one encoding.
-var strict = mustDecMode(cbor.DecOptions{
-	DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-	ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-	IndefLength:       cbor.IndefLengthForbidden,
-	TagsMd:            cbor.TagsForbidden,
-	MaxNestedLevels:   maxPartDepth,
-})
+// maxUpdateDepth bounds the nesting of an update: maps of the update, its change, an entry and its identifier, and a list.
+const maxUpdateDepth = 5
+
+// strict and strictUpdate reject duplicate map keys, unknown fields, tags and indefinite lengths, so that one value has one
+// encoding.
+var (
+	strict       = strictMode(maxPartDepth)
+	strictUpdate = strictMode(maxUpdateDepth)
+)
+
+func strictMode(depth int) cbor.DecMode {
+	return mustDecMode(cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   depth,
+	})
+}
 
 func mustEncMode(options cbor.EncOptions) cbor.EncMode {
 	mode, err := options.EncMode()
