--- a/control/metrics.go
+++ b/control/metrics.go
@@ -90,8 +90,8 @@
 		send(termDesc, prometheus.GaugeValue, float64(g.Raft.Term), group)
 		send(commitDesc, prometheus.GaugeValue, float64(g.Raft.Commit), group)
 		send(appliedDesc, prometheus.GaugeValue, float64(g.Raft.Applied), group)
-		send(leaderDesc, prometheus.GaugeValue, truth(g.Raft.Role == raft.RoleLeader), group)
-		send(quorumLostDesc, prometheus.GaugeValue, truth(g.Raft.QuorumLost), group)
+		send(leaderDesc, prometheus.GaugeValue, boolValue(g.Raft.Role == raft.RoleLeader), group)
+		send(quorumLostDesc, prometheus.GaugeValue, boolValue(g.Raft.QuorumLost), group)
 		send(proposalsDesc, prometheus.GaugeValue, float64(g.Proposals), group)
 	}
 	age := -1.0
@@ -109,7 +109,7 @@
 	send(partsDesc, prometheus.CounterValue, float64(stats.PartsReceived), "received")
 }
 
-func truth(value bool) float64 {
+func boolValue(value bool) float64 {
 	if value {
 		return 1
 	}
--- /dev/null
+++ b/control/metrics_test.go
@@ -0,0 +1,30 @@
+package control_test
+
+import (
+	"io"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/control"
+)
+
+var _ = Describe("metrics of a member", func() {
+	// Guards against a scrape that fails, or that does not show who leads and how old its state is.
+	It("show the log, the age of the confirmation and the time of proposals", func() {
+		g := formGroup("a", "b", "c")
+		leader, _ := g.leader()
+		g.approve(leader, 1, config("desk"))
+		response, err := http.Get("http://" + g.admin[leader] + control.PathMetrics)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK), string(text))
+		Expect(text).To(MatchRegexp(`(?m)^sapphiregate_log_leader\{group="0"\} 1$`))
+		Expect(text).To(MatchRegexp(`(?m)^sapphiregate_confirmed_age_seconds [0-9.e-]+$`))
+		Expect(text).To(MatchRegexp(`(?m)^sapphiregate_proposal_seconds_count\{result="applied"\} [1-9]`))
+		Expect(text).To(ContainSubstring(`sapphiregate_violations_total{invariant="internal"} 0`))
+	})
+})
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -237,7 +237,7 @@
 	t.endpoint.observe(&b.config, now.Sub(t.endpoint.epoch), r)
 }
 
-// Suspend keeps all calls away from a target's upstream until a time: its instance gives no sign of life. A call that has
+// Suspend keeps all calls away from a target's upstream until a time: its instance does not respond. A call that has
 // no other place is better refused at once than lost there.
 func (b *Balancer) Suspend(t Target, until time.Time) {
 	if t.endpoint != nil {
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -91,7 +91,7 @@
 	faults       atomic.Int64 // part of the calls that the upstream failed, in thousandths
 	faultAt      atomic.Int64
 	ejectedUntil atomic.Int64
-	// suspendedUntil is set while the instance gives no sign of life.
+	// suspendedUntil is set while the instance does not respond.
 	suspendedUntil atomic.Int64
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -118,8 +118,8 @@
 func (p *process) Follow(stream rpc.FollowServerStream) error { return p.host.Follow(stream) }
 func (p *process) Call(rpc.CallServerStream) error            { return nil }
 
-func (p *process) Alive(context.Context, *protocol.AliveRequest) (*protocol.AliveReply, error) {
-	return &protocol.AliveReply{}, nil
+func (p *process) Ping(context.Context, *protocol.PingRequest) (*protocol.PingReply, error) {
+	return &protocol.PingReply{}, nil
 }
 
 // stop ends the process as a node does.
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -149,8 +149,8 @@
 	caller context.Context, target balance.Target, head *protocol.CallHead, body *requestBody, reached func(),
 ) *reply {
 	ctx, cancel := context.WithCancel(caller)
-	owed := n.liveness.sent(target, head.Class, cancel)
-	defer owed.end()
+	pending := n.liveness.sent(target, head.Class, cancel)
+	defer pending.end()
 	stream, err := n.calls.Call(ctx, target.Address)
 	if err != nil {
 		cancel()
@@ -164,14 +164,14 @@
 	first, err := stream.Recv()
 	if err == nil && first.Progress {
 		reached()
-		owed.heard()
+		pending.heard()
 		first, err = stream.Recv()
 	}
 	if err != nil || first.Head == nil {
 		cancel()
 		return brokenCall(caller, err)
 	}
-	owed.heard()
+	pending.heard()
 	answer := &reply{head: *first.Head, body: first.Body, trailer: first.Trailer, done: cancel}
 	if first.Last {
 		return answer
--- a/node/liveness.go
+++ b/node/liveness.go
@@ -8,30 +8,30 @@
 	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
-	"sapphiregate.example/sapphiregate/coordination/silence"
+	"sapphiregate.example/sapphiregate/coordination/detector"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 )
 
 const (
-	// questionTimeout is how long an instance may take to show that it is alive, beside the way to its zone and back. It
-	// covers a process that gets a few percent of a core.
-	questionTimeout = 300 * time.Millisecond
-	// suspension keeps calls away from a silent instance. Each further question without an answer renews it.
+	// pingTimeout is how long an instance may take to respond to a probe, beside the way to its zone and back. It covers a
+	// process that gets a few percent of a core.
+	pingTimeout = 300 * time.Millisecond
+	// suspension keeps calls away from a failed instance. Each further probe without a response renews it.
 	suspension = 2 * time.Second
 )
 
-// liveness asks instances that owe answers for a sign of life, and takes calls away from those that give none. Package
-// silence decides; this type has the timers, the questions and their consequences.
+// liveness detects instances that do not respond and takes calls away from them. Package detector decides; this type has the
+// timers, sends the probes and carries out what follows from them.
 type liveness struct {
 	balancer  *balance.Balancer
 	calls     *rpc.Pool
 	zoneDelay func(zone string) time.Duration
 	logger    zerolog.Logger
-	// fresh makes a connection of its own for each question to a silent instance: one that was open when power was lost
-	// or a link was cut stays silent after the instance is back.
-	fresh *rpc.Pool
+	// probes makes a new connection for each probe of a failed instance: one that was open when power was lost or a link
+	// was cut may stay without traffic after the recovery.
+	probes *rpc.Pool
 
 	mu        sync.Mutex
 	ended     bool
@@ -41,27 +41,27 @@
 
 // instance is what a node knows of another one that it sends calls to.
 type instance struct {
-	target balance.Target
-	watch  silence.Watch
-	timer  *time.Timer
-	// repeatable holds the calls that may be sent elsewhere: irreversible ones wait for their answer.
+	target   balance.Target
+	detector detector.Detector
+	timer    *time.Timer
+	// repeatable holds the calls that may be sent to another instance; irreversible ones wait for their answer.
 	repeatable map[uint64]context.CancelFunc
 }
 
-// owedAnswer is a call that waits for an answer.
-type owedAnswer struct {
+// pendingCall is a call that waits for a response.
+type pendingCall struct {
 	liveness *liveness
 	instance *instance
 	call     uint64
 }
 
 // sent notes a call. cancel ends it so that it can be sent elsewhere.
-func (l *liveness) sent(target balance.Target, class bundle.Class, cancel context.CancelFunc) *owedAnswer {
+func (l *liveness) sent(target balance.Target, class bundle.Class, cancel context.CancelFunc) *pendingCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.instances[target.ID]
 	if known != nil && known.target.Incarnation != target.Incarnation {
-		// The former process is gone, and its connection may stay open and silent.
+		// The former process is gone, and its connection may stay open.
 		l.calls.Forget(known.target.Address)
 		known = nil
 	}
@@ -70,101 +70,101 @@
 		l.instances[target.ID] = known
 	}
 	l.nextCall++
-	known.watch.Sent(time.Now(), l.nextCall)
+	known.detector.Sent(time.Now(), l.nextCall)
 	if class != bundle.ClassIrreversible {
 		known.repeatable[l.nextCall] = cancel
 	}
 	l.arm(known)
-	return &owedAnswer{liveness: l, instance: known, call: l.nextCall}
+	return &pendingCall{liveness: l, instance: known, call: l.nextCall}
 }
 
-// heard notes that the instance has answered.
-func (o *owedAnswer) heard() {
-	l := o.liveness
+// heard notes that the instance has responded.
+func (p *pendingCall) heard() {
+	l := p.liveness
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.apply(o.instance, o.instance.watch.Heard(time.Now()))
+	l.apply(p.instance, p.instance.detector.Heard(time.Now()))
 }
 
 // end notes that the call no longer waits.
-func (o *owedAnswer) end() {
-	l := o.liveness
+func (p *pendingCall) end() {
+	l := p.liveness
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o.instance.watch.Ended(o.call)
-	delete(o.instance.repeatable, o.call)
+	p.instance.detector.Ended(p.call)
+	delete(p.instance.repeatable, p.call)
 }
 
-// arm sets the timer for the next question. A timer that runs is left as it is: it looks again when it fires. The lock is
+// arm sets the timer for the next probe. A timer that runs is left as it is: it looks again when it fires. The lock is
 // held.
 func (l *liveness) arm(i *instance) {
-	next, ok := i.watch.Next()
+	next, ok := i.detector.Next()
 	if !ok || i.timer != nil || l.ended {
 		return
 	}
-	i.timer = time.AfterFunc(max(time.Until(next), 0), func() { l.look(i) })
+	i.timer = time.AfterFunc(max(time.Until(next), 0), func() { l.check(i) })
 }
 
-// look asks the instance if a question is due.
-func (l *liveness) look(i *instance) {
+// check probes the instance if a probe is due.
+func (l *liveness) check(i *instance) {
 	l.mu.Lock()
 	i.timer = nil
-	wasSilent := i.watch.Silent()
-	ask := !l.ended && i.watch.Ask(time.Now())
-	if !ask {
+	failed := i.detector.Failed()
+	due := !l.ended && i.detector.StartProbe(time.Now())
+	if !due {
 		l.arm(i)
-		if i.watch.Idle() && l.instances[i.target.ID] == i {
+		if i.detector.Idle() && l.instances[i.target.ID] == i {
 			delete(l.instances, i.target.ID)
 		}
 	}
 	l.mu.Unlock()
-	if !ask {
+	if !due {
 		return
 	}
-	alive := l.ask(i.target, wasSilent)
+	responded := l.probe(i.target, failed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.apply(i, i.watch.Answered(now, alive))
-	if i.watch.Silent() {
+	l.apply(i, i.detector.EndProbe(now, responded))
+	if i.detector.Failed() {
 		l.balancer.Suspend(i.target, now.Add(suspension))
 	}
 	l.arm(i)
 }
 
-// ask reports whether the process that the calls were sent to is alive.
-func (l *liveness) ask(target balance.Target, silent bool) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), questionTimeout+2*l.zoneDelay(target.Zone))
+// probe reports whether the process that the calls were sent to responds.
+func (l *liveness) probe(target balance.Target, failed bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout+2*l.zoneDelay(target.Zone))
 	defer cancel()
 	pool := l.calls
-	if silent {
-		pool = l.fresh
+	if failed {
+		pool = l.probes
 		defer pool.Forget(target.Address)
 	}
-	reply, err := pool.Alive(ctx, target.Address)
+	reply, err := pool.Ping(ctx, target.Address)
 	return err == nil && reply.Incarnation == target.Incarnation
 }
 
 // apply carries out a change. The lock is held.
-func (l *liveness) apply(i *instance, change silence.Change) {
+func (l *liveness) apply(i *instance, change detector.Change) {
 	switch change {
-	case silence.Lost:
+	case detector.Failed:
 		l.logger.Warn().Str("to", i.target.ID).Str("zone", i.target.Zone).Int("repeatable_calls", len(i.repeatable)).
-			Msg("instance gives no sign of life; calls go elsewhere")
+			Msg("instance does not respond; its calls go to others")
 		for _, cancel := range i.repeatable {
 			cancel()
 		}
-	case silence.Returned:
-		l.logger.Info().Str("to", i.target.ID).Str("zone", i.target.Zone).Msg("instance answers again")
+	case detector.Recovered:
+		l.logger.Info().Str("to", i.target.ID).Str("zone", i.target.Zone).Msg("instance responds again")
 		l.balancer.Resume(i.target)
-		if i.watch.Owed() == 0 {
+		if i.detector.Waiting() == 0 {
 			// After a cut, an old connection sends again only after a pause that has grown to seconds.
 			l.calls.Forget(i.target.Address)
 		}
 	}
 }
 
-// stop ends all questions.
+// stop ends all probes.
 func (l *liveness) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -176,7 +176,7 @@
 	}
 }
 
-// Alive shows another node that this process is alive.
-func (n *Node) Alive(context.Context, *protocol.AliveRequest) (*protocol.AliveReply, error) {
-	return &protocol.AliveReply{Incarnation: n.incarnation}, nil
+// Ping responds to the probe of another node.
+func (n *Node) Ping(context.Context, *protocol.PingRequest) (*protocol.PingReply, error) {
+	return &protocol.PingReply{Incarnation: n.incarnation}, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -138,12 +138,12 @@
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
 	calls       *rpc.Pool
-	// questions has the connections of liveness.
-	questions *rpc.Pool
-	liveness  *liveness
-	mesh      *rpc.Server
-	callers   *http.Server
-	admin     *http.Server
+	// probes has the connections for probes of failed instances.
+	probes   *rpc.Pool
+	liveness *liveness
+	mesh     *rpc.Server
+	callers  *http.Server
+	admin    *http.Server
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -185,7 +185,7 @@
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
 	n.executor = n.newExecutor()
 	n.liveness = &liveness{
-		balancer: n.balancer, calls: n.calls, fresh: n.questions, zoneDelay: options.zoneDelay, logger: n.logger,
+		balancer: n.balancer, calls: n.calls, probes: n.probes, zoneDelay: options.zoneDelay, logger: n.logger,
 		instances: make(map[string]*instance),
 	}
 	n.peer = relay.New(clock.Now(), n.relayConfig())
@@ -210,7 +210,7 @@
 	n.controlPool = rpc.NewPool(n.options.ControlDialer, transport)
 	n.ledgerPool = rpc.NewPool(n.options.LedgerDialer, transport)
 	n.calls = rpc.NewPool(n.options.CallDialer, transport)
-	n.questions = rpc.NewPool(n.options.CallDialer, transport)
+	n.probes = rpc.NewPool(n.options.CallDialer, transport)
 	n.mesh = rpc.NewServer(n.options.Mesh, transport)
 }
 
@@ -285,7 +285,7 @@
 	n.ledgerPool.Close()
 	n.liveness.stop()
 	n.calls.Close()
-	n.questions.Close()
+	n.probes.Close()
 	n.tasks.Wait()
 }
 
--- a/protocol/mesh.go
+++ b/protocol/mesh.go
@@ -23,10 +23,10 @@
 // StepAck ends a stream of StepFrame.
 type StepAck struct{}
 
-// AliveRequest asks a node for a sign of life.
-type AliveRequest struct{}
+// PingRequest probes a node.
+type PingRequest struct{}
 
-// AliveReply shows which process answers.
-type AliveReply struct {
+// PingReply tells which process responds.
+type PingReply struct {
 	Incarnation uint64 `cbor:"1,keyasint"`
 }
--- a/transport/rpc/client.go
+++ b/transport/rpc/client.go
@@ -138,9 +138,9 @@
 	return openStream[protocol.CallFrame, protocol.ReplyFrame](ctx, p, address, &callStream, methodCall)
 }
 
-// Alive asks the process at an address for a sign of life.
-func (p *Pool) Alive(ctx context.Context, address string) (*protocol.AliveReply, error) {
-	return invoke[protocol.AliveReply](ctx, p, address, methodAlive, &protocol.AliveRequest{})
+// Ping probes the process at an address.
+func (p *Pool) Ping(ctx context.Context, address string) (*protocol.PingReply, error) {
+	return invoke[protocol.PingReply](ctx, p, address, methodPing, &protocol.PingRequest{})
 }
 
 // Step opens a stream of log messages.
--- a/transport/rpc/service.go
+++ b/transport/rpc/service.go
@@ -38,9 +38,9 @@
 	Call(stream CallServerStream) error
 }
 
-// Witness shows that a process is alive.
-type Witness interface {
-	Alive(ctx context.Context, request *protocol.AliveRequest) (*protocol.AliveReply, error)
+// Pinger responds to probes.
+type Pinger interface {
+	Ping(ctx context.Context, request *protocol.PingRequest) (*protocol.PingReply, error)
 }
 
 // Proposer serves proposals and tells who the member is.
@@ -58,7 +58,7 @@
 const (
 	methodFollow   = "/sapphiregate.Mesh/Follow"
 	methodCall     = "/sapphiregate.Mesh/Call"
-	methodAlive    = "/sapphiregate.Mesh/Alive"
+	methodPing     = "/sapphiregate.Mesh/Ping"
 	methodPropose  = "/sapphiregate.Control/Propose"
 	methodIdentify = "/sapphiregate.Control/Identify"
 	methodStep     = "/sapphiregate.Raft/Step"
@@ -79,7 +79,7 @@
 var callDesc = grpc.ServiceDesc{
 	ServiceName: "sapphiregate.Mesh",
 	HandlerType: (*nodeHandler)(nil),
-	Methods:     []grpc.MethodDesc{{MethodName: "Alive", Handler: unary(methodAlive, Witness.Alive)}},
+	Methods:     []grpc.MethodDesc{{MethodName: "Ping", Handler: unary(methodPing, Pinger.Ping)}},
 	Streams: []grpc.StreamDesc{followDesc.Streams[0], {
 		StreamName: "Call", ServerStreams: true, ClientStreams: true,
 		Handler: func(server any, stream grpc.ServerStream) error {
@@ -93,7 +93,7 @@
 type nodeHandler interface {
 	Follower
 	Executor
-	Witness
+	Pinger
 }
 
 var controlDesc = grpc.ServiceDesc{
