Add a fault soak of the real programs

sapphirectl soak runs members and nodes as separate processes behind loopback proxies, kills, stops, pauses and restarts them, resets, delays, cuts and silences their links and empties disks by a seeded schedule, and checks what callers, upstreams and operators see.

--- a/cmd/sapphirectl/main.go
+++ b/cmd/sapphirectl/main.go
@@ -11,6 +11,7 @@
 	"sapphiregate.example/sapphiregate/experiment"
 	"sapphiregate.example/sapphiregate/experiment/slope"
 	"sapphiregate.example/sapphiregate/local"
+	"sapphiregate.example/sapphiregate/soak"
 )
 
 func main() { os.Exit(run()) }
@@ -21,6 +22,6 @@
 	root := ctl.NewRoot()
 	experiments := experiment.NewCommandWith(local.Factory)
 	experiments.AddCommand(slope.NewCommand(local.Factory))
-	root.AddCommand(experiments)
+	root.AddCommand(experiments, soak.NewCommand())
 	return ctl.Execute(ctx, root)
 }
--- /dev/null
+++ b/soak/command.go
@@ -0,0 +1,73 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+// ErrBroken reports that a seed broke a promise.
+var ErrBroken = errors.New("soak: a promise was broken")
+
+// NewCommand returns the command that plays seeds.
+func NewCommand() *cobra.Command {
+	var options Options
+	var seeds int
+	var verbose bool
+	command := &cobra.Command{
+		Use:   "soak --binary FILE",
+		Short: "Run the real programs under random faults and check what callers, upstreams and operators see",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			failed := 0
+			for i := range uint64(seeds) {
+				one := options
+				one.Seed += i
+				report, err := Run(c.Context(), one)
+				if err != nil {
+					report.print(c.OutOrStdout(), true)
+					return errors.Wrapf(err, "seed %d", one.Seed)
+				}
+				report.print(c.OutOrStdout(), verbose)
+				if len(report.Broken) > 0 {
+					failed++
+				}
+			}
+			if failed > 0 {
+				return errors.Wrapf(ErrBroken, "%d of %d seeds", failed, seeds)
+			}
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.Binary, "binary", "target/sapphiregate", "the daemon to run")
+	flags.Uint64Var(&options.Seed, "seed", uint64(time.Now().Unix()), "the first seed")
+	flags.IntVar(&seeds, "seeds", 1, "number of seeds, one after another")
+	flags.DurationVar(&options.Faults, "faults", 20*time.Second, "time for which each seed injects faults")
+	flags.BoolVarP(&verbose, "verbose", "v", false, "print the timeline of every seed, not only of those that fail")
+	return command
+}
+
+func (r *Result) print(w io.Writer, verbose bool) {
+	result := "kept"
+	if len(r.Broken) > 0 {
+		result = "BROKEN"
+	}
+	fmt.Fprintf(w, "seed %d: %s; %d answers, %d served, %d versions, recovery %v\n", r.Seed, result, r.Sent, r.Served,
+		r.Approved, r.Recovery.Round(time.Millisecond))
+	if len(r.Broken) == 0 && !verbose {
+		return
+	}
+	for _, e := range r.Timeline {
+		fmt.Fprintf(w, "  %7.3f s  %s\n", e.At.Seconds(), e.Text)
+	}
+	for _, broken := range r.Broken {
+		fmt.Fprintln(w, "  broken:", broken)
+	}
+	if len(r.Broken) > 0 {
+		fmt.Fprintln(w, "  logs:", r.Folder)
+	}
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyBuffer is the size of one read; delays apply to each.
+const proxyBuffer = 32 << 10
+
+// linkFault is what a proxy does to the data that passes.
+type linkFault struct {
+	// delay holds back data in both directions.
+	delay time.Duration
+	// dropRequests and dropAnswers swallow data to and from the target while connections stay open.
+	dropRequests, dropAnswers bool
+}
+
+// proxy passes TCP connections on to one process and injects faults on the way.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault linkFault
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	listener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) accept() {
+	for {
+		caller, err := p.listener.Accept()
+		if err != nil {
+			return // The listener is closed.
+		}
+		go p.serve(caller)
+	}
+}
+
+func (p *proxy) serve(caller net.Conn) {
+	defer caller.Close()
+	target, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return // The caller sees a closed connection, as of a process that is down.
+	}
+	defer target.Close()
+	p.track(caller, target)
+	defer p.forget(caller, target)
+	var passing sync.WaitGroup
+	passing.Go(func() { p.pass(target, caller, func(f linkFault) bool { return f.dropRequests }) })
+	passing.Go(func() { p.pass(caller, target, func(f linkFault) bool { return f.dropAnswers }) })
+	passing.Wait()
+}
+
+// pass copies data until either side ends. Data that is dropped once breaks the stream for good, as a cut of a link that
+// outlasts the retransmissions would, so that nothing is passed on afterwards.
+func (p *proxy) pass(to, from net.Conn, drops func(linkFault) bool) {
+	defer to.Close()
+	buffer := make([]byte, proxyBuffer)
+	broken := false
+	for {
+		n, err := from.Read(buffer)
+		fault := p.current()
+		broken = broken || n > 0 && drops(fault)
+		if !broken && n > 0 {
+			time.Sleep(fault.delay)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) current() linkFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) set(f linkFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+func (p *proxy) track(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *proxy) forget(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+	}
+}
+
+// reset closes all connections at once without a farewell.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
