--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -22,8 +22,8 @@
 	nodeCount   = 4
 	// stopTimeout bounds a planned stop; the nodes' drain timeout is 5 s.
 	stopTimeout = 10 * time.Second
-	// startGrace is the least age at which a process is stopped as planned. A signal in the first milliseconds ends a
-	// process that has not begun to serve anything, and with it the exit code.
+	// startGrace is the least age at which a process gets SIGTERM or SIGHUP. In the first milliseconds the Go runtime has not
+	// installed its handlers yet, and either signal ends the process.
 	startGrace   = 500 * time.Millisecond
 	operatorName = "soak"
 	service      = "desk"
@@ -235,9 +235,12 @@
 func (p *program) pause()  { p.signal(syscall.SIGSTOP) }
 func (p *program) resume() { p.signal(syscall.SIGCONT) }
 
+// settle waits until the process handles signals.
+func (p *program) settle() { time.Sleep(time.Until(p.started.Add(startGrace))) }
+
 // stop ends the process as planned. It returns an error if that takes too long or the process reports a failure.
 func (p *program) stop() error {
-	time.Sleep(time.Until(p.started.Add(startGrace)))
+	p.settle()
 	ended := p.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -97,6 +97,7 @@
 	case 6:
 		i.seen.note("connections to %s are reset; its settings are read again", p.name)
 		p.proxy.reset()
+		p.settle()
 		p.signal(syscall.SIGHUP)
 	case 7:
 		i.seen.note("%s loses its disk and is down for %v", p.name, lasts)
