--- a/soak/faults.go
+++ b/soak/faults.go
@@ -85,6 +85,7 @@
 		i.restart(p)
 	case 2:
 		i.seen.note("%s is paused for %v", p.name, lasts)
+		p.settle() // A process that is paused while it starts handles no signal when it is resumed.
 		p.pause()
 		time.Sleep(lasts)
 		p.resume()
