--- a/node/liveness.go
+++ b/node/liveness.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// pingTimeout is how long an instance may take to respond to a probe, beside the way to its zone and back. It covers a
-	// process that gets a few percent of a core.
-	pingTimeout = 300 * time.Millisecond
+	// pingTimeout is how long an instance may take to respond to a probe, beside the way to its zone and back. It covers the
+	// queues of a saturated link of 1.4 Mbit/s and of a node with 0.16 of a core: a shorter one takes calls away from
+	// instances that are only slow, and both attempts then run.
+	pingTimeout = time.Second
 	// suspension keeps calls away from a failed instance. Each further probe without a response renews it.
 	suspension = 2 * time.Second
 )
--- a/soak/command.go
+++ b/soak/command.go
@@ -13,7 +13,7 @@
 var ErrBroken = errors.New("soak: a promise was broken")
 
 // regressionSeeds failed once, or recovered only just in time; docs/soak.md has the cause of each.
-var regressionSeeds = []uint64{1, 201, 221, 225, 1102, 2208}
+var regressionSeeds = []uint64{1, 201, 221, 225, 1102, 2113, 2208}
 
 // NewCommand returns the command that plays seeds.
 func NewCommand() *cobra.Command {
