Pass long answers of keyless irreversible calls on whole

Cause: the context of such a call is detached from its caller, and a deferred cancel ended it as soon as the head and the first 64 KB were read; the rest of the answer was cut. Found by reading the change once more.

Ruled out: the bound on bodies and the streams between nodes (lookups of the same length arrive whole).

Before: the new test reads 420,000 bytes and gets an unexpected EOF. After: the context ends once the answer is passed on.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -40,6 +40,18 @@
 	done func()
 }
 
+// afterwards adds what is to be done once the answer has been passed on or given up.
+func (r *reply) afterwards(do func()) *reply {
+	previous := r.done
+	r.done = func() {
+		do()
+		if previous != nil {
+			previous()
+		}
+	}
+	return r
+}
+
 func (r *reply) finish() {
 	if r.stream != nil {
 		r.stream.Close()
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,6 +132,25 @@
 		Entry("encoded", func(h http.Header) { h.Set("Content-Encoding", "gzip") }),
 	)
 
+	// Guards against an answer that is cut since the call's context ends before all of it is passed on.
+	It("passes on a long answer whole", func() {
+		long := strings.Repeat("answer ", 60_000)
+		answerWith(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request", r.Header.Get("X-Request"))
+			w.Header().Set("X-Proof", "1")
+			fmt.Fprint(w, long)
+		})
+		request, err := http.NewRequest(http.MethodPost, "http://"+callers+"/promote", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("X-Request", "r1")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(body)).To(Equal(len(long)))
+	})
+
 	// Guards against a false "not run" after the request reached the upstream, and against a second run.
 	It("is reported as unknown, and not sent again, when its connection breaks", func() {
 		answerWith(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
--- a/node/run.go
+++ b/node/run.go
@@ -27,15 +27,7 @@
 		defer cancel()
 		return e.report(head, e.runOnce(ctx, head, body, deadline), arrived)
 	}
-	answer := e.runRepeatable(ctx, head, body, deadline)
-	previous := answer.done
-	answer.done = func() {
-		cancel()
-		if previous != nil {
-			previous()
-		}
-	}
-	return e.report(head, answer, arrived)
+	return e.report(head, e.runUnrecorded(ctx, head, body, deadline).afterwards(cancel), arrived)
 }
 
 // report adds the upstream's load to an answer, and counts and logs the call.
@@ -51,10 +43,10 @@
 	return answer
 }
 
-// runRepeatable runs a lookup or report, or an irreversible call without a key, which the ingress sends to another
+// runUnrecorded runs a lookup or report, or an irreversible call without a key, which the ingress sends to another
 // upstream only after a refusal. A call of the latter kind is not broken off once it runs: its caller may have left, but
 // half of an irreversible request helps nobody.
-func (e *executor) runRepeatable(
+func (e *executor) runUnrecorded(
 	ctx context.Context, head *protocol.CallHead, body *requestBody, deadline time.Time,
 ) *reply {
 	slot, reason := e.admit(ctx, head, deadline)
@@ -62,10 +54,17 @@
 		return refusal(reason)
 	}
 	if head.Class == bundle.ClassIrreversible {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
-		defer cancel()
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		// The rest of a long answer is read after this function has returned.
+		return e.exchange(detached, head, body, slot, deadline).afterwards(cancel)
 	}
+	return e.exchange(ctx, head, body, slot, deadline)
+}
+
+// exchange sends a call that has a slot to its upstream.
+func (e *executor) exchange(
+	ctx context.Context, head *protocol.CallHead, body *requestBody, slot *place, deadline time.Time,
+) *reply {
 	started := time.Now()
 	request := e.upstreamRequest(slot.upstream, head, body, deadline)
 	answer, err := slot.upstream.client.Do(ctx, request)
