--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -27,8 +27,9 @@
 	minSlowStartShare = 0.1
 	// maxRoutes bounds the routes of a service with an average of their own.
 	maxRoutes = 256
-	// maxSpeed bounds how much faster or slower than the average of its service an upstream is taken to be.
-	maxSpeed = 4
+	// maxSlowness bounds how much slower than the average of its service an upstream is taken to be;
+	// latencyFloorDivisor bounds how much faster.
+	maxSlowness = 4
 	// maxFaultRate bounds the part of failed calls that counts: such an upstream costs four times its delay.
 	maxFaultRate = 0.75
 	// faultLifetimes is how much longer than a load report a fault is remembered: faulty upstreams get few calls.
@@ -165,7 +166,7 @@
 	service := latency
 	if known := e.averages.route(route); known > 0 {
 		average := cmp.Or(float64(e.averages.latency.Load()), latency)
-		service = known * min(max(latency/average, 1/maxSpeed), maxSpeed)
+		service = known * min(latency/average, maxSlowness)
 	}
 	wait := max(0, e.load(c, at)-1) * latency
 	return wait + service + 2*float64(e.delay.Load())
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -44,7 +44,8 @@
 	c.byAddress[candidate.Address] = candidate
 }
 
-// waiting lists the candidates that were heard of lately and still hold their address, those of zones with the fewest members first.
+// waiting lists the candidates that were heard of lately and still hold their address, those of zones with the fewest
+// members first.
 func (c *Candidates) waiting(now time.Time, status raft.Status) []Candidate {
 	members := make(map[string]int)
 	for _, member := range status.Membership.Members {
--- a/ctl/trace.go
+++ b/ctl/trace.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -135,7 +136,7 @@
 		if index < 0 {
 			index = len(tried)
 		}
-		if line.Message == messageAttemptFailed {
+		if line.Message == logging.AttemptFailed {
 			return 2*index + 1
 		}
 		return 2 * index
@@ -149,17 +150,9 @@
 	t.Cause = causes[t.Lines[len(t.Lines)-1].Reason]
 }
 
-// Messages of the lines that the order depends on.
-const (
-	messageAttemptFailed   = "attempt failed; another instance gets the request"
-	messageRequestFailed   = "request failed"
-	messageRequestAnswered = "request answered"
-	messageRequestRefused  = "request refused"
-)
-
 // ends reports whether the line is the last one of the node that took the request in.
 func (l *logLine) ends() bool {
-	return l.Message == messageRequestFailed || l.Message == messageRequestAnswered || l.Message == messageRequestRefused
+	return l.Message == logging.RequestFailed || l.Message == logging.RequestAnswered || l.Message == logging.RequestRefused
 }
 
 // about names the instance that a line is about, if that is not the one that wrote it.
@@ -174,7 +167,7 @@
 	fmt.Fprintln(w, "STEP\tINSTANCE\tWHAT\tREASON\tSTATUS\tTOOK\tWAITED\tLEFT\tSLOTS\tVERSION")
 	for i, line := range t.Lines {
 		took, left := line.TookMs, line.LeftMs
-		if !line.ends() && line.Message != messageAttemptFailed {
+		if !line.ends() && line.Message != logging.AttemptFailed {
 			took, left = line.UpstreamMs, line.GivenMs
 		}
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%d ms\t%d ms\t%d ms\t%d of %d, %d wait\t%d, %d ms old\n", i+1,
--- a/daemon/root.go
+++ b/daemon/root.go
@@ -47,7 +47,12 @@
 		return errors.Mark(err, errUsage)
 	}
 	logging.ReportViolations(logger)
-	return errors.CombineErrors(command(logger), output.Close())
+	err = command(logger)
+	if unwritten := output.Close(); unwritten != nil {
+		// A log that nobody reads does not make a planned stop a failure.
+		fmt.Fprintln(os.Stderr, "sapphiregate:", unwritten)
+	}
+	return err
 }
 
 // Main runs the command line and returns the exit code.
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -52,7 +52,11 @@
 
 // Violated reports a violation.
 func Violated(name Name, message string, values map[string]any) {
-	counts[name].Add(1)
+	count, listed := counts[name]
+	if !listed {
+		count = counts[Internal]
+	}
+	count.Add(1)
 	if h := handler.Load(); h != nil {
 		(*h)(name, message, values)
 	}
--- a/node/answer.go
+++ b/node/answer.go
@@ -281,6 +281,7 @@
 	}
 	set(e.dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	set(e.dialect.Depth, strconv.Itoa(head.Depth+1))
+	set(e.dialect.RequestID, head.RequestID)
 	set(e.dialect.ExpectUpstream, target.announcement.ID)
 	if head.Retry {
 		set(e.dialect.Retry, "1")
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -129,7 +129,9 @@
 	for name, value := range c.policy.headers {
 		header[http.CanonicalHeaderKey(name)] = []string{value}
 	}
-	for _, name := range []string{dialect.Deadline, dialect.Depth, dialect.Retry, dialect.ExpectUpstream} {
+	for _, name := range []string{
+		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream,
+	} {
 		header.Del(name) // The executor sets these from the head.
 	}
 	if dialect.CallerService != "" {
@@ -139,6 +141,7 @@
 		Service: c.policy.split.Next(), Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: requestURI(r),
 		Host: r.Host, Header: protocol.Fields(header), Depth: depth, Retry: dialect.Retry != "" && r.Header.Get(dialect.Retry) != "",
 		ContentLength: r.ContentLength, Version: c.snapshot.version, Priority: c.route.Priority,
+		RequestID: r.Header.Get(dialect.RequestID),
 	}
 	if c.route.Class != bundle.ClassIrreversible || c.route.Keyless {
 		return protocol.ReasonNone
--- a/node/liveness.go
+++ b/node/liveness.go
@@ -99,8 +99,11 @@
 // arm sets the timer for the next probe. A timer that runs is left as it is: it looks again when it fires. The lock is
 // held.
 func (l *liveness) arm(i *instance) {
+	if i.timer != nil || l.ended {
+		return // This is the case for most calls; Next looks at all that wait.
+	}
 	next, ok := i.detector.Next()
-	if !ok || i.timer != nil || l.ended {
+	if !ok {
 		return
 	}
 	i.timer = time.AfterFunc(max(time.Until(next), 0), func() { l.check(i) })
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,7 +22,6 @@
 type metrics struct {
 	registry *telemetry.Registry
 
-	requests        *prometheus.CounterVec
 	requestTime     *prometheus.HistogramVec
 	refusals        *prometheus.CounterVec
 	addedTime       prometheus.Histogram
@@ -45,7 +44,6 @@
 	r := telemetry.NewRegistry()
 	return &metrics{
 		registry: r,
-		requests: r.Counters("requests_total", "Requests that were let in, by their end.", "class", "outcome"),
 		requestTime: r.Latencies("request_seconds", "Time from a request's header to its answer, by its end.",
 			"class", "outcome"),
 		refusals:  r.Counters("requests_refused_total", "Requests that the node did not let in.", "reason"),
@@ -80,7 +78,6 @@
 }
 
 func (m *metrics) ended(class bundle.Class, outcome protocol.Outcome, took time.Duration) {
-	m.requests.WithLabelValues(string(class), string(outcome)).Inc()
 	m.requestTime.WithLabelValues(string(class), string(outcome)).Observe(took.Seconds())
 }
 
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -89,13 +91,13 @@
 func (l *requestLog) ended(c *ingressCall, answer *reply) {
 	head := &answer.head
 	failed := head.Outcome != protocol.OutcomeDone || answer.failedByUpstream()
-	event := l.about(c.requestID(), failed)
+	event := l.about(requestID(&c.head), failed)
 	if event == nil {
 		return
 	}
-	message := "request answered"
+	message := logging.RequestAnswered
 	if failed {
-		message = "request failed"
+		message = logging.RequestFailed
 	}
 	now := time.Now()
 	event.Str("route", c.route.Name).Str("service", c.head.Service).
@@ -115,12 +117,12 @@
 	}
 	event.Str("host", r.Host).Str("path", r.URL.Path).
 		Str("outcome", string(protocol.OutcomeNotRun)).Str("reason", string(reason)).Uint64("version", n.Version()).
-		Msg("request refused")
+		Msg(logging.RequestRefused)
 }
 
 // repeated reports that an attempt failed and another one follows.
 func (l *requestLog) repeated(c *ingressCall, failed *reply, instance string, pause time.Duration) {
-	event := l.about(c.requestID(), true)
+	event := l.about(requestID(&c.head), true)
 	if event == nil {
 		return
 	}
@@ -128,22 +130,22 @@
 		Str("outcome", string(failed.head.Outcome)).Str("reason", string(failed.head.Reason)).
 		Int("upstream_status", failed.head.Status).Int64("pause_ms", pause.Milliseconds()).
 		Int64("left_ms", time.Until(c.deadline).Milliseconds()).
-		Msg("attempt failed; another instance gets the request")
+		Msg(logging.AttemptFailed)
 }
 
 // call reports the end of a call at the node beside the upstream. waited is the time until it had a slot or was refused.
-func (l *requestLog) call(e *executor, head *protocol.CallHead, answer *reply, waited time.Duration) {
+func (l *requestLog) call(head *protocol.CallHead, answer *reply, waited time.Duration) {
 	failed := answer.head.Outcome != protocol.OutcomeDone || answer.failedByUpstream()
-	event := l.about(requestID(e.dialect, head), failed)
+	event := l.about(requestID(head), failed)
 	if event == nil {
 		return
 	}
-	message := "call answered"
+	message := logging.CallAnswered
 	switch {
 	case answer.head.Outcome == protocol.OutcomeNotRun:
-		message = "call refused"
+		message = logging.CallRefused
 	case failed:
-		message = "call failed"
+		message = logging.CallFailed
 	}
 	load := answer.head.Load
 	event.Str("route", head.Route).Str("service", head.Service).
@@ -156,11 +158,4 @@
 }
 
 // requestID returns the caller's name for the request, or its idempotency key.
-func (c *ingressCall) requestID() string { return requestID(&c.node.options.Dialect, &c.head) }
-
-func requestID(dialect *protocol.Dialect, head *protocol.CallHead) string {
-	if dialect.RequestID != "" {
-		return http.Header(head.Header).Get(dialect.RequestID)
-	}
-	return head.Key
-}
+func requestID(head *protocol.CallHead) string { return cmp.Or(head.RequestID, head.Key) }
--- a/node/requestlog_test.go
+++ b/node/requestlog_test.go
@@ -97,7 +97,7 @@
 		Expect(found[1]).To(HaveKeyWithValue("outcome", "unknown"))
 		Expect(found[1]).To(HaveKeyWithValue("tried", ConsistOf("n1")))
 		Expect(found[1]).To(HaveKeyWithValue("version", BeEquivalentTo(1)))
-		Expect(metric(admin, `sapphiregate_requests_total{class="irreversible",outcome="unknown"}`)).To(Equal(1.0))
+		Expect(metric(admin, `sapphiregate_request_seconds_count{class="irreversible",outcome="unknown"}`)).To(Equal(1.0))
 	})
 
 	// Guards against a refusal under overload that does not show what the decision was based on.
--- a/node/run.go
+++ b/node/run.go
@@ -39,7 +39,7 @@
 	case answer.head.Upstream > 0:
 		e.metrics.upstreamTime.Observe(answer.head.Upstream.Seconds())
 	}
-	e.requestLog.call(e, head, answer, time.Since(arrived)-answer.head.Upstream)
+	e.requestLog.call(head, answer, time.Since(arrived)-answer.head.Upstream)
 	return answer
 }
 
--- a/protocol/fields.go
+++ b/protocol/fields.go
@@ -23,7 +23,7 @@
 	"Content-Language", "Content-Length", "Content-Type", "Cookie", "Date", "Etag", "Expires", "If-Match",
 	"If-Modified-Since", "If-None-Match", "Last-Modified", "Location", "Origin", "Range", "Referer", "Retry-After",
 	"Server", "Set-Cookie", "Traceparent", "Tracestate", "User-Agent", "Vary", "Via", "X-Forwarded-For",
-	"X-Forwarded-Proto", "Request-Id", "X-Request-Id", HeaderKey, HeaderOutcome, HeaderReason,
+	"X-Forwarded-Proto", "X-Request-Id", HeaderKey, HeaderOutcome, HeaderReason,
 }
 
 var usualIndices = func() map[string]uint64 {
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -78,7 +78,7 @@
 	// links between zones are charged by the byte.
 	It("sends no usual header name and no empty digest with a call", func() {
 		head := protocol.CallHead{Header: protocol.Fields{
-			"Accept": {"*/*"}, "Accept-Encoding": {"identity"}, "Request-Id": {"1"}, "User-Agent": {"client"}, "X-Own": {"2"},
+			"Accept": {"*/*"}, "Accept-Encoding": {"identity"}, "X-Request-Id": {"1"}, "User-Agent": {"client"}, "X-Own": {"2"},
 		}}
 		data := encoded(head)
 		Expect(data).To(ContainSubstring("X-Own"))
--- a/state/registry/apply.go
+++ b/state/registry/apply.go
@@ -159,13 +159,7 @@
 }
 
 func (r *Registry) approve(index uint64, a bundle.Approval) Result {
-	if err := r.keys.Verify(a); err != nil {
-		return refuse(CodeUnauthorized, "%v", err)
-	}
-	if result, done := r.decided(a.Version, a.Digest); done {
-		return result
-	}
-	if result := r.condition(a); result.Code != CodeOK {
+	if result, done := r.judge(a); done {
 		return result
 	}
 	if !r.store.Holds(a.Digest) {
@@ -175,15 +169,22 @@
 	return Result{Effect: EffectApproved, Approval: r.latest.Approval, Index: index}
 }
 
-// condition checks what an approval requires of the version that it replaces.
-func (r *Registry) condition(a bundle.Approval) Result {
+// judge returns the result of an approval that is decided already, not authorized, or does not meet its condition on the
+// version that it replaces.
+func (r *Registry) judge(a bundle.Approval) (result Result, done bool) {
+	if err := r.keys.Verify(a); err != nil {
+		return refuse(CodeUnauthorized, "%v", err), true
+	}
+	if result, done := r.decided(a.Version, a.Digest); done {
+		return result, true
+	}
 	switch {
 	case a.First && r.latest != nil:
-		return r.notLatest(0)
+		return r.notLatest(0), true
 	case a.Replaces != 0 && (r.latest == nil || r.latest.Version != a.Replaces):
-		return r.notLatest(a.Replaces)
+		return r.notLatest(a.Replaces), true
 	}
-	return Result{}
+	return Result{}, false
 }
 
 // put stages and approves a bundle in one step. All conditions of the approval are checked first, so that a refused put
@@ -192,13 +193,7 @@
 	if s.Version != a.Version || s.Digest != a.Digest || s.Operator != a.Operator {
 		return refuse(CodeMalformed, "stage and approval differ")
 	}
-	if err := r.keys.Verify(a); err != nil {
-		return refuse(CodeUnauthorized, "%v", err)
-	}
-	if result, done := r.decided(a.Version, a.Digest); done {
-		return result
-	}
-	if result := r.condition(a); result.Code != CodeOK {
+	if result, done := r.judge(a); done {
 		return result
 	}
 	if result := r.stage(index, s); result.Code != CodeOK {
