Check the history for lost versions in the soak

The former check compared a counter that only grows with itself and could not fail. Each acknowledged version is looked up in the group's history with its digest now; the test plants a missing version and one with another content. The soak uses bundle.Complete instead of its own copy.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +33,8 @@
 	callPause   = 25 * time.Millisecond
 	// changePause is the time between two changes of the configuration.
 	changePause = 700 * time.Millisecond
+	// historyLimit is more than the versions of the longest seed: 20 s of faults and 15 s of recovery at lookPause.
+	historyLimit = 1000
 	// lookPause is the time between two looks at the versions of the nodes.
 	lookPause = 100 * time.Millisecond
 )
@@ -73,7 +77,7 @@
 	if err := d.start(); err != nil {
 		return report, err
 	}
-	r := &run{deployment: d, seen: seen, inForce: make(map[string]uint64)}
+	r := &run{deployment: d, seen: seen, inForce: make(map[string]uint64), acknowledged: make(map[uint64]bundle.Digest)}
 	if err := r.connect(); err != nil {
 		return report, err
 	}
@@ -99,6 +103,8 @@
 	operator   *operator.Client
 	// next and approved are the last version that was sent and the last one that was acknowledged.
 	next, approved uint64
+	// acknowledged holds the digest of each acknowledged version.
+	acknowledged map[uint64]bundle.Digest
 	// waiting is set while the last version that was sent has no acknowledgement.
 	waiting bool
 	// inForce is the greatest version seen of each process, by name and life.
@@ -141,13 +147,10 @@
 	healed := time.Now()
 	stopChanges()
 	changing.Wait()
-	acknowledged := r.approved
 	if !r.await(ctx, recoveryTimeout, func() bool { return r.change(ctx) && r.allInForce(r.approved) }) {
 		r.seen.breach("no new version was in force on all nodes %v after the last fault (%s)", recoveryTimeout, r.versions())
 	}
-	if r.approved < acknowledged {
-		r.seen.breach("version %d was acknowledged and is lost", acknowledged)
-	}
+	r.checkHistory(ctx)
 	before := r.seen.servedCount()
 	if !r.await(ctx, recoveryTimeout, func() bool { return r.seen.servedCount() >= before+callers }) {
 		r.seen.breach("callers were not served again within %v", recoveryTimeout)
@@ -167,30 +170,61 @@
 	return false
 }
 
+// checkHistory looks for acknowledged versions that the group has lost or that have another content.
+func (r *run) checkHistory(ctx context.Context) {
+	var answer operator.HistoryAnswer
+	read := func() bool {
+		var err error
+		answer, err = r.operator.History(ctx, operator.HistoryRequest{Limit: historyLimit})
+		return err == nil
+	}
+	if !r.await(ctx, recoveryTimeout, read) {
+		r.seen.breach("the history was not readable within %v", recoveryTimeout)
+		return
+	}
+	for _, version := range lost(r.acknowledged, answer.Records) {
+		r.seen.breach("version %d was acknowledged and is lost", version)
+	}
+}
+
+// lost returns the acknowledged versions that no record of an approval with their digest confirms.
+func lost(acknowledged map[uint64]bundle.Digest, records []registry.HistoryRecord) []uint64 {
+	confirmed := make(map[uint64]bundle.Digest)
+	for _, record := range records {
+		if record.Action == registry.ActionApproved {
+			confirmed[record.Version] = record.Digest
+		}
+	}
+	var missing []uint64
+	for _, version := range slices.Sorted(maps.Keys(acknowledged)) {
+		if confirmed[version] != acknowledged[version] {
+			missing = append(missing, version)
+		}
+	}
+	return missing
+}
+
 // change approves the next version, and reports whether that was acknowledged. A version without an answer is sent again.
 func (r *run) change(ctx context.Context) bool {
 	if r.next == r.approved {
 		r.next++
 	}
-	b := configuration(r.next)
-	parts, manifest, err := bundle.Split(b)
+	update, err := bundle.Complete(configuration(r.next))
 	if err != nil {
 		r.seen.breach("the configuration cannot be split: %v", err)
 		return false
 	}
-	encoded, err := registry.EncodeUpdate(bundle.Update{
-		Target: manifest.Digest(), Delta: bundle.Diff(bundle.Manifest{}, manifest), Parts: parts,
-	})
+	encoded, err := registry.EncodeUpdate(update)
 	if err != nil {
 		r.seen.breach("the configuration cannot be encoded: %v", err)
 		return false
 	}
 	id := fmt.Sprintf("change-%d", r.next)
 	_, err = r.operator.Stage(ctx, operator.StageRequest{
-		RequestID: id + "-stage", Operator: operatorName, Version: r.next, Digest: manifest.Digest(), Update: encoded,
+		RequestID: id + "-stage", Operator: operatorName, Version: r.next, Digest: update.Target, Update: encoded,
 	})
 	if err == nil {
-		approval := bundle.Approval{Version: r.next, Digest: manifest.Digest(), Operator: operatorName}
+		approval := bundle.Approval{Version: r.next, Digest: update.Target, Operator: operatorName}
 		_, err = r.operator.Approve(ctx, operator.ApproveRequest{
 			RequestID: id, Approval: bundle.Sign(r.deployment.key.Key, approval),
 		})
@@ -206,6 +240,7 @@
 		r.seen.note("version %d is acknowledged", r.next)
 	}
 	r.approved, r.waiting = r.next, false
+	r.acknowledged[r.next] = update.Target
 	return true
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/registry"
 )
 
 func TestSoak(t *testing.T) {
@@ -53,6 +56,17 @@
 	})
 })
 
+var _ = Describe("the check of the history", func() {
+	It("finds an acknowledged version that is missing or has another content", func() {
+		digest := func(b byte) bundle.Digest { return bundle.Digest{b} }
+		records := []registry.HistoryRecord{
+			{Action: registry.ActionApproved, Version: 3, Digest: digest(9)}, {Action: registry.ActionApproved, Version: 1, Digest: digest(1)},
+		}
+		Expect(lost(map[uint64]bundle.Digest{1: digest(1)}, records)).To(BeEmpty())
+		Expect(lost(map[uint64]bundle.Digest{1: digest(1), 2: digest(2), 3: digest(3)}, records)).To(Equal([]uint64{2, 3}))
+	})
+})
+
 var _ = Describe("the proxy", func() {
 	// Guards against faults that are not injected.
 	It("passes data on, swallows it in one direction, and resets", func() {
