Log each step of a node's stop with what is still in flight

An on-call engineer could not tell from the logs which step of a stop ran out of time, nor whether requests, calls on the own upstream or only connections were left. Each step now writes one line with these numbers.

--- a/node/announce.go
+++ b/node/announce.go
@@ -123,10 +123,7 @@
 // waitIdle waits until no call holds a slot, waits for one, or has a pending claim.
 func (e *executor) waitIdle(ctx context.Context) error {
 	for {
-		e.mu.Lock()
-		count := len(e.active) + e.pendingClaims
-		e.mu.Unlock()
-		if count == 0 {
+		if e.callsInFlight() == 0 {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -135,3 +132,10 @@
 		sleep(ctx, idleCheckInterval)
 	}
 }
+
+// callsInFlight returns the number of calls that hold a slot, wait for one, or have a pending claim.
+func (e *executor) callsInFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.active) + e.pendingClaims
+}
--- a/node/node.go
+++ b/node/node.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/credentials"
 
@@ -109,11 +108,6 @@
 	// readHeaderTimeout bounds how long a caller may take to send a request's header.
 	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = 2 * time.Minute
-	// drainAnnouncementTime lets the announcement of a drain reach the other nodes before callers are told to close
-	// their connections. It also bounds the wait for Follow streams.
-	drainAnnouncementTime = 300 * time.Millisecond
-	// connectionCloseTime lets callers close their connections before the node does.
-	connectionCloseTime = 500 * time.Millisecond
 )
 
 // Node is the process beside one upstream.
@@ -130,7 +124,9 @@
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
 	requests   requestTracker
-	requestLog *requestLog
+	// connections are those of callers.
+	connections connectionCounter
+	requestLog  *requestLog
 	// closeConnections makes responses ask callers to close their connections.
 	closeConnections atomic.Bool
 	// stopping makes the node report that it is not ready.
@@ -171,6 +167,7 @@
 	}
 	n := &Node{
 		requests:       requestTracker{limit: options.Limits.MaxCalls},
+		connections:    connectionCounter{states: make(map[net.Conn]http.ConnState)},
 		options:        options,
 		id:             options.ID,
 		incarnation:    uint64(now.UnixNano()),
@@ -198,7 +195,7 @@
 	n.mesh.ServeNode(n)
 	n.callers = &http.Server{
 		Handler: n, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: options.Limits.MaxHeaderBytes,
+		MaxHeaderBytes: options.Limits.MaxHeaderBytes, ConnState: n.connections.changed,
 	}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	return n
@@ -249,51 +246,6 @@
 
 func isClosed(err error) bool { return err == http.ErrServerClosed }
 
-// Stop shuts the node down gracefully. The node reports that it is not ready, announces that its upstream is draining
-// and lets the calls in flight finish. Callers are told to close their connections, and their requests are still served
-// through other nodes until the listeners close. Then the responses of irreversible calls are recorded.
-//
-// A step that is not complete when the context ends is given up, and the following steps are still taken. Recording
-// comes last, so that an unreachable ledger does not cut off requests. The error says whether a step was given up.
-func (n *Node) Stop(ctx context.Context) error {
-	n.stopping.Store(true)
-	n.executor.drainForStop()
-	noticeEnd := time.Now().Add(n.options.Limits.LeaveNotice)
-	sleep(ctx, drainAnnouncementTime)
-	// A request may already be in transit on an idle connection that this node closes, so callers close theirs first.
-	n.closeConnections.Store(true)
-	err := n.executor.waitIdle(ctx)
-	sleep(ctx, max(connectionCloseTime, time.Until(noticeEnd)))
-	err = errors.CombineErrors(err, n.requests.drain(ctx))
-	err = errors.CombineErrors(err, n.callers.Shutdown(ctx))
-	err = errors.CombineErrors(err, n.executor.background.wait(ctx))
-	n.mesh.GracefulStop(withFollowStopTimeout(ctx))
-	n.Kill()
-	return errors.Wrap(err, "node: stopped before all calls ended and their responses were recorded")
-}
-
-// withFollowStopTimeout bounds the wait for the Follow streams of children, which do not end by themselves.
-func withFollowStopTimeout(ctx context.Context) context.Context {
-	bounded, cancel := context.WithTimeout(ctx, drainAnnouncementTime)
-	context.AfterFunc(bounded, cancel)
-	return bounded
-}
-
-// Kill stops the node at once, as a crash would.
-func (n *Node) Kill() {
-	n.cancel()
-	n.executor.close()
-	n.mesh.Stop()
-	_ = n.callers.Close()
-	_ = n.admin.Close()
-	n.controlPool.Close()
-	n.ledgerPool.Close()
-	n.liveness.stop()
-	n.calls.Close()
-	n.probes.Close()
-	n.tasks.Wait()
-}
-
 // Version returns the configuration version in force; 0 if there is none.
 func (n *Node) Version() uint64 {
 	if current := n.snapshot.Load(); current != nil {
--- a/node/request_tracker.go
+++ b/node/request_tracker.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// count returns the number of requests in flight.
+func (t *requestTracker) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlight
+}
+
 // drain refuses further requests and waits until none is in flight, or until the context ends.
 func (t *requestTracker) drain(ctx context.Context) error {
 	t.mu.Lock()
