node: answer the requests that a stop gives up instead of closing their connections

Callers saw: a request that a stopping node had taken in ended with a closed connection and no response (LOST).

Cause: all steps of Stop share one context. A step that used it up left no time for the callers' side: Shutdown returned at once and Kill closed the connections of all requests in flight. The contexts of requests only ended when their connection was closed, so that no response could be written.

Change: the waits for calls and requests end 500 ms before the stop does. Then the context of all requests ends with a cause, each caller gets "unknown: draining" (502), and the node waits for these responses. A keyless irreversible call, which does not end with its caller, ends with the same context. The reason of such requests is "draining" in logs and responses, where it was "caller-gone".

--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -190,7 +190,7 @@
 	case errors.Is(callerCtx.Err(), context.DeadlineExceeded), errors.Is(err, rpc.ErrTimeout):
 		return unknownReply(protocol.ReasonDeadline)
 	case callerCtx.Err() != nil:
-		return unknownReply(protocol.ReasonCallerGone)
+		return unknownReply(abandonReason(callerCtx))
 	}
 	return unknownReply(protocol.ReasonNodeFailed)
 }
--- a/node/control.go
+++ b/node/control.go
@@ -49,6 +49,7 @@
 		publish: n.publishCrashReport,
 	}
 	e.ctx, e.stop = context.WithCancel(n.ctx)
+	e.requestsContext = n.requestsContext
 	return e
 }
 
--- a/node/executor.go
+++ b/node/executor.go
@@ -37,6 +37,8 @@
 	background taskGroup
 	ctx        context.Context
 	stop       context.CancelFunc
+	// requestsContext ends when a stop gives up the requests in flight.
+	requestsContext context.Context
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -180,7 +182,7 @@
 	case reason == admission.ReasonDraining:
 		return protocol.ReasonDraining
 	case ctx.Err() == context.Canceled:
-		return protocol.ReasonCallerGone
+		return abandonReason(ctx)
 	case reason == admission.ReasonDeadline:
 		return protocol.ReasonDeadline
 	default:
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -61,7 +61,7 @@
 				return f.fail()
 			}
 		case <-ctx.Done():
-			f.lastReason = protocol.ReasonDeadline
+			f.lastReason = abandonReason(ctx)
 			return f.fail()
 		}
 	}
--- a/node/irreversible.go
+++ b/node/irreversible.go
@@ -83,7 +83,7 @@
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		call.post(call.stateMachine.CallerGone)
-		return unknownReply(protocol.ReasonCallerGone)
+		return unknownReply(abandonReason(ctx))
 	}
 	return call.awaitReply()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -145,6 +145,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
+	// requestsContext is the parent of the contexts of callers' requests; abandonRequests ends it.
+	requestsContext context.Context
+	abandonRequests context.CancelCauseFunc
 	// tasks are the serving goroutines and the control goroutine.
 	tasks sync.WaitGroup
 
@@ -179,6 +182,7 @@
 	n.requestLog = newRequestLog(n.logger, n.metrics.linesDropped)
 	n.metrics.observeState(n)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.requestsContext, n.abandonRequests = context.WithCancelCause(context.Background())
 	n.createTransports()
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: options.zoneDelay})
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
@@ -196,6 +200,7 @@
 	n.callers = &http.Server{
 		Handler: n, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: options.Limits.MaxHeaderBytes, ConnState: n.connections.changed,
+		BaseContext: func(net.Listener) context.Context { return n.requestsContext },
 	}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	return n
--- a/node/run.go
+++ b/node/run.go
@@ -55,7 +55,7 @@
 		return notRunReply(reason)
 	}
 	if meta.Class == bundle.ClassIrreversible {
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		detached, cancel := context.WithDeadline(e.requestsContext, deadline)
 		// The rest of a long response is read after this function has returned.
 		return e.exchange(detached, meta, body, slot, deadline).addOnFinish(cancel)
 	}
@@ -173,7 +173,7 @@
 		return notRunReply(protocol.ReasonUnreachable)
 	}
 	if ctx.Err() != nil {
-		return unknownReply(protocol.ReasonDeadline)
+		return unknownReply(abandonReason(ctx))
 	}
 	crashed := e.awaitCrashCheck(ctx, slot)
 	reason := protocol.ReasonUpstreamFailed
--- a/node/stop.go
+++ b/node/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/protocol"
 )
 
 const (
@@ -14,24 +16,49 @@
 	drainAnnouncementTime = 300 * time.Millisecond
 	// connectionCloseTime lets callers close their connections before the node does.
 	connectionCloseTime = 500 * time.Millisecond
+	// finalResponseTime is the part of a stop's time that is kept for the responses to the requests that it gives up. A
+	// node that gets little processor time needs some of it to write them.
+	finalResponseTime = 500 * time.Millisecond
 )
 
+// errStopping is the cause with which the contexts of requests end when a stop gives them up.
+var errStopping = errors.New("node: the node stops")
+
+// abandonReason returns why the context of a call has ended.
+func abandonReason(ctx context.Context) protocol.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return protocol.ReasonDeadline
+	case errors.Is(context.Cause(ctx), errStopping):
+		return protocol.ReasonDraining
+	default:
+		return protocol.ReasonCallerGone
+	}
+}
+
 // Stop shuts the node down gracefully. The node reports that it is not ready, announces that its upstream is draining
 // and lets the calls in flight finish. Callers are told to close their connections, and their requests are still served
 // through other nodes until the listeners close. Then the responses of irreversible calls are recorded.
 //
+// Requests that are in flight shortly before the context ends are given up: their callers get a response that says so.
 // A step that is not complete when the context ends is given up, and the following steps are still taken. Recording
 // comes last, so that an unreachable ledger does not cut off requests. The error says whether a step was given up.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	n.executor.drainForStop()
 	noticeEnd := time.Now().Add(n.options.Limits.LeaveNotice)
-	sleep(ctx, drainAnnouncementTime)
+	serving, cancel := withoutFinalResponseTime(ctx)
+	defer cancel()
+	sleep(serving, drainAnnouncementTime)
 	// A request may already be in transit on an idle connection that this node closes, so callers close theirs first.
 	n.closeConnections.Store(true)
-	err := n.stopStep("own upstream idle", n.executor.waitIdle(ctx))
-	sleep(ctx, max(connectionCloseTime, time.Until(noticeEnd)))
-	err = errors.CombineErrors(err, n.stopStep("no request in flight", n.requests.drain(ctx)))
+	err := n.stopStep("own upstream idle", n.executor.waitIdle(serving))
+	sleep(serving, max(connectionCloseTime, time.Until(noticeEnd)))
+	if drainErr := n.stopStep("no request in flight", n.requests.drain(serving)); drainErr != nil {
+		err = errors.CombineErrors(err, drainErr)
+		n.abandonRequests(errStopping)
+		err = errors.CombineErrors(err, n.stopStep("requests given up", n.requests.drain(ctx)))
+	}
 	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callers.Shutdown(ctx)))
 	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(ctx)))
 	n.mesh.GracefulStop(withFollowStopTimeout(ctx))
@@ -39,6 +66,16 @@
 	return errors.Wrap(err, "node: stopped before all calls ended and their responses were recorded")
 }
 
+// withoutFinalResponseTime returns a context that ends finalResponseTime before its parent. It has no deadline if the
+// parent has none.
+func withoutFinalResponseTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-finalResponseTime))
+}
+
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
 func (n *Node) stopStep(step string, err error) error {
 	n.logger.Info().Err(err).Str("step", step).Int("requests", n.requests.count()).Int("calls", n.executor.callsInFlight()).
@@ -60,6 +97,7 @@
 	n.cancel()
 	n.executor.close()
 	n.mesh.Stop()
+	n.abandonRequests(errStopping)
 	_ = n.callers.Close()
 	_ = n.admin.Close()
 	n.controlPool.Close()
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,64 @@
+package node_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+var _ = Describe("stop", func() {
+	// Guards against a stop that runs out of time and closes callers' connections without a response.
+	DescribeTable("answers the requests that are still in flight when its time runs out",
+		func(remote bool, path string, header ...string) {
+			upstream := newBlockingUpstream()
+			f := newFixture(remote, newFakeLedger().server.Address(), 1, upstream.ServeHTTP)
+			running := f.async(context.Background(), path, "", header...)
+			Eventually(upstream.runs.Load, eventuallyTimeout).Should(BeEquivalentTo(1))
+			calls := []<-chan callResult{running}
+			if remote {
+				calls = append(calls, f.async(context.Background(), "/lookup", ""))
+				Eventually(f.executor.InFlight, eventuallyTimeout).Should(Equal(2))
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			Expect(f.ingress.Stop(ctx)).To(HaveOccurred(), "Stop must report the requests that it gave up")
+			for _, call := range calls {
+				got := <-call
+				Expect(got.err).NotTo(HaveOccurred())
+				Expect(got.status).To(Equal(http.StatusBadGateway))
+				Expect(got.outcome()).To(Equal("unknown"))
+				Expect(got.header.Get(protocol.HeaderReason)).To(BeEquivalentTo(protocol.ReasonDraining))
+			}
+		},
+		Entry("a lookup on the own upstream", false, "/lookup"),
+		Entry("an irreversible call on the own upstream", false, "/promote", keyHeader, "k1"),
+		Entry("a lookup through another node", true, "/lookup"),
+		Entry("an irreversible call through another node", true, "/promote", keyHeader, "k1"),
+	)
+
+	// Guards against the same for a call without a key, which runs on after its caller has left.
+	It("answers a keyless irreversible call on the own upstream when its time runs out", func() {
+		upstream := newBlockingUpstream()
+		n, callers, address := startCustomDialectNode(upstream.ServeHTTP)
+		Expect(sendHeartbeat(n, address, "u1", 1, 1, false)).To(Succeed())
+		mergeOwnRecord(n)
+		statuses := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			response, err := http.Post("http://"+callers+"/promote", "text/plain", nil)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			statuses <- response.StatusCode
+		}()
+		Eventually(upstream.runs.Load, eventuallyTimeout).Should(BeEquivalentTo(1))
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		Expect(n.Stop(ctx)).To(HaveOccurred())
+		Eventually(statuses, eventuallyTimeout).Should(Receive(Equal(http.StatusBadGateway)))
+	})
+})
