node: bound the deadlines of calls that a stopping node sends

Cause: a call carried its caller's deadline even if the node that waits for the response ends earlier.

Change: calls that are sent during a stop carry a deadline 200 ms before the stop gives up requests. The queue and the upstream then refuse what cannot end in time, and the caller gets "not run" with a Retry-After and goes elsewhere.

Evidence: node/stop_test.go, "gives the calls that it accepts while it stops no more time than it has left", fails before (14999 ms given with less than 3000 ms left).

--- a/node/ingress.go
+++ b/node/ingress.go
@@ -281,7 +281,7 @@
 	now := time.Now()
 	meta := c.metadata
 	// The response needs time for the way back: one that ends later reaches the caller after its deadline.
-	meta.Remaining = c.deadline.Sub(now) - c.node.options.zoneDelay(target.Zone)
+	meta.Remaining = c.node.callDeadline(c.deadline).Sub(now) - c.node.options.zoneDelay(target.Zone)
 	meta.TargetRemaining = c.timeUntilTarget()
 	meta.Incarnation = target.Incarnation
 	meta.Exclusive = c.exclusive
--- a/node/node.go
+++ b/node/node.go
@@ -131,6 +131,8 @@
 	closeConnections atomic.Bool
 	// stopping makes the node report that it is not ready.
 	stopping atomic.Bool
+	// lastCallDeadline bounds the deadlines of calls while the node stops; nil before.
+	lastCallDeadline atomic.Pointer[time.Time]
 	metrics  *metrics
 
 	controlPool *rpc.Pool
--- a/node/stop.go
+++ b/node/stop.go
@@ -19,6 +19,9 @@
 	// finalResponseTime is the part of a stop's time that is kept for the responses to the requests that it gives up. A
 	// node that gets little processor time needs some of it to write them.
 	finalResponseTime = 500 * time.Millisecond
+	// upstreamResponseTime is how long a response may travel that an upstream sends at its deadline, before the stop gives
+	// up the request.
+	upstreamResponseTime = 200 * time.Millisecond
 )
 
 // errStopping is the cause with which the contexts of requests end when a stop gives them up.
@@ -49,6 +52,7 @@
 	noticeEnd := time.Now().Add(n.options.Limits.LeaveNotice)
 	serving, cancel := withoutFinalResponseTime(ctx)
 	defer cancel()
+	n.limitCallDeadlines(serving)
 	sleep(serving, drainAnnouncementTime)
 	// A request may already be in transit on an idle connection that this node closes, so callers close theirs first.
 	n.closeConnections.Store(true)
@@ -76,6 +80,24 @@
 	return context.WithDeadline(ctx, deadline.Add(-finalResponseTime))
 }
 
+// limitCallDeadlines makes all calls that are sent from now on end before the context does, so that upstreams and their
+// queues refuse what they cannot finish in time.
+func (n *Node) limitCallDeadlines(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		last := deadline.Add(-upstreamResponseTime)
+		n.lastCallDeadline.Store(&last)
+	}
+}
+
+// callDeadline returns the deadline of a call that is sent now for a request with the given deadline. It is earlier than
+// that of the request if this node stops before.
+func (n *Node) callDeadline(deadline time.Time) time.Time {
+	if last := n.lastCallDeadline.Load(); last != nil && last.Before(deadline) {
+		return *last
+	}
+	return deadline
+}
+
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
 func (n *Node) stopStep(step string, err error) error {
 	n.logger.Info().Err(err).Str("step", step).Int("requests", n.requests.count()).Int("calls", n.executor.callsInFlight()).
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,6 +43,25 @@
 		Entry("an irreversible call through another node", true, "/promote", keyHeader, "k1"),
 	)
 
+	// Guards against a request that is accepted during a stop and waits for longer than the stop may take.
+	It("gives the calls that it accepts while it stops no more time than it has left", func() {
+		var given atomic.Int64
+		f := newFixture(true, newFakeLedger().server.Address(), 4, func(_ http.ResponseWriter, r *http.Request) {
+			left, _ := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
+			given.Store(left)
+		})
+		Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
+		Expect(given.Load()).To(BeNumerically(">", 10_000))
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.ingress.Stop(ctx) }()
+		Eventually(f.ingress.Ready, eventuallyTimeout).Should(BeFalse())
+		Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
+		Expect(given.Load()).To(BeNumerically("<", 3000))
+		Eventually(stopped, eventuallyTimeout).Should(Receive(BeNil()))
+	})
+
 	// Guards against the same for a call without a key, which runs on after its caller has left.
 	It("answers a keyless irreversible call on the own upstream when its time runs out", func() {
 		upstream := newBlockingUpstream()
