--- a/node/node.go
+++ b/node/node.go
@@ -133,7 +133,7 @@
 	stopping atomic.Bool
 	// lastCallDeadline bounds the deadlines of calls while the node stops; nil before.
 	lastCallDeadline atomic.Pointer[time.Time]
-	metrics  *metrics
+	metrics          *metrics
 
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
