node: remember an upstream that deregisters before its first heartbeat

Cause: a restarted node knows no upstream until a heartbeat arrives. A deregistration before that was acknowledged and forgotten.

Change: deregistrations are remembered by upstream ID with the last incarnation that they apply to; for an unknown upstream these are the ones that have started before the message. A heartbeat of a leaving upstream that was never in service also drains the current one, whose address it has taken over.

Evidence: node/keyless_test.go "gives no calls to an upstream that deregistered before its first heartbeat" fails before (200 instead of 503).

--- a/node/control.go
+++ b/node/control.go
@@ -33,6 +33,7 @@
 		queue:          admission.New(admission.Config{Slots: 1}),
 		waiters:        make(map[uint64]chan admission.Verdict),
 		active:         make(map[uint64]*activeCall),
+		deregistered:   make(map[string]int64),
 		ledger:         &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
 		service: func(name string) (bundle.Service, bool) {
 			current := n.snapshot.Load()
--- a/node/executor.go
+++ b/node/executor.go
@@ -57,8 +57,10 @@
 	lastHeartbeat heartbeatPosition
 	// configuredService is the service that the settings name; it is used until an upstream announces itself.
 	configuredService string
-	// deregistered is set once the upstream has said that it is about to stop; stopping once this process is.
-	deregistered, stopping bool
+	// deregistered holds, by upstream ID, the last incarnation (Unix milliseconds) that has said that it is about to stop.
+	deregistered map[string]int64
+	// stopping is set once this process is about to stop.
+	stopping bool
 	// drainStarted is the time at which the current drain began.
 	drainStarted time.Time
 }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Heartbeat is an announcement that an upstream repeats periodically. Heartbeats may arrive late, out of order, or
 // after another process has taken over the upstream's address.
@@ -43,7 +47,8 @@
 }
 
 // DeregisterUpstream drains the upstream with the given ID, which is about to stop: its calls in flight finish and it
-// gets no new ones. It has no effect if another upstream has replaced that one.
+// gets no new ones. If the upstream is not known, as after a restart of this node, its later heartbeats do not put it
+// into service.
 func (n *Node) DeregisterUpstream(id string) {
 	if n.executor.markDeregistered(id) {
 		n.executor.drain()
@@ -71,35 +76,38 @@
 		e.mu.Unlock()
 		return nil
 	}
-	sameUpstream := e.upstream != nil && e.upstream.announcement.ID == h.Announcement.ID &&
-		e.upstream.announcement.Incarnation == h.Announcement.Incarnation
 	e.lastHeartbeat = heartbeatPosition{
 		id: h.Announcement.ID, incarnation: h.Announcement.Incarnation, sequence: h.Sequence,
 	}
-	leaving := e.stopping || sameUpstream && e.deregistered
-	if !sameUpstream {
-		e.deregistered = false
-	}
+	last, deregistered := e.deregistered[h.Announcement.ID]
+	deregistered = deregistered && h.Announcement.Incarnation <= last
+	stopping := e.stopping
 	e.mu.Unlock()
-	if leaving || h.Leaving && sameUpstream {
+	if stopping || h.Leaving || deregistered {
+		// If the leaving upstream was never in service, it has taken the place of the current one, which gets no calls
+		// either.
 		e.drain()
 		return nil
 	}
-	if h.Leaving {
-		// A leaving upstream that was never in service gets no calls.
-		return nil
-	}
 	return e.acceptAnnouncement(h.Announcement)
 }
 
-// markDeregistered marks the current upstream as about to stop. It returns false if the ID is that of another upstream.
+// maxDeregistered bounds the remembered upstreams. The upstream beside a node is replaced a few times an hour at most.
+const maxDeregistered = 64
+
+// markDeregistered records that an upstream is about to stop, and reports whether it is the current one. For an unknown
+// upstream, the message applies to every incarnation that has started before it.
 func (e *executor) markDeregistered(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.deregistered) >= maxDeregistered {
+		clear(e.deregistered)
+	}
 	if e.upstream == nil || e.upstream.announcement.ID != id {
+		e.deregistered[id] = time.Now().UnixMilli()
 		return false
 	}
-	e.deregistered = true
+	e.deregistered[id] = e.upstream.announcement.Incarnation
 	return true
 }
 
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -213,6 +214,18 @@
 			Expect(promoteStatus()).To(Equal(http.StatusOK))
 		})
 
+		// Guards against calls to an upstream that deregistered while this node was starting: the first heartbeat that the
+		// node receives comes after that.
+		It("gives no calls to an upstream that deregistered before its first heartbeat", func() {
+			n.DeregisterUpstream("u2")
+			Expect(promoteStatus()).To(Equal(http.StatusOK), "the message is about another upstream")
+			Expect(sendHeartbeat(n, upstream, "u2", 2, 7, false)).To(Succeed())
+			Expect(promoteStatus()).To(Equal(http.StatusServiceUnavailable))
+			restarted := time.Now().Add(time.Minute).UnixMilli()
+			Expect(sendHeartbeat(n, upstream, "u2", restarted, 1, false)).To(Succeed())
+			Expect(promoteStatus()).To(Equal(http.StatusOK), "the upstream has started again")
+		})
+
 		It("gives a deregistered upstream no more calls, even if it sends further heartbeats", func() {
 			n.DeregisterUpstream("u1")
 			Expect(promoteStatus()).To(Equal(http.StatusServiceUnavailable))
