node: serve what has arrived before the callers' listener and connections close

Cause: http.Server.Shutdown closes the listener with all connections that wait to be accepted, and every connection that net/http counts as idle, also if a request waits there unread; a request that is read after the start of Shutdown is dropped without a response. On a node that is short of processor time, here while it applies a large configuration, the timer of the stop runs before the runtime polls the network: sidecar-ge-east-c-3 gets a request at 6.700 s, writes no line from 6.629 s on, closes at 6.955 s and logs "bundle in force" at 6.963 s.

Change: web.DrainListener accepts what waits to be accepted and reads what has arrived, until both have been quiet for a moment in which the process did run; then it closes. http.Server.Shutdown is not used any more on this side.

Ruled out: a fixed pause before the close made the test pass (trial) but does not help a node that stays starved.

--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/transport/rpc"
+	"sapphiregate.example/sapphiregate/transport/web"
 )
 
 // Options configures a node.
@@ -124,9 +125,7 @@
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
 	requests   requestTracker
-	// connections are those of callers.
-	connections connectionCounter
-	requestLog  *requestLog
+	requestLog *requestLog
 	// closeConnections makes responses ask callers to close their connections.
 	closeConnections atomic.Bool
 	// stopping makes the node report that it is not ready.
@@ -143,7 +142,9 @@
 	liveness *liveness
 	mesh     *rpc.Server
 	callers  *http.Server
-	admin    *http.Server
+	// callerListener accepts the connections of callers.
+	callerListener *web.DrainListener
+	admin          *http.Server
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -172,7 +173,6 @@
 	}
 	n := &Node{
 		requests:       requestTracker{limit: options.Limits.MaxCalls},
-		connections:    connectionCounter{states: make(map[net.Conn]http.ConnState)},
 		options:        options,
 		id:             options.ID,
 		incarnation:    uint64(now.UnixNano()),
@@ -199,9 +199,10 @@
 		Output: n.handleOutput, AfterBatch: n.refreshEndpoints,
 	})
 	n.mesh.ServeNode(n)
+	n.callerListener = web.NewDrainListener(options.Callers)
 	n.callers = &http.Server{
 		Handler: n, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: options.Limits.MaxHeaderBytes, ConnState: n.connections.changed,
+		MaxHeaderBytes: options.Limits.MaxHeaderBytes, ConnState: n.callerListener.ConnState,
 		BaseContext: func(net.Listener) context.Context { return n.requestsContext },
 	}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
@@ -239,7 +240,7 @@
 	n.tasks.Go(func() { n.control.Run(n.ctx) })
 	n.tasks.Go(n.executor.monitorUpstream)
 	n.serve("mesh", n.mesh.Serve)
-	n.serve("callers", func() error { return n.callers.Serve(n.options.Callers) })
+	n.serve("callers", func() error { return n.callers.Serve(n.callerListener) })
 	n.serve("admin", func() error { return n.admin.Serve(n.options.Admin) })
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,7 +62,7 @@
 		n.abandonRequests(errStopping)
 		err = errors.CombineErrors(err, n.stopStep("requests given up", n.requests.drain(ctx)))
 	}
-	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callers.Shutdown(ctx)))
+	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(ctx)))
 	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(ctx)))
 	n.mesh.GracefulStop(withFollowStopTimeout(ctx))
 	n.Kill()
@@ -100,9 +99,9 @@
 
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
 func (n *Node) stopStep(step string, err error) error {
+	active, waiting := n.callerListener.Connections()
 	n.logger.Info().Err(err).Str("step", step).Int("requests", n.requests.count()).Int("calls", n.executor.callsInFlight()).
-		Int("connections_active", n.connections.count(http.StateActive)).
-		Int("connections_waiting", n.connections.count(http.StateIdle)+n.connections.count(http.StateNew)).
+		Int("connections_active", active).Int("connections_waiting", waiting).
 		Msg("stop step ended")
 	return err
 }
--- /dev/null
+++ b/transport/web/drain.go
@@ -0,0 +1,239 @@
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// acceptSettleTime is how long no connection may arrive before a draining listener closes.
+	acceptSettleTime = 5 * time.Millisecond
+	// readSettleTime is how long nothing may arrive on a connection that waits for a request before a draining listener
+	// closes it. It lets the rest of a request arrive that comes in several segments.
+	readSettleTime = 50 * time.Millisecond
+)
+
+// DrainListener is the listener of an HTTP server that stops without losing requests. http.Server.Shutdown closes the
+// listener and the idle connections at once, together with the connections that wait to be accepted and the requests
+// that were not read yet. On a busy instance these may have waited for long, since the timer of a stop may run before
+// the runtime polls the network.
+//
+// The server must call ConnState as its hook of that name.
+type DrainListener struct {
+	net.Listener
+
+	mu          sync.Mutex
+	draining    bool
+	connections map[*drainConn]bool
+	// finished is closed once the listener is drained and all its connections are closed.
+	finished       chan struct{}
+	listenerClosed bool
+}
+
+// NewDrainListener returns a listener that accepts the connections of a TCP listener.
+func NewDrainListener(listener net.Listener) *DrainListener {
+	return &DrainListener{
+		Listener: listener, connections: make(map[*drainConn]bool), finished: make(chan struct{}),
+	}
+}
+
+// Drain makes the server serve what has arrived, and returns when all connections are closed. Connections that wait to
+// be accepted are accepted, and requests that were not read yet are read; then the listener and the connections without
+// a request are closed. The responses must ask callers to close their connections. It returns the context's error if
+// that ends first.
+func (l *DrainListener) Drain(ctx context.Context) error {
+	l.mu.Lock()
+	l.draining = true
+	for connection := range l.connections {
+		connection.wake()
+	}
+	l.mu.Unlock()
+	l.setAcceptDeadline(time.Now())
+	select {
+	case <-l.finished:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Accept implements net.Listener. It returns http.ErrServerClosed once the listener is drained.
+func (l *DrainListener) Accept() (net.Conn, error) {
+	for {
+		started := time.Now()
+		if l.isDraining() {
+			l.setAcceptDeadline(started.Add(acceptSettleTime))
+		}
+		connection, err := l.Listener.Accept()
+		if err == nil {
+			return l.track(connection), nil
+		}
+		if !l.isDraining() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		if settled(started, acceptSettleTime) {
+			l.closeDrained()
+			return nil, http.ErrServerClosed
+		}
+	}
+}
+
+// settled reports whether a wait of the given length ended in time. Otherwise the process did not run for a while, and
+// more may have arrived in the meantime. Every new wait first takes what has arrived.
+func settled(started time.Time, wait time.Duration) bool { return time.Since(started) < 2*wait }
+
+func (l *DrainListener) setAcceptDeadline(deadline time.Time) {
+	if listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		// The only error is that of a closed listener, which Accept returns.
+		_ = listener.SetDeadline(deadline)
+	}
+}
+
+func (l *DrainListener) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
+func (l *DrainListener) track(connection net.Conn) net.Conn {
+	tracked := &drainConn{Conn: connection, listener: l, waiting: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.connections[tracked] = true
+	return tracked
+}
+
+func (l *DrainListener) closeDrained() {
+	_ = l.Listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listenerClosed = true
+	l.checkFinished()
+}
+
+func (l *DrainListener) untrack(connection *drainConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.connections[connection] {
+		return
+	}
+	delete(l.connections, connection)
+	l.checkFinished()
+}
+
+// checkFinished is called with l.mu held.
+func (l *DrainListener) checkFinished() {
+	if l.listenerClosed && len(l.connections) == 0 {
+		close(l.finished)
+	}
+}
+
+// Connections returns the number of connections with a request that was read, and of those that wait for one.
+func (l *DrainListener) Connections() (active, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for connection := range l.connections {
+		if connection.isWaiting() {
+			waiting++
+		} else {
+			active++
+		}
+	}
+	return active, waiting
+}
+
+// ConnState is the hook that tells the listener which connections wait for a request.
+func (l *DrainListener) ConnState(connection net.Conn, state http.ConnState) {
+	tracked, ok := connection.(*drainConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		tracked.setWaiting(false)
+	case http.StateIdle:
+		tracked.setWaiting(true)
+	case http.StateClosed, http.StateHijacked:
+		l.untrack(tracked)
+	}
+}
+
+// drainConn is a connection of a DrainListener.
+type drainConn struct {
+	net.Conn
+	listener *DrainListener
+
+	mu sync.Mutex
+	// waiting is set while no request has been read.
+	waiting bool
+}
+
+func (c *drainConn) isWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
+func (c *drainConn) setWaiting(waiting bool) {
+	c.mu.Lock()
+	c.waiting = waiting
+	c.mu.Unlock()
+	if !waiting && c.listener.isDraining() {
+		// A deadline that wake has set must not end the request.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// wake ends a read that waits for a request, so that Read can take what has arrived. It is called with the listener's
+// lock held.
+func (c *drainConn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
+}
+
+// SetReadDeadline implements net.Conn. During a drain, a connection waits for a request for readSettleTime at most.
+func (c *drainConn) SetReadDeadline(deadline time.Time) error {
+	draining := c.listener.isDraining()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if draining && c.waiting {
+		deadline = time.Now().Add(readSettleTime)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Read implements net.Conn. During a drain it returns os.ErrDeadlineExceeded once nothing more arrives on a connection
+// without a request.
+func (c *drainConn) Read(buffer []byte) (int, error) {
+	for {
+		started := time.Now()
+		n, err := c.Conn.Read(buffer)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.listener.isDraining() || !c.isWaiting() {
+			return n, err
+		}
+		if waited := time.Since(started); waited >= readSettleTime && settled(started, readSettleTime) {
+			return 0, err
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// CloseWrite lets the server close its side first, so that the caller can read the response although part of its
+// request was not read.
+func (c *drainConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
