node: refuse at once what a stopping node can hardly finish

Callers saw: requests that reached a stopping node late were held for seconds and then given up.

Cause: a stopping node admits requests as long as its own upstream has calls, whose further calls need the node, and did not look at what a request asks for.

Change: a request whose route's latency target is later than the last deadline that the node may give is refused as draining, with a Retry-After. Short calls of upstreams are still served.

Evidence: node/stop_test.go "refuses a request whose latency target is later than its end" fails before (200).

--- a/node/ingress.go
+++ b/node/ingress.go
@@ -108,6 +108,9 @@
 	if reason := call.buildMetadata(r); reason != protocol.ReasonNone {
 		return nil, reason
 	}
+	if target := call.timeUntilTarget(); n.callDeadline(started.Add(target)).Before(started.Add(target)) {
+		return nil, protocol.ReasonDraining
+	}
 	if reason := call.readBody(r); reason != protocol.ReasonNone {
 		return nil, reason
 	}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
 var _ = Describe("stop", func() {
@@ -62,6 +63,31 @@
 		Eventually(stopped, eventuallyTimeout).Should(Receive(BeNil()))
 	})
 
+	// Guards against requests that a stopping node accepts from callers who keep their connections, although they can
+	// hardly end before it does.
+	It("refuses a request whose latency target is later than its end", func() {
+		f := newFixture(true, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {})
+		b := testBundle()
+		for i := range b.Routes {
+			if b.Routes[i].Name == "small" {
+				b.Routes[i].TargetMs = 5000
+			}
+		}
+		Expect(f.ingress.PutInForce(bundle.Approval{Version: 2}, b)).To(Succeed())
+		Expect(f.post("/small", "").status).To(Equal(http.StatusOK))
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.ingress.Stop(ctx) }()
+		Eventually(f.ingress.Ready, eventuallyTimeout).Should(BeFalse())
+		Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
+		refused := f.post("/small", "")
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.outcome()).To(Equal("not-run"))
+		Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
+		Eventually(stopped, eventuallyTimeout).Should(Receive(BeNil()))
+	})
+
 	// Guards against the same for a call without a key, which runs on after its caller has left.
 	It("answers a keyless irreversible call on the own upstream when its time runs out", func() {
 		upstream := newBlockingUpstream()
