platform: answer what has arrived before the platform's interfaces close

Adapter.Close closed all connections at once, and a control member stopped before its operators were answered.

Change: Adapter.Shutdown drains the listeners, for a control member before it stops (1 s; its own stop may take 4 s then, together less than the platform's grace time), for a node after it (0.2 s).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -20,7 +20,10 @@
 )
 
 // memberStopTimeout limits a planned stop of a control member, including the transfer of its leadership.
-const memberStopTimeout = 5 * time.Second
+const memberStopTimeout = 4 * time.Second
+
+// operatorDrainTimeout limits the wait for the responses to operators before a member stops.
+const operatorDrainTimeout = time.Second
 
 func newControlCommand() *cobra.Command {
 	var file string
@@ -64,9 +67,9 @@
 	}
 	member.Start()
 	logger.Info().Str("member", member.ID()).Msg("control member started")
+	adapter := new(platform.Adapter)
 	if loaded.Platform != nil {
-		adapter, err := platform.ServeControl(member, *loaded.Platform, logger)
-		if err != nil {
+		if adapter, err = platform.ServeControl(member, *loaded.Platform, logger); err != nil {
 			member.Kill()
 			return err
 		}
@@ -88,6 +91,8 @@
 		return err
 	}
 	logger.Info().Msg("control member leaves")
+	// The member answers the operators' requests only as long as it runs.
+	adapter.Shutdown(operatorDrainTimeout)
 	stopContext, cancel := context.WithTimeout(context.Background(), memberStopTimeout)
 	defer cancel()
 	err = member.Stop(stopContext)
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -38,6 +38,9 @@
 	return command
 }
 
+// upstreamDrainTimeout limits the wait for the responses to heartbeats after a node has stopped.
+const upstreamDrainTimeout = 200 * time.Millisecond
+
 // runNode runs a node until the context ends, then stops it gracefully.
 func runNode(ctx context.Context, file string, loaded settings.Node, logger zerolog.Logger) error {
 	keys, err := loadKeyring(loaded.Keyring, loaded.TrustedOperators)
@@ -63,9 +66,9 @@
 	process := node.New(options)
 	process.Start()
 	logger.Info().Str("callers", loaded.Callers).Msg("node started")
+	adapter := new(platform.Adapter)
 	if loaded.Platform != nil {
-		adapter, err := platform.ServeNode(process, *loaded.Platform, logger)
-		if err != nil {
+		if adapter, err = platform.ServeNode(process, *loaded.Platform, logger); err != nil {
 			process.Kill()
 			return err
 		}
@@ -88,6 +91,7 @@
 	stopContext, cancel := context.WithTimeout(context.Background(), loaded.Limits.DrainTimeout.Std())
 	defer cancel()
 	err = process.Stop(stopContext)
+	adapter.Shutdown(upstreamDrainTimeout)
 	logger.Info().Err(err).Msg("node stopped")
 	return err
 }
