node: after its notice, a stopping node accepts only requests that end before it by their own deadline

Change: during the notice a request is accepted if its latency target comes before the last deadline that the node may give; after the notice, if its own deadline does. Short calls of the own upstream are still served. The last deadline is 0.1 s before requests are given up, and 0.4 s are kept for the responses to these: with the platform's drain timeout of 5.6 s, calls end 5.1 s and requests are given up 5.2 s after the signal.

Evidence: node/stop_test.go "accepts requests after its notice only if their deadline comes before its end".

--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -134,19 +134,26 @@
 	return b
 }
 
-func startNode(id, member string) (started *node.Node, callers, admin string) {
+func startNode(id, member string, configure ...func(*node.Options)) (started *node.Node, callers, admin string) {
 	callersListener, adminListener := listen(), listen()
-	started = node.New(node.Options{
+	options := node.Options{
 		ID: id, Zone: "a", Callers: callersListener, Mesh: listen(), Admin: adminListener, Members: []string{member},
 		Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(),
-	})
+	}
+	for _, change := range configure {
+		change(&options)
+	}
+	started = node.New(options)
 	started.Start()
 	DeferCleanup(started.Kill)
 	Expect(started.PutInForce(bundle.Approval{Version: 1}, testBundle())).To(Succeed())
 	return started, callersListener.Addr().String(), adminListener.Addr().String()
 }
 
-func newFixture(remote bool, member string, slots int, handler http.HandlerFunc) *fixture {
+// newFixture starts the nodes. configure changes the options of the ingress of a remote fixture.
+func newFixture(
+	remote bool, member string, slots int, handler http.HandlerFunc, configure ...func(*node.Options),
+) *fixture {
 	f := &fixture{upstream: httptest.NewServer(handler), client: &http.Client{Transport: &http.Transport{}}}
 	DeferCleanup(func() {
 		f.client.CloseIdleConnections()
@@ -156,7 +163,7 @@
 	f.executor, f.callers, f.admin = startNode("executor", member)
 	f.ingress = f.executor
 	if remote {
-		f.ingress, f.callers, _ = startNode("ingress", member)
+		f.ingress, f.callers, _ = startNode("ingress", member, configure...)
 	}
 	address := strings.TrimPrefix(f.upstream.URL, "http://")
 	Expect(f.executor.AcceptUpstream(node.Announcement{Service: "desk", Address: address, Slots: slots})).To(Succeed())
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -108,7 +108,7 @@
 	if reason := call.buildMetadata(r); reason != protocol.ReasonNone {
 		return nil, reason
 	}
-	if target := call.timeUntilTarget(); n.callDeadline(started.Add(target)).Before(started.Add(target)) {
+	if call.endsTooLate() {
 		return nil, protocol.ReasonDraining
 	}
 	if reason := call.readBody(r); reason != protocol.ReasonNone {
--- a/node/node.go
+++ b/node/node.go
@@ -130,9 +130,9 @@
 	closeConnections atomic.Bool
 	// stopping makes the node report that it is not ready.
 	stopping atomic.Bool
-	// lastCallDeadline bounds the deadlines of calls while the node stops; nil before.
-	lastCallDeadline atomic.Pointer[time.Time]
-	metrics          *metrics
+	// stopLimits is nil before the node stops.
+	stopLimits atomic.Pointer[stopLimits]
+	metrics    *metrics
 
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
--- a/node/stop.go
+++ b/node/stop.go
@@ -17,10 +17,10 @@
 	connectionCloseTime = 500 * time.Millisecond
 	// finalResponseTime is the part of a stop's time that is kept for the responses to the requests that it gives up. A
 	// node that gets little processor time needs some of it to write them.
-	finalResponseTime = 500 * time.Millisecond
-	// upstreamResponseTime is how long a response may travel that an upstream sends at its deadline, before the stop gives
-	// up the request.
-	upstreamResponseTime = 200 * time.Millisecond
+	finalResponseTime = 400 * time.Millisecond
+	// refusalTime is how long the refusal of a call may travel that is refused at its deadline, before the stop gives up
+	// the request.
+	refusalTime = 100 * time.Millisecond
 )
 
 // errStopping is the cause with which the contexts of requests end when a stop gives them up.
@@ -48,10 +48,10 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	n.executor.drainForStop()
-	noticeEnd := time.Now().Add(n.options.Limits.LeaveNotice)
+	noticeEnd := time.Now().Add(max(n.options.Limits.LeaveNotice, drainAnnouncementTime+connectionCloseTime))
 	serving, cancel := withoutFinalResponseTime(ctx)
 	defer cancel()
-	n.limitCallDeadlines(serving)
+	n.limitCalls(serving, noticeEnd)
 	sleep(serving, drainAnnouncementTime)
 	// A request may already be in transit on an idle connection that this node closes, so callers close theirs first.
 	n.closeConnections.Store(true)
@@ -79,24 +79,46 @@
 	return context.WithDeadline(ctx, deadline.Add(-finalResponseTime))
 }
 
-// limitCallDeadlines makes all calls that are sent from now on end before the context does, so that upstreams and their
-// queues refuse what they cannot finish in time.
-func (n *Node) limitCallDeadlines(ctx context.Context) {
+// stopLimits limits the calls of a node that stops.
+type stopLimits struct {
+	// noticeEnd is when callers should have noticed that the node is not ready.
+	noticeEnd time.Time
+	// lastDeadline is the latest deadline of a call.
+	lastDeadline time.Time
+}
+
+// limitCalls makes all calls that are sent from now on end before the context does, so that upstreams and their queues
+// refuse what they cannot finish in time.
+func (n *Node) limitCalls(ctx context.Context, noticeEnd time.Time) {
 	if deadline, ok := ctx.Deadline(); ok {
-		last := deadline.Add(-upstreamResponseTime)
-		n.lastCallDeadline.Store(&last)
+		n.stopLimits.Store(&stopLimits{noticeEnd: noticeEnd, lastDeadline: deadline.Add(-refusalTime)})
 	}
 }
 
 // callDeadline returns the deadline of a call that is sent now for a request with the given deadline. It is earlier than
 // that of the request if this node stops before.
 func (n *Node) callDeadline(deadline time.Time) time.Time {
-	if last := n.lastCallDeadline.Load(); last != nil && last.Before(deadline) {
-		return *last
+	if limits := n.stopLimits.Load(); limits != nil && limits.lastDeadline.Before(deadline) {
+		return limits.lastDeadline
 	}
 	return deadline
 }
 
+// endsTooLate reports whether this node stops before it can finish the call: before the latency target of a call that
+// arrives during the notice, or before the deadline of a later one. The own upstream may need short calls to finish its
+// work after the notice.
+func (c *ingressCall) endsTooLate() bool {
+	limits := c.node.stopLimits.Load()
+	switch {
+	case limits == nil:
+		return false
+	case c.started.After(limits.noticeEnd):
+		return c.deadline.After(limits.lastDeadline)
+	default:
+		return c.started.Add(c.timeUntilTarget()).After(limits.lastDeadline)
+	}
+}
+
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
 func (n *Node) stopStep(step string, err error) error {
 	active, waiting := n.callerListener.Connections()
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
+// withLeaveNotice sets a notice that is long enough for requests during it, also on a busy machine.
+func withLeaveNotice(o *node.Options) { o.Limits.LeaveNotice = 2 * time.Second }
+
 var _ = Describe("stop", func() {
 	// Guards against a stop that runs out of time and closes callers' connections without a response.
 	DescribeTable("answers the requests that are still in flight when its time runs out",
@@ -50,7 +56,7 @@
 		f := newFixture(true, newFakeLedger().server.Address(), 4, func(_ http.ResponseWriter, r *http.Request) {
 			left, _ := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
 			given.Store(left)
-		})
+		}, withLeaveNotice)
 		Expect(f.post("/lookup", "").status).To(Equal(http.StatusOK))
 		Expect(given.Load()).To(BeNumerically(">", 10_000))
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -66,7 +72,7 @@
 	// Guards against requests that a stopping node accepts from callers who keep their connections, although they can
 	// hardly end before it does.
 	It("refuses a request whose latency target is later than its end", func() {
-		f := newFixture(true, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {})
+		f := newFixture(true, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {}, withLeaveNotice)
 		b := testBundle()
 		for i := range b.Routes {
 			if b.Routes[i].Name == "small" {
@@ -88,6 +94,30 @@
 		Eventually(stopped, eventuallyTimeout).Should(Receive(BeNil()))
 	})
 
+	// Guards against the same after the notice, when only the upstream beside the node still needs it for its calls.
+	It("accepts requests after its notice only if their deadline comes before its end", func() {
+		f := newFixture(true, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {})
+		busy := newBlockingUpstream()
+		server := httptest.NewServer(busy)
+		DeferCleanup(func() { server.CloseClientConnections(); server.Close() })
+		Expect(f.ingress.AcceptUpstream(node.Announcement{
+			Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4,
+		})).To(Succeed())
+		mergeOwnRecord(f.ingress)
+		Eventually(func() int32 {
+			f.async(context.Background(), "/lookup", "")
+			return busy.runs.Load()
+		}, eventuallyTimeout).Should(BeNumerically(">", 0))
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- f.ingress.Stop(ctx) }()
+		Eventually(func() string { return f.post("/lookup", "").header.Get(protocol.HeaderReason) }, eventuallyTimeout).
+			Should(BeEquivalentTo(protocol.ReasonDraining))
+		Expect(f.post("/lookup", "", protocol.HeaderDeadline, "500").status).To(Equal(http.StatusOK))
+		Eventually(stopped, eventuallyTimeout).Should(Receive(HaveOccurred()))
+	})
+
 	// Guards against the same for a call without a key, which runs on after its caller has left.
 	It("answers a keyless irreversible call on the own upstream when its time runs out", func() {
 		upstream := newBlockingUpstream()
