Let the blocking fake of transport/rpc reply after the deadline only

The entry "a deadline that passes before the reply" failed once: Propose succeeded although its deadline of 100 ms had passed. The fault is in the test's fake, which replied with success as soon as its own context ended. The server's context ends with the deadline that the client sent, so that reply crosses the client's own timer and the server's reset of the stream. grpc-go promises no order here: a reply that arrives before the client's timer has fired is delivered. The client package says no more either (ErrTimeout: the deadline passed before the reply arrived).

The fake now replies at the end of the test only. The check is the same.

--- a/transport/rpc/rpc_test.go
+++ b/transport/rpc/rpc_test.go
@@ -104,18 +104,19 @@
 	return loaded
 }
 
-// fakeMember counts the calls of Propose and Identify. Propose returns err, and waits for the end of its context if
-// block is set.
+// fakeMember counts the calls of Propose and Identify. Propose returns err. If block is set, it does so at the end of
+// the test only: a reply at the deadline could still reach the caller before the caller's own timer ends the call.
 type fakeMember struct {
 	calls atomic.Int32
 	err   error
 	block bool
+	ended chan struct{}
 }
 
-func (m *fakeMember) Propose(ctx context.Context, _ *protocol.ProposeRequest) (*protocol.ProposeReply, error) {
+func (m *fakeMember) Propose(context.Context, *protocol.ProposeRequest) (*protocol.ProposeReply, error) {
 	m.calls.Add(1)
 	if m.block {
-		<-ctx.Done()
+		<-m.ended
 	}
 	return &protocol.ProposeReply{}, m.err
 }
@@ -131,10 +132,12 @@
 func serve(m *fakeMember, transport credentials.TransportCredentials) *rpc.Server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
+	m.ended = make(chan struct{})
 	server := rpc.NewServer(listener, transport)
 	server.ServeMember(m)
 	go func() { _ = server.Serve() }()
 	DeferCleanup(server.Stop)
+	DeferCleanup(func() { close(m.ended) })
 	return server
 }
 
