Refuse an upstream's response that is not a final one

Cause: net/http returns a 101 from RoundTrip, hands its connection over and no longer closes it when the context ends. A node passed the 101 on to its caller (a protocol that no request asks for), and where the upstream then stayed silent or trickled, the read of the body never ended: the call kept its slot and its connection after its deadline, and a health check with such a response stopped the monitor of the upstream for ever. A status code below 100, as in "HTTP/1.1 099", made the write of the response panic.

Change: Do and Get return ErrConnectionBroken for a status code below 200 and close the connection.

--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -174,7 +174,21 @@
 		}
 		return nil, errors.Wrapf(ErrConnectionBroken, "%v", err)
 	}
-	return trace.upstreamResponse(response), nil
+	result := trace.upstreamResponse(response)
+	if err := checkFinal(response); err != nil {
+		result.Discard()
+		return nil, err
+	}
+	return result, nil
+}
+
+// checkFinal returns ErrConnectionBroken for a status code that does not belong to a final response. With a 101, net/http
+// hands the connection over and no longer closes it when the context ends, although no request asks for an upgrade.
+func checkFinal(response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return errors.Wrapf(ErrConnectionBroken, "status code %d in place of a final response", response.StatusCode)
+	}
+	return nil
 }
 
 // emptyBody is an empty body that net/http does not recognize as empty.
@@ -218,6 +232,9 @@
 		return 0, nil, errors.Wrapf(ErrConnectionBroken, "%v", err)
 	}
 	defer response.Body.Close()
+	if err := checkFinal(response); err != nil {
+		return 0, nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
 		return response.StatusCode, nil, errors.Wrapf(ErrTruncated, "%v", err)
