soak: check that planned work cuts no request, under series of planned work

Callers now use their connections themselves. `--planned` overlaps stops, SIGHUPs and configurations, beside slow upstreams; `--nodes` sets the number of nodes. The nodes' stopping times are those of platform/node.json.tmpl. A planned stop has 6 s instead of 10 s; then SIGQUIT leaves the goroutines in the log before SIGKILL. Exit code 1 is allowed only while a call still runs 5 s after SIGTERM.

Seen so far: Stop waits in executor.waitIdle up to the end of drain_timeout while a call runs, accepts requests all the while, and cuts them all 5.5 s after SIGTERM.

--- a/soak/command.go
+++ b/soak/command.go
@@ -16,6 +16,9 @@
 // docs/soak.md has the cause of each.
 var regressionSeeds = []uint64{1, 201, 221, 225, 1102, 2113, 2208}
 
+// plannedRegressionSeeds are those of planned work.
+var plannedRegressionSeeds = []uint64{1, 3, 6, 11}
+
 // NewCommand returns the command that runs one or more seeds and prints a report line for each.
 func NewCommand() *cobra.Command {
 	var options Options
@@ -32,6 +35,9 @@
 			}
 			if regressions {
 				seeds = regressionSeeds
+				if options.Planned {
+					seeds = plannedRegressionSeeds
+				}
 			}
 			failed := 0
 			for _, seed := range seeds {
@@ -58,6 +64,8 @@
 	flags.Uint64Var(&options.Seed, "seed", uint64(time.Now().Unix()), "the first seed")
 	flags.IntVar(&seedCount, "seeds", 1, "number of seeds, one after another")
 	flags.DurationVar(&options.FaultDuration, "faults", 20*time.Second, "duration of the fault injection of each seed")
+	flags.IntVar(&options.Nodes, "nodes", DefaultNodes, "number of nodes")
+	flags.BoolVar(&options.Planned, "planned", false, "series of planned work instead of random faults")
 	flags.BoolVar(&regressions, "regressions", false, "run the seeds that failed before instead of --seed and --seeds")
 	flags.BoolVarP(&verbose, "verbose", "v", false, "print the timeline of every seed, not only of those that violate a guarantee")
 	return command
@@ -69,8 +77,8 @@
 	if len(r.Violations) > 0 {
 		result = "BROKEN"
 	}
-	fmt.Fprintf(w, "seed %d: %s; %d answers, %d served, %d versions, recovery %v\n", r.Seed, result, r.Responses, r.Served,
-		r.ApprovedVersion, r.Recovery.Round(time.Millisecond))
+	fmt.Fprintf(w, "seed %d: %s; %d answers, %d served, %d on kept connections, %d crossed a close, %d versions, recovery %v\n",
+		r.Seed, result, r.Responses, r.Served, r.Kept, r.Crossed, r.ApprovedVersion, r.Recovery.Round(time.Millisecond))
 	if len(r.Violations) == 0 && !verbose {
 		return
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,17 +20,19 @@
 
 const (
 	memberCount = 3
-	nodeCount   = 4
-	// stopTimeout bounds a planned stop; the nodes' drain timeout is 5 s.
-	stopTimeout = 10 * time.Second
 	// minSignalAge is the age of a process before which it is not sent SIGTERM or SIGHUP: until the Go runtime has
 	// installed its handlers, either signal terminates the process.
 	minSignalAge = 500 * time.Millisecond
+	// dumpTime lets a process that has not exited in time print its goroutines.
+	dumpTime     = 100 * time.Millisecond
 	operatorName = "soak"
 	service      = "desk"
 	keyringFile  = "keyring.json"
 )
 
+// errGraceExceeded reports a process that had to be killed after a SIGTERM.
+var errGraceExceeded = errors.New("soak: the grace period has passed")
+
 // process is a control member or node that runs as an operating system process. Every start uses the same settings.
 type process struct {
 	name string
@@ -45,6 +48,8 @@
 	adminAddress  string
 	// proxy carries all mesh traffic to the process.
 	proxy *proxy
+	// ready is set while a node reports that it is ready.
+	ready atomic.Bool
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -94,8 +99,12 @@
 
 // newDeployment prepares the settings of all processes and starts the proxies and upstreams. Upstreams report to the
 // recorder.
-func newDeployment(binary, folder string, recorder *recorder) (*deployment, error) {
+func newDeployment(options Options, folder string, recorder *recorder) (*deployment, error) {
 	d := &deployment{}
+	slots := 8
+	if options.Planned {
+		slots = plannedSlots
+	}
 	var err error
 	if d.key, err = bundle.GenerateKey(operatorName, rand.Reader); err != nil {
 		return nil, err
@@ -104,15 +113,15 @@
 		return nil, err
 	}
 	for i := range memberCount {
-		p, err := newProcess(binary, folder, "control", fmt.Sprintf("member-%d", i))
+		p, err := newProcess(options.Binary, folder, "control", fmt.Sprintf("member-%d", i))
 		if err != nil {
 			return nil, err
 		}
 		p.dataFolder = filepath.Join(folder, p.name)
 		d.members = append(d.members, p)
 	}
-	for i := range nodeCount {
-		p, err := newProcess(binary, folder, "node", fmt.Sprintf("node-%d", i))
+	for i := range options.Nodes {
+		p, err := newProcess(options.Binary, folder, "node", fmt.Sprintf("node-%d", i))
 		if err != nil {
 			return nil, err
 		}
@@ -134,7 +143,7 @@
 		m.settings["platform"] = map[string]any{"operators": operatorAddress, "first_start": true, "tolerated_instances": 1}
 	}
 	for i, n := range d.nodes {
-		u, err := newUpstream(recorder)
+		u, err := newUpstream(recorder, n.name)
 		if err != nil {
 			return nil, err
 		}
@@ -142,8 +151,9 @@
 		n.settings["zone"] = fmt.Sprintf("zone-%d", i%memberCount)
 		n.settings["join"] = join
 		n.settings["callers"] = n.callerAddress
-		n.settings["upstream"] = map[string]any{"service": service, "address": u.address(), "slots": 8}
-		n.settings["limits"] = map[string]any{"drain_timeout": "5s"}
+		n.settings["upstream"] = map[string]any{"service": service, "address": u.address(), "slots": slots}
+		// As in platform/node.json.tmpl.
+		n.settings["limits"] = map[string]any{"drain_timeout": "5500ms", "leave_notice": "2500ms"}
 	}
 	return d, nil
 }
@@ -250,16 +260,28 @@
 // awaitSignalHandlers waits until the process is minSignalAge old.
 func (p *process) awaitSignalHandlers() { time.Sleep(time.Until(p.started.Add(minSignalAge))) }
 
+// reload sends SIGHUP to the process and reports whether it did: a process that has not installed its signal handlers
+// yet is left alone.
+func (p *process) reload() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.started) < minSignalAge {
+		return false
+	}
+	return p.command.Process.Signal(syscall.SIGHUP) == nil
+}
+
 // stop shuts the process down gracefully with SIGTERM. It returns an error if the process exits with a code other than
-// 0, or kills it and returns an error if it has not exited within stopTimeout.
+// 0, or kills it and returns an error if it has not exited within gracePeriod.
 func (p *process) stop() error {
-	p.awaitSignalHandlers()
 	exited := p.signal(syscall.SIGTERM)
 	select {
 	case <-exited:
-	case <-time.After(stopTimeout):
+	case <-time.After(gracePeriod):
+		p.signal(syscall.SIGQUIT) // The Go runtime prints its goroutines to the log.
+		time.Sleep(dumpTime)
 		p.kill()
-		return errors.Newf("%s did not exit within %v of SIGTERM", p.name, stopTimeout)
+		return errors.Wrapf(errGraceExceeded, "%s did not exit within %v of SIGTERM", p.name, gracePeriod)
 	}
 	if code := p.command.ProcessState.ExitCode(); code != 0 {
 		return errors.Newf("%s exited with code %d after SIGTERM; 0 is expected", p.name, code)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -44,7 +43,7 @@
 	return i
 }
 
-// run injects faults until the context ends, and returns when the last of them is over.
+// run injects random faults until the context ends, and returns when the last of them is over.
 func (i *injector) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		i.startFault()
@@ -79,19 +78,17 @@
 	switch kind {
 	case 0:
 		i.recorder.logEvent("%s is killed for %v", p.name, duration)
+		defer i.recorder.endWork(i.recorder.startWork(workKill, p.name))
 		p.kill()
 		time.Sleep(duration)
 		i.restart(p)
 	case 1:
-		i.recorder.logEvent("%s is stopped gracefully and started again", p.name)
-		if err := p.stop(); err != nil {
-			i.recorder.reportViolation("%v", err)
-		}
-		i.restart(p)
+		i.stop(p, 0)
 	case 2:
 		i.recorder.logEvent("%s is paused for %v", p.name, duration)
 		// If it were paused before its signal handlers are installed, a SIGTERM or SIGHUP after the pause would kill it.
 		p.awaitSignalHandlers()
+		defer i.recorder.endWork(i.recorder.startWork(workFault, p.name))
 		p.pause()
 		time.Sleep(duration)
 		p.resume()
@@ -103,11 +100,13 @@
 		i.injectLinkFault(p, duration, "is delayed by "+delay.String(), linkFault{delay: delay})
 	case 6:
 		i.recorder.logEvent("connections to %s are reset; it reloads its settings", p.name)
+		i.recorder.endWork(i.recorder.startWork(workFault, p.name))
 		p.proxy.reset()
 		p.awaitSignalHandlers()
-		p.signal(syscall.SIGHUP)
+		i.reload(p)
 	case 7:
 		i.recorder.logEvent("%s loses its data folder and is down for %v", p.name, duration)
+		defer i.recorder.endWork(i.recorder.startWork(workKill, p.name))
 		p.kill()
 		if err := p.wipe(); err != nil {
 			i.recorder.reportViolation("%v", err)
@@ -120,11 +119,32 @@
 // injectLinkFault applies a fault to the link of a process for the given duration; effect describes it in the timeline.
 func (i *injector) injectLinkFault(p *process, duration time.Duration, effect string, fault linkFault) {
 	i.recorder.logEvent("the link to %s %s for %v", p.name, effect, duration)
+	defer i.recorder.endWork(i.recorder.startWork(workFault, p.name))
 	p.proxy.setFault(fault)
 	time.Sleep(duration)
 	p.proxy.setFault(linkFault{})
 }
 
+// stop stops a process as planned and starts it again after the given time.
+func (i *injector) stop(p *process, down time.Duration) {
+	p.awaitSignalHandlers()
+	i.recorder.logEvent("%s is stopped gracefully and started again after %v", p.name, down)
+	stop := i.recorder.startWork(workStop, p.name)
+	stop.exitError = p.stop()
+	i.recorder.endWork(stop)
+	i.recorder.logEvent("%s has exited", p.name)
+	time.Sleep(down)
+	i.restart(p)
+}
+
+// reload makes a process read its settings again.
+func (i *injector) reload(p *process) {
+	if p.reload() {
+		i.recorder.logEvent("%s reloads its settings", p.name)
+		i.recorder.endWork(i.recorder.startWork(workReload, p.name))
+	}
+}
+
 func (i *injector) restart(p *process) {
 	if err := p.start(); err != nil {
 		i.recorder.reportViolation("%v", err)
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,9 +18,13 @@
 	headerOutcome = "Sapphire-Outcome"
 	outcomeNotRun = "not-run"
 	outcomeDone   = "done"
+	// outcomeUnknown tells that the request may have run.
+	outcomeUnknown = "unknown"
+	// headerServiceTime is how long the upstream takes for a request.
+	headerServiceTime = "X-Soak-Service-Time"
 )
 
-// serviceTime is the time that an upstream takes to process a request.
+// serviceTime is the time that an upstream takes to process most requests.
 const serviceTime = 20 * time.Millisecond
 
 // event is one line of a seed's timeline.
@@ -34,8 +39,13 @@
 	started time.Time
 
 	mu sync.Mutex
-	// runs counts how often upstreams ran each attempt.
-	runs map[string]int
+	// runs holds the runs of each attempt by upstreams.
+	runs map[string][]run
+	// calls holds the requests that were sent whole.
+	calls []*call
+	works []*work
+	// crossed counts the requests that crossed the close of their connection.
+	crossed int
 	// reportedNotRun holds the attempts whose callers were told that they did not run.
 	reportedNotRun map[string]bool
 	// responses counts all responses to callers, and served those with the outcome "done".
@@ -46,7 +56,7 @@
 }
 
 func newRecorder() *recorder {
-	return &recorder{started: time.Now(), runs: make(map[string]int), reportedNotRun: make(map[string]bool)}
+	return &recorder{started: time.Now(), runs: make(map[string][]run), reportedNotRun: make(map[string]bool)}
 }
 
 // logEvent appends a line to the timeline.
@@ -65,18 +75,25 @@
 	r.violations = append(r.violations, text)
 }
 
-// requestRan records that an upstream runs an attempt. An irreversible request that runs again is a violation.
-func (r *recorder) requestRan(attempt string) {
+// requestRan records that the upstream beside a node runs an attempt, and returns a function that records the end of the
+// run and whether the node canceled it. An irreversible request that runs again is a violation.
+func (r *recorder) requestRan(node, attempt string) (ended func(canceled bool)) {
 	r.mu.Lock()
-	r.runs[attempt]++
-	ranTwice := r.runs[attempt] > 1 && irreversible(attempt)
+	index := len(r.runs[attempt])
+	r.runs[attempt] = append(r.runs[attempt], run{node: node, started: time.Now()})
 	r.mu.Unlock()
-	if ranTwice {
+	if index > 0 && irreversible(attempt) {
 		r.reportViolation("irreversible request %s ran twice", attempt)
 	}
+	return func(canceled bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		u := &r.runs[attempt][index]
+		u.ended, u.canceled = time.Now(), canceled
+	}
 }
 
-// irreversible reports whether an attempt belongs to an irreversible call: runCaller lets these begin with "p".
+// irreversible reports whether an attempt belongs to an irreversible call: caller.loop lets these begin with "p".
 func irreversible(attempt string) bool { return attempt[0] == 'p' }
 
 // responseReceived records the outcome of an attempt. A successful response must have the body for that attempt.
@@ -101,7 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for attempt := range r.reportedNotRun {
-		if r.runs[attempt] > 0 {
+		if len(r.runs[attempt]) > 0 {
 			r.violations = append(r.violations, "request "+attempt+" ran although its caller was told that it had not")
 		}
 	}
@@ -113,16 +130,55 @@
 	return r.served
 }
 
+// keptCount returns the number of requests that were sent on a connection that had carried others.
+func (r *recorder) keptCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, c := range r.calls {
+		if c.kept {
+			count++
+		}
+	}
+	return count
+}
+
+const (
+	// suffixLong ends the attempts whose response is long.
+	suffixLong = "-long"
+	// longResponseParts is the number of parts in which a long response is written, evenly over the time of the request,
+	// and longResponseRepeats how often each repeats its text. Together they exceed what a node buffers, 64 KiB.
+	longResponseParts   = 8
+	longResponseRepeats = 1000
+)
+
 // responseBody is the body that an upstream returns for an attempt.
-func responseBody(attempt string) string { return "answer to " + attempt }
+func responseBody(attempt string) string {
+	return strings.Repeat(responsePart(attempt), responseParts(attempt))
+}
 
-// upstream is a stand-in for a back end: it reports each attempt to a recorder and responds after serviceTime.
+func responsePart(attempt string) string {
+	if strings.HasSuffix(attempt, suffixLong) {
+		return strings.Repeat("answer to "+attempt+"\n", longResponseRepeats)
+	}
+	return "answer to " + attempt
+}
+
+func responseParts(attempt string) int {
+	if strings.HasSuffix(attempt, suffixLong) {
+		return longResponseParts
+	}
+	return 1
+}
+
+// upstream is a stand-in for a back end: it reports each attempt to a recorder and responds after the time that the
+// request states.
 type upstream struct {
 	server   *http.Server
 	listener net.Listener
 }
 
-func newUpstream(recorder *recorder) (*upstream, error) {
+func newUpstream(recorder *recorder, node string) (*upstream, error) {
 	listener, err := listen()
 	if err != nil {
 		return nil, err
@@ -134,11 +190,22 @@
 			if attempt == "" {
 				return // Health checks have no attempt header.
 			}
-			recorder.requestRan(attempt)
-			time.Sleep(serviceTime)
-			text := responseBody(attempt)
-			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-			_, _ = io.WriteString(w, text) // Fails if the node has closed the connection.
+			ended := recorder.requestRan(node, attempt)
+			defer func() { ended(r.Context().Err() != nil) }()
+			// net/http notices that the node has given up once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			work, err := time.ParseDuration(r.Header.Get(headerServiceTime))
+			if err != nil {
+				recorder.reportViolation("request %s reached its upstream without its header: %v", attempt, err)
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(len(responseBody(attempt))))
+			for range responseParts(attempt) {
+				sleep(r.Context(), work/time.Duration(responseParts(attempt)))
+				if r.Context().Err() != nil {
+					return
+				}
+				_, _ = io.WriteString(w, responsePart(attempt)) // Fails if the node has closed the connection.
+			}
 		})}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"os"
@@ -29,11 +28,6 @@
 	// recoveryTimeout is the guaranteed time after the last fault within which callers are served and a new version is
 	// in force on all nodes.
 	recoveryTimeout = 15 * time.Second
-	// callTimeout bounds one request of a caller.
-	callTimeout = 3 * time.Second
-	callerCount = 6
-	// callInterval is the pause of a caller between a response and the next request.
-	callInterval = 25 * time.Millisecond
 	// changeInterval is the pause between two new versions of the configuration.
 	changeInterval = 700 * time.Millisecond
 	// historyLimit exceeds the number of versions of a seed with 20 s of faults and 15 s of recovery, even if every
@@ -43,6 +37,9 @@
 	pollInterval = 100 * time.Millisecond
 )
 
+// DefaultNodes is the usual number of nodes.
+const DefaultNodes = 4
+
 // Options configure the run of one seed.
 type Options struct {
 	// Binary is the path of the daemon.
@@ -50,13 +47,20 @@
 	Seed   uint64
 	// FaultDuration is the time during which new faults are started.
 	FaultDuration time.Duration
+	// Nodes is the number of nodes.
+	Nodes int
+	// Planned selects series of planned work instead of random faults.
+	Planned bool
 }
 
 // Result is what the run of one seed observed.
 type Result struct {
-	Seed            uint64
-	Responses       int
-	Served          int
+	Seed      uint64
+	Responses int
+	Served    int
+	// Crossed counts the requests that crossed the close of their connection, and Kept those that were sent on a
+	// connection that had carried others.
+	Crossed, Kept   int
 	ApprovedVersion uint64
 	Recovery        time.Duration
 	Violations      []string
@@ -73,7 +77,7 @@
 	}
 	report := Result{Seed: options.Seed, Folder: folder}
 	recorder := newRecorder()
-	d, err := newDeployment(options.Binary, folder, recorder)
+	d, err := newDeployment(options, folder, recorder)
 	if err != nil {
 		return report, err
 	}
@@ -81,7 +85,9 @@
 	if err := d.start(); err != nil {
 		return report, err
 	}
-	r := &seedRun{deployment: d, recorder: recorder, inForce: make(map[string]uint64), acknowledged: make(map[uint64]bundle.Digest)}
+	r := &seedRun{
+		options: options, deployment: d, recorder: recorder, inForce: make(map[string]uint64), acknowledged: make(map[uint64]bundle.Digest),
+	}
 	if err := r.connect(); err != nil {
 		return report, err
 	}
@@ -92,6 +98,8 @@
 	d.joinOnRestart()
 	report.Recovery = r.injectAndRecover(ctx, options)
 	recorder.checkNotRun()
+	recorder.checkCuts()
+	report.Crossed, report.Kept = recorder.crossed, recorder.keptCount()
 	report.Responses, report.Served, report.ApprovedVersion = recorder.responses, recorder.served, r.approved
 	report.Violations, report.Timeline = recorder.violations, recorder.timeline
 	if len(report.Violations) == 0 {
@@ -102,12 +110,17 @@
 
 // seedRun is the state of one running seed.
 type seedRun struct {
+	options    Options
 	deployment *deployment
 	recorder   *recorder
 	operator   *operator.Client
 	// submitted is the last version that was sent to the group, and approved the last one whose approval the group
 	// acknowledged.
 	submitted, approved uint64
+	// submittedBundle is the configuration of the submitted version, and furtherRoutes the number of its routes that
+	// serve no caller.
+	submittedBundle *bundle.Bundle
+	furtherRoutes   int
 	// acknowledged holds the digest of each version whose approval the group acknowledged.
 	acknowledged map[uint64]bundle.Digest
 	// unacknowledged is set from the first failed attempt to approve the submitted version until it succeeds.
@@ -136,20 +149,31 @@
 func (r *seedRun) injectAndRecover(ctx context.Context, options Options) time.Duration {
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var background sync.WaitGroup
-	for c := range callerCount {
-		background.Go(func() { r.runCaller(loadCtx, c) })
+	for index := range options.callerTotal() {
+		background.Go(func() { r.newCaller(options.Seed, index).loop(loadCtx) })
+	}
+	for _, n := range r.deployment.nodes {
+		background.Go(func() { watchReadiness(loadCtx, n) })
 	}
 	background.Go(func() { r.watchVersions(loadCtx) })
 	changeCtx, stopChanges := context.WithCancel(ctx)
 	var changeLoop sync.WaitGroup
 	changeLoop.Go(func() {
+		if options.Planned {
+			r.changeInBursts(changeCtx)
+		}
 		for changeCtx.Err() == nil {
 			r.approveNext(changeCtx)
 			sleep(changeCtx, changeInterval)
 		}
 	})
 	faultCtx, stopFaults := context.WithTimeout(ctx, options.FaultDuration)
-	newInjector(r.deployment, r.recorder, options.Seed).run(faultCtx)
+	injector := newInjector(r.deployment, r.recorder, options.Seed)
+	if options.Planned {
+		injector.runPlanned(faultCtx)
+	} else {
+		injector.run(faultCtx)
+	}
 	stopFaults()
 	r.recorder.logEvent("the last fault has ended")
 	lastFaultEnd := time.Now()
@@ -218,8 +242,10 @@
 func (r *seedRun) approveNext(ctx context.Context) bool {
 	if r.submitted == r.approved {
 		r.submitted++
+		r.submittedBundle = newBundle(r.submitted, r.furtherRoutes, r.options.routeDeadline())
 	}
-	update, err := bundle.FullUpdate(newBundle(r.submitted))
+	defer r.recorder.endWork(r.recorder.startWork(workChange, ""))
+	update, err := bundle.FullUpdate(r.submittedBundle)
 	if err != nil {
 		r.recorder.reportViolation("the configuration cannot be split: %v", err)
 		return false
@@ -255,11 +281,11 @@
 }
 
 // newBundle returns a configuration that differs between versions by the name of one route.
-func newBundle(version uint64) *bundle.Bundle {
+func newBundle(version uint64, furtherRoutes int, deadline time.Duration) *bundle.Bundle {
 	route := func(name string, class bundle.Class, keyless bool) bundle.Route {
 		return bundle.Route{
 			Name: name, Match: bundle.Match{PathPrefix: "/" + name}, Service: service, Class: class, Keyless: keyless,
-			DeadlineMs: 2000,
+			DeadlineMs: int(deadline.Milliseconds()),
 		}
 	}
 	b := &bundle.Bundle{
@@ -269,47 +295,13 @@
 			route(fmt.Sprintf("version-%d", version), bundle.ClassLookup, false),
 		},
 	}
+	for n := range furtherRoutes {
+		b.Routes = append(b.Routes, route(fmt.Sprintf("further-%d", n), bundle.ClassLookup, false))
+	}
 	bundle.Canonicalize(b)
 	return b
 }
 
-// runCaller sends requests to the nodes in turn, one in three to the irreversible route. Each has an identifier of its
-// own, its attempt, which begins with the kind of call.
-func (r *seedRun) runCaller(ctx context.Context, caller int) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
-	for n := 0; ctx.Err() == nil; n++ {
-		kind, path := "l", "/lookup"
-		if n%3 == 0 {
-			kind, path = "p", "/promote"
-		}
-		node := r.deployment.nodes[(caller+n)%nodeCount]
-		r.sendCall(ctx, client, node, path, fmt.Sprintf("%s-%d-%d", kind, caller, n))
-		sleep(ctx, callInterval)
-	}
-}
-
-// sendCall sends one request and passes the response to the recorder.
-func (r *seedRun) sendCall(ctx context.Context, client *http.Client, node *process, path, attempt string) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.callerAddress+path, strings.NewReader(attempt))
-	if err != nil {
-		r.recorder.reportViolation("request %s cannot be made: %v", attempt, err)
-		return
-	}
-	request.Header.Set(headerAttempt, attempt)
-	request.GetBody = nil // Without GetBody, net/http does not resend the request by itself after a broken connection.
-	response, err := client.Do(request)
-	if err != nil {
-		return // The node is down or paused. If the request ran, the upstream has recorded that.
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return // The response is truncated, and the caller can tell: no guarantee is violated.
-	}
-	r.recorder.responseReceived(attempt, response, body)
-}
-
 // watchVersions polls the versions of all nodes until the context ends.
 func (r *seedRun) watchVersions(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,15 +1,18 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -30,18 +33,18 @@
 	// Guard against a recorder that misses violations, with which every seed would pass.
 	It("reports an irreversible request that ran twice, but not a lookup that did", func() {
 		r := newRecorder()
-		r.requestRan("l-1")
-		r.requestRan("l-1")
+		r.requestRan("node-0", "l-1")
+		r.requestRan("node-0", "l-1")
 		Expect(r.violations).To(BeEmpty())
-		r.requestRan("p-1")
-		r.requestRan("p-1")
+		r.requestRan("node-0", "p-1")
+		r.requestRan("node-0", "p-1")
 		Expect(r.violations).To(HaveLen(1))
 	})
 
 	It("reports a request that ran after its response said that it had not", func() {
 		r := newRecorder()
 		r.responseReceived("p-1", response(outcomeNotRun, http.StatusServiceUnavailable), nil)
-		r.requestRan("p-1")
+		r.requestRan("node-0", "p-1")
 		r.checkNotRun()
 		Expect(r.violations).To(HaveLen(1))
 	})
@@ -109,18 +112,120 @@
 	})
 })
 
-var _ = Describe("the daemon", func() {
-	It("violates no guarantee in a seed with 5 s of faults", func() {
-		folder := GinkgoT().TempDir()
-		binary := filepath.Join(folder, "sapphiregate")
+var _ = Describe("the check of requests that end without a response", func() {
+	const planned = "cut by a planned stop"
+	const outside = "cut outside of any fault or stop"
+	type scene struct {
+		// kind is the work on node-0 from second 10 to 16; the request is sent to it on a connection opened at second 1.
+		kind workKind
+		// sent and ended are seconds; the deadline is second 20.
+		sent, ended float64
+		// ran holds the start and the end, in seconds, of the run beside node-1; nil if the request reached no upstream.
+		ran []float64
+		err error
+		// unknown is set if node-0 responds that it does not know whether the request ran.
+		unknown bool
+	}
+
+	DescribeTable("tells what a planned stop may cut from what it may not", func(s scene, expected string) {
+		r := newRecorder()
+		second := func(s float64) time.Time { return r.started.Add(time.Duration(s * float64(time.Second))) }
+		r.works = []*work{{kind: s.kind, process: "node-0", started: second(10), ended: second(16)}}
+		r.calls = []*call{{
+			attempt: "l-1", node: "node-0", kept: true, opened: second(1), sent: second(s.sent), ended: second(s.ended),
+			deadline: second(20), err: s.err, unknown: s.unknown, abandoned: errors.Is(s.err, os.ErrDeadlineExceeded),
+		}}
+		if s.ran != nil {
+			r.runs["l-1"] = []run{{node: "node-1", started: second(s.ran[0]), ended: second(s.ran[1]), canceled: s.unknown}}
+		}
+		r.checkCuts()
+		if expected == "" {
+			Expect(r.violations).To(BeEmpty())
+		} else {
+			Expect(r.violations).To(ConsistOf(ContainSubstring(expected)))
+		}
+	},
+		Entry("answered", scene{workStop, 11, 12, []float64{11, 12}, nil, false}, ""),
+		Entry("cut while its upstream runs it", scene{workStop, 11, 12, []float64{11, 12}, io.EOF, false}, planned),
+		Entry("cut after its upstream has run it", scene{workStop, 9.9, 10.1, []float64{9.9, 10}, io.EOF, false}, planned),
+		Entry("cut long after it was sent", scene{workStop, 11, 11.3, nil, io.EOF, false}, planned),
+		Entry("crosses the close", scene{workStop, 11, 11.1, nil, io.EOF, false}, ""),
+		Entry("sent after the process has exited", scene{workStop, 18, 18.01, nil, io.EOF, false}, ""),
+		Entry("runs to the end of the grace period", scene{workStop, 12.9, 15.5, []float64{13, 15.5}, io.EOF, false}, ""),
+		Entry("runs to the end of the grace period, but was sent late", scene{workStop, 13.1, 15.5, []float64{13.1, 15.5}, io.EOF, false}, planned),
+		Entry("given up before the end of the grace period", scene{workStop, 12, 14.9, []float64{12, 14.9}, io.EOF, false}, planned),
+		Entry("cut after its deadline", scene{workStop, 12.5, 20.1, []float64{12.5, 20}, io.EOF, false}, ""),
+		Entry("abandoned by its caller", scene{workStop, 12, 14, []float64{12, 14}, os.ErrDeadlineExceeded, false}, ""),
+		Entry("cut by a fault", scene{workFault, 11, 12, []float64{11, 12}, io.EOF, false}, ""),
+		Entry("cut within 3 s of a fault", scene{workFault, 18, 19, []float64{18, 19}, io.EOF, false}, ""),
+		Entry("cut later after a fault", scene{workFault, 19.1, 19.2, nil, io.EOF, false}, outside),
+		Entry("sent on a connection to a process that was killed", scene{workKill, 19.5, 19.6, nil, io.EOF, false}, ""),
+		Entry("cut beside a SIGHUP", scene{workReload, 11, 12, []float64{11, 12}, io.EOF, false}, "SIGHUP at 10.000 s"),
+		Entry("answered by the node in place of its upstream", scene{workStop, 11, 12, []float64{11, 12}, nil, true}, planned),
+		Entry("answered so at the end of the grace period", scene{workStop, 12, 15.5, []float64{12, 15.5}, nil, true}, ""),
+	)
+
+	It("excuses a stopped process that did not exit with code 0 only by a call that kept it busy", func() {
+		r := newRecorder()
+		stop := &work{kind: workStop, process: "node-0", started: r.started, ended: r.started.Add(gracePeriod), exitError: io.EOF}
+		r.works = []*work{stop}
+		r.runs["l-1"] = []run{{node: "node-0", started: r.started, ended: r.started.Add(stillRunning - time.Second)}}
+		r.checkCuts()
+		Expect(r.violations).To(HaveLen(1))
+		r.runs["l-1"][0].ended = r.started.Add(gracePeriod)
+		r.checkCuts()
+		Expect(r.violations).To(HaveLen(1))
+		stop.exitError = errGraceExceeded
+		r.checkCuts()
+		Expect(r.violations).To(HaveLen(2))
+	})
+
+	// Guards against a caller that resends requests or misses the close of a connection.
+	It("reports a node that reads a request and closes the connection, at once or within its response", func() {
+		for _, response := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nanswer"} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(listener.Close)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, response)
+				_ = conn.Close()
+			}()
+			node := &process{name: "node-0", callerAddress: listener.Addr().String()}
+			r := &seedRun{deployment: &deployment{nodes: []*process{node}}, recorder: newRecorder()}
+			r.newCaller(1, 0).send(context.Background(), node, "/lookup", "l-1")
+			r.recorder.checkCuts()
+			Expect(r.recorder.violations).To(ConsistOf(ContainSubstring(outside)))
+		}
+	})
+})
+
+var _ = Describe("the daemon", Ordered, func() {
+	var binary string
+
+	BeforeAll(func() {
+		binary = filepath.Join(GinkgoT().TempDir(), "sapphiregate")
 		output, err := exec.Command("go", "build", "-o", binary, "sapphiregate.example/sapphiregate/cmd/sapphiregate").CombinedOutput()
 		Expect(err).NotTo(HaveOccurred(), string(output))
-		report, err := Run(context.Background(), Options{Binary: binary, Seed: 20261204, FaultDuration: 5 * time.Second})
+	})
+
+	DescribeTable("violates no guarantee in a short seed", func(seed uint64, planned bool) {
+		report, err := Run(context.Background(), Options{
+			Binary: binary, Seed: seed, FaultDuration: 5 * time.Second, Nodes: DefaultNodes, Planned: planned,
+		})
 		Expect(err).NotTo(HaveOccurred())
 		for _, e := range report.Timeline {
 			GinkgoWriter.Printf("%7.3f s  %s\n", e.At.Seconds(), e.Text)
 		}
 		Expect(report.Violations).To(BeEmpty(), "logs: %s", report.Folder)
 		Expect(report.Served).To(BeNumerically(">", 0))
-	})
+		Expect(report.Kept).To(BeNumerically(">", 0))
+	},
+		Entry("of faults", uint64(20261204), false),
+		Entry("of planned work", uint64(1), true),
+	)
 })
