soak: judge a version by what was observed before its request

Cause: watchVersions and the wait for recovery poll the same node at once.

A version is compared with the highest one that was known before its request was sent, which a node that keeps the promise cannot undercut.

--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -39,7 +39,8 @@
 	abandoned bool
 	// err says how the connection ended without a complete response.
 	err error
-	// unknown is set if the node responded that it does not know whether the request ran.
+	// unknown is set if the node responded that it does not know whether the request ran. A leaving node that gives up a
+	// running call and responds so has cut it as well.
 	unknown bool
 }
 
@@ -125,14 +126,19 @@
 // cutViolation describes the violation if the request was cut, or returns an empty string.
 func (r *recorder) cutViolation(c *call) string {
 	runs := r.runs[c.attempt]
-	// A node that gives up a running call and responds in its place has cut it as well.
-	givenUp := c.unknown && slices.ContainsFunc(runs, func(u run) bool { return u.canceled || u.runningAt(c.ended) })
+	givenUp := c.unknown && slices.ContainsFunc(runs, func(u run) bool {
+		return u.started.Before(c.ended) && (u.canceled || u.runningAt(c.ended))
+	})
 	if c.err == nil && !givenUp || c.abandoned || !c.ended.Before(c.deadline) || r.disturbed(c, runs) {
 		return ""
 	}
 	stops := r.stopsOf(c, runs)
-	if len(stops) == 0 && givenUp {
-		return "" // It may be due to a slow upstream.
+	if givenUp {
+		// A node that stays may give up a call, for example one to a node that does not respond.
+		stops = slices.DeleteFunc(stops, func(w *work) bool { return w.process != c.node })
+		if len(stops) == 0 {
+			return ""
+		}
 	}
 	if len(stops) == 0 {
 		return r.describeCut(c, "cut outside of any fault or stop", r.workBeside(c))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -312,11 +312,15 @@
 	}
 }
 
-// observeVersion returns the version in force on a node, or 0 if the node does not respond. A version lower than one
-// observed before on the same incarnation of the node is a violation.
+// observeVersion returns the version in force on a node, or 0 if the node does not respond. A version lower than one that
+// was observed on the same incarnation of the node before the request is a violation. Observations may overlap, and the
+// response to one may be older than that to another which ended before it.
 func (r *seedRun) observeVersion(ctx context.Context, n *process) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	r.mu.Lock()
+	before := maps.Clone(r.inForce)
+	r.mu.Unlock()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.adminAddress+"/debug/dump", nil)
 	if err != nil {
 		return 0
@@ -335,8 +339,8 @@
 	instance := fmt.Sprintf("%s/%d", n.name, dump.Incarnation)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if dump.Version < r.inForce[instance] {
-		r.recorder.reportViolation("%s went back from version %d to %d", n.name, r.inForce[instance], dump.Version)
+	if dump.Version < before[instance] {
+		r.recorder.reportViolation("%s went back from version %d to %d", n.name, before[instance], dump.Version)
 	}
 	r.inForce[instance] = max(r.inForce[instance], dump.Version)
 	return dump.Version
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,6 +74,36 @@
 	})
 })
 
+var _ = Describe("the observation of versions", func() {
+	It("reports a node that goes back, but not responses that overtake each other", func() {
+		release := make(chan struct{})
+		var requests atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch requests.Add(1) {
+			case 1:
+				<-release // The response is as old as the request.
+				fmt.Fprint(w, `{"incarnation": 1, "version": 17}`)
+			case 2:
+				fmt.Fprint(w, `{"incarnation": 1, "version": 18}`)
+			default:
+				fmt.Fprint(w, `{"incarnation": 1, "version": 17}`)
+			}
+		}))
+		DeferCleanup(server.Close)
+		node := &process{name: "node-0", adminAddress: server.Listener.Addr().String()}
+		r := &seedRun{recorder: newRecorder(), inForce: make(map[string]uint64)}
+		var first sync.WaitGroup
+		first.Go(func() { r.observeVersion(context.Background(), node) })
+		Eventually(requests.Load).Should(Equal(int64(1)))
+		r.observeVersion(context.Background(), node)
+		close(release)
+		first.Wait()
+		Expect(r.recorder.violations).To(BeEmpty())
+		r.observeVersion(context.Background(), node)
+		Expect(r.recorder.violations).To(ConsistOf("node-0 went back from version 18 to 17"))
+	})
+})
+
 var _ = Describe("the proxy", func() {
 	// Guards against a proxy that injects no faults, with which every seed would pass.
 	It("forwards data, drops it in one direction, and resets connections", func() {
@@ -162,9 +196,25 @@
 		Entry("sent on a connection to a process that was killed", scene{workKill, 19.5, 19.6, nil, io.EOF, false}, ""),
 		Entry("cut beside a SIGHUP", scene{workReload, 11, 12, []float64{11, 12}, io.EOF, false}, "SIGHUP at 10.000 s"),
 		Entry("answered by the node in place of its upstream", scene{workStop, 11, 12, []float64{11, 12}, nil, true}, planned),
+		Entry("answered so before its upstream ran it", scene{workStop, 11, 12, []float64{12.1, 12.2}, nil, true}, ""),
 		Entry("answered so at the end of the grace period", scene{workStop, 12, 15.5, []float64{12, 15.5}, nil, true}, ""),
 	)
 
+	It("reports a response that the stop of the node beside the upstream truncates, but not one that a node gives up that stays", func() {
+		r := newRecorder()
+		second := func(s int) time.Time { return r.started.Add(time.Duration(s) * time.Second) }
+		r.works = []*work{{kind: workStop, process: "node-1", started: second(0), ended: second(2)}}
+		r.runs["l-1"] = []run{{node: "node-1", started: second(1), ended: second(2), canceled: true}}
+		c := &call{attempt: "l-1", node: "node-0", opened: second(1), sent: second(1), ended: second(2), deadline: second(8)}
+		r.calls = []*call{c}
+		c.unknown = true
+		r.checkCuts()
+		Expect(r.violations).To(BeEmpty())
+		c.unknown, c.err = false, io.ErrUnexpectedEOF
+		r.checkCuts()
+		Expect(r.violations).To(ConsistOf(ContainSubstring(planned)))
+	})
+
 	It("excuses a stopped process that did not exit with code 0 only by a call that kept it busy", func() {
 		r := newRecorder()
 		stop := &work{kind: workStop, process: "node-0", started: r.started, ended: r.started.Add(gracePeriod), exitError: io.EOF}
@@ -204,7 +254,7 @@
 	})
 })
 
-var _ = Describe("the daemon", Ordered, func() {
+var _ = Describe("the daemon", Ordered, ContinueOnFailure, func() {
 	var binary string
 
 	BeforeAll(func() {
