Accept no version before the voters have joined the group

Cause: the three founders elect a leader 0.6 s after the start and accepted versions at once; the other two voters are added 0.3 s to 1.8 s later. Until then a version is committed by two disks of three, and two lost disks take the quorum.

Change: the leader refuses versions (503, nothing proposed) while it has fewer voters than the group should have, for at most ReplaceAfter (3 s) after its election: processes that have not joined by then count as lost, as silent voters do.

Ruled out: requiring three copies for a commit, which keeps the version but not the quorum.

Test "counts processes that do not join as lost".

--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -133,6 +133,15 @@
 		Eventually(g.isRepaired(2), eventuallyTimeout).Should(BeTrue())
 	})
 
+	// Guards against a version that is acknowledged while only three processes vote: two of them may hold the only copies.
+	It("keeps a version that was acknowledged while the group formed when two disks are lost", func() {
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		g.restartWithEmptyDisk(0)
+		g.restartWithEmptyDisk(1)
+		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
+	})
+
 	// Guards against a member that is cut off and answers reads with an old version.
 	It("answers no read after the quorum is lost", func() {
 		g := newSelfManagedGroup()
--- a/control/member.go
+++ b/control/member.go
@@ -392,6 +392,10 @@
 			done <- r.proposeMembership(now, request.Command)
 			return
 		}
+		if request.Target == protocol.TargetRegistry && r.isLeader() && membership.IsForming(r.raft.Status(), m.options.Voters) {
+			done <- &protocol.ProposeReply{Status: protocol.ProposeForming, Detail: "processes are still joining the group"}
+			return
+		}
 		r.propose(now, request.Command, done)
 	})
 	if !posted {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -26,6 +26,7 @@
 var proposalResults = map[protocol.ProposeStatus]string{
 	protocol.ProposeApplied: "applied", protocol.ProposeNotLeader: "not-leader",
 	protocol.ProposeUncertain: "uncertain", protocol.ProposeRefused: "refused",
+	protocol.ProposeForming: "forming",
 }
 
 func newMetrics(m *Member) *metrics {
--- a/control/operatorapi.go
+++ b/control/operatorapi.go
@@ -90,6 +90,8 @@
 		return operator.DecisionFromResult(result)
 	case protocol.ProposeNotLeader:
 		return operator.Decision{}, b.notLeader(ctx, reply.Leader)
+	case protocol.ProposeForming:
+		return operator.Decision{}, &operator.Error{Kind: operator.ErrNoQuorum, Message: reply.Detail}
 	case protocol.ProposeUncertain:
 		return operator.Decision{}, &operator.Error{Kind: operator.ErrOutcomeUnknown, Message: reply.Detail}
 	default:
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -77,6 +77,13 @@
 	})
 }
 
+// IsForming reports whether the group has fewer voters than targetVoters because its processes are still joining. An entry
+// that is committed now would be on too few disks. Processes that do not become voters within ReplaceAfter count as
+// lost, as silent voters do.
+func IsForming(status raft.Status, targetVoters int) bool {
+	return len(status.Membership.Voters()) < targetVoters && status.LeaderFor < ReplaceAfter
+}
+
 // NextChange returns the membership change that the leader should propose now; false if there is none. targetVoters is
 // the number of voters when nothing has failed.
 func NextChange(now time.Time, status raft.Status, candidates *Candidates, targetVoters int) (raft.MembershipChange, bool) {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -204,6 +204,17 @@
 		Expect(g.members.Voters()).To(ContainElement(spare.id))
 	})
 
+	// Guards against a group that never accepts an entry because a process did not come up at the first start.
+	It("counts processes that do not join as lost", func() {
+		g := newGroup(voters)
+		status := g.status()
+		Expect(membership.IsForming(status, voters)).To(BeFalse())
+		status.Membership.Members = status.Membership.Members[:voters-1]
+		Expect(membership.IsForming(status, voters)).To(BeTrue())
+		status.LeaderFor = membership.ReplaceAfter
+		Expect(membership.IsForming(status, voters)).To(BeFalse())
+	})
+
 	It("adds no process to a group that has all its voters", func() {
 		g := newGroup(voters + 2)
 		Expect(g.settle()).To(BeZero())
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -153,6 +153,7 @@
 	n.freshness.openPolls = nil
 	n.leaderState = leaderState{
 		progress: make(map[MemberID]*progress), deferredPolls: make(map[MemberID]uint64), termStart: n.log.last() + 1,
+		electedAt: n.now,
 	}
 	for _, entry := range n.log.entries[n.commit-n.log.offset:] {
 		n.leaderState.uncommittedBytes += entry.size()
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -59,6 +59,7 @@
 // leaderState is the state of a leader.
 type leaderState struct {
 	progress         map[MemberID]*progress
+	electedAt        time.Time
 	termStart        uint64 // index of the first entry of this term
 	uncommittedBytes int
 	nextHeartbeat    time.Time
@@ -389,6 +390,7 @@
 	if n.role != RoleLeader {
 		return s
 	}
+	s.LeaderFor = n.now.Sub(n.leaderState.electedAt)
 	s.Progress = make(map[MemberID]MemberProgress)
 	for id, p := range n.leaderState.progress {
 		s.Progress[id] = p.status(n.now)
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -316,6 +316,8 @@
 	// QuorumLost is set after this member stepped down as leader because it had no contact with a quorum, until there is
 	// a leader again.
 	QuorumLost bool
+	// LeaderFor is the time since this member became the leader. It is set on leaders only.
+	LeaderFor time.Duration
 	// Transferring is the target of a leadership transfer in progress.
 	Transferring MemberID
 	// Progress is set on leaders only.
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -38,6 +38,9 @@
 	ProposeUncertain
 	// ProposeRefused means that the request is malformed or its command is not allowed; nothing was proposed.
 	ProposeRefused
+	// ProposeForming means that the group does not have all its voters yet; nothing was proposed. The request can be sent
+	// again.
+	ProposeForming
 )
 
 // ProposeReply is the reply to a ProposeRequest.
