--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -133,12 +133,8 @@
 		return ""
 	}
 	stops := r.stopsOf(c, runs)
-	if givenUp {
-		// A node that stays may give up a call, for example one to a node that does not respond.
-		stops = slices.DeleteFunc(stops, func(w *work) bool { return w.process != c.node })
-		if len(stops) == 0 {
-			return ""
-		}
+	if givenUp && !slices.ContainsFunc(stops, func(w *work) bool { return w.process == c.node }) {
+		return "" // A node that stays may give up a call, for example one to a node that does not respond.
 	}
 	if len(stops) == 0 {
 		return r.describeCut(c, "cut outside of any fault or stop", r.workBeside(c))
@@ -159,17 +155,23 @@
 }
 
 // disturbed reports whether a fault may have cut the request: one of its node or of a node whose upstream ran it. A
-// request that reached no upstream may have been on its way to any node.
+// request that reached no upstream may have been on its way to any node. Neither is a request judged whose connection
+// outlived the process at its other end, since the caller may notice that late.
 func (r *recorder) disturbed(c *call, runs []run) bool {
 	return slices.ContainsFunc(r.works, func(w *work) bool {
-		switch {
-		case w.kind == workKill && w.process == c.node && w.overlaps(c.opened, c.ended):
-			return true // The other end of the connection is gone.
-		case w.kind != workFault && w.kind != workKill || !w.overlaps(c.sent.Add(-settleTime), c.ended):
+		ownProcess := w.process == c.node && w.overlaps(c.opened, c.ended)
+		switch w.kind {
+		case workStop:
+			return ownProcess && !w.ended.IsZero() && w.ended.Before(c.sent)
+		case workKill, workFault:
+			if w.kind == workKill && ownProcess {
+				return true
+			}
+			ranThere := slices.ContainsFunc(runs, func(u run) bool { return u.node == w.process })
+			return w.overlaps(c.sent.Add(-settleTime), c.ended) && (w.process == c.node || ranThere || len(runs) == 0)
+		default:
 			return false
 		}
-		ranThere := slices.ContainsFunc(runs, func(u run) bool { return u.node == w.process })
-		return w.process == c.node || ranThere || len(runs) == 0
 	})
 }
 
