--- a/soak/caller.go
+++ b/soak/caller.go
@@ -18,10 +18,9 @@
 
 const (
 	// callerCount is the number of callers under random faults, and plannedCallerCount under planned work, where calls
-	// are slow: it keeps several calls in flight on each node. Large deployments have callersPerNode.
+	// are slow: it keeps several calls in flight on each node. Large deployments have a caller for each node.
 	callerCount        = 6
 	plannedCallerCount = 32
-	callersPerNode     = 2
 	// callerNodeCount is the number of nodes that a caller uses, in all but the smallest deployments.
 	callerNodeCount = 4
 	// callInterval is the pause of a caller between a response and the next request.
@@ -68,9 +67,9 @@
 // callerTotal returns the number of callers of a seed.
 func (o *Options) callerTotal() int {
 	if o.Planned {
-		return max(plannedCallerCount, callersPerNode*o.Nodes)
+		return max(plannedCallerCount, o.Nodes)
 	}
-	return max(callerCount, callersPerNode*o.Nodes)
+	return max(callerCount, o.Nodes)
 }
 
 // loop sends requests to the nodes in turn, one in three to the irreversible route. Each has an identifier of its own,
