web: close a draining listener only after two whole quiet waits

A connection's read deadline could also be set from a state that a drain had changed in between, so that the drain waited for the idle timeout.

Change: two waits in a row must have lasted their time, and not much longer. The listener's lock guards the state of the connections and their deadlines.

--- a/transport/web/drain.go
+++ b/transport/web/drain.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// acceptSettleTime is how long no connection may arrive before a draining listener closes.
-	acceptSettleTime = 5 * time.Millisecond
-	// readSettleTime is how long nothing may arrive on a connection that waits for a request before a draining listener
-	// closes it. It lets the rest of a request arrive that comes in several segments.
-	readSettleTime = 50 * time.Millisecond
+	// acceptWait is the length of a draining listener's waits for a connection.
+	acceptWait = 20 * time.Millisecond
+	// readWait is the length of the waits for a request on a connection of a draining listener. It lets the rest of a
+	// request arrive that comes in several segments.
+	readWait = 50 * time.Millisecond
+	// quietWaits is the number of quiet waits in a row after which a draining listener or connection closes.
+	quietWaits = 2
 )
 
 // DrainListener is the listener of an HTTP server that stops without losing requests. http.Server.Shutdown closes the
@@ -28,6 +30,7 @@
 type DrainListener struct {
 	net.Listener
 
+	// mu guards the fields below and drainConn.waiting.
 	mu          sync.Mutex
 	draining    bool
 	connections map[*drainConn]bool
@@ -51,7 +54,10 @@
 	l.mu.Lock()
 	l.draining = true
 	for connection := range l.connections {
-		connection.wake()
+		if connection.waiting {
+			// This ends the read that waits for a request, so that Read can take what has arrived.
+			_ = connection.Conn.SetReadDeadline(time.Now())
+		}
 	}
 	l.mu.Unlock()
 	l.setAcceptDeadline(time.Now())
@@ -65,10 +71,10 @@
 
 // Accept implements net.Listener. It returns http.ErrServerClosed once the listener is drained.
 func (l *DrainListener) Accept() (net.Conn, error) {
-	for {
+	for quiet := 0; ; {
 		started := time.Now()
 		if l.isDraining() {
-			l.setAcceptDeadline(started.Add(acceptSettleTime))
+			l.setAcceptDeadline(started.Add(acceptWait))
 		}
 		connection, err := l.Listener.Accept()
 		if err == nil {
@@ -77,16 +83,22 @@
 		if !l.isDraining() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if settled(started, acceptSettleTime) {
+		if quiet = countQuiet(quiet, started, acceptWait); quiet == quietWaits {
 			l.closeDrained()
 			return nil, http.ErrServerClosed
 		}
 	}
 }
 
-// settled reports whether a wait of the given length ended in time. Otherwise the process did not run for a while, and
+// countQuiet returns the number of quiet waits in a row after one that started at a time and ended with its deadline.
+// A wait that was interrupted is not quiet, and neither is one that ended late: the process did not run for a while, and
 // more may have arrived in the meantime. Every new wait first takes what has arrived.
-func settled(started time.Time, wait time.Duration) bool { return time.Since(started) < 2*wait }
+func countQuiet(quiet int, started time.Time, wait time.Duration) int {
+	if waited := time.Since(started); waited < wait || waited >= 2*wait {
+		return 0
+	}
+	return quiet + 1
+}
 
 func (l *DrainListener) setAcceptDeadline(deadline time.Time) {
 	if listener, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
@@ -139,7 +151,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for connection := range l.connections {
-		if connection.isWaiting() {
+		if connection.waiting {
 			waiting++
 		} else {
 			active++
@@ -169,58 +181,47 @@
 	net.Conn
 	listener *DrainListener
 
-	mu sync.Mutex
 	// waiting is set while no request has been read.
 	waiting bool
 }
 
-func (c *drainConn) isWaiting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.waiting
-}
-
 func (c *drainConn) setWaiting(waiting bool) {
-	c.mu.Lock()
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
 	c.waiting = waiting
-	c.mu.Unlock()
-	if !waiting && c.listener.isDraining() {
-		// A deadline that wake has set must not end the request.
+	if c.listener.draining && !waiting {
+		// The deadline of the wait must not end the request.
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
-// wake ends a read that waits for a request, so that Read can take what has arrived. It is called with the listener's
-// lock held.
-func (c *drainConn) wake() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting {
-		_ = c.Conn.SetReadDeadline(time.Now())
-	}
-}
-
-// SetReadDeadline implements net.Conn. During a drain, a connection waits for a request for readSettleTime at most.
+// SetReadDeadline implements net.Conn. During a drain, a connection waits for a request for readWait at most.
 func (c *drainConn) SetReadDeadline(deadline time.Time) error {
-	draining := c.listener.isDraining()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if draining && c.waiting {
-		deadline = time.Now().Add(readSettleTime)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.listener.draining && c.waiting {
+		deadline = time.Now().Add(readWait)
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// drainsWithoutRequest reports whether the listener drains and no request has been read on the connection.
+func (c *drainConn) drainsWithoutRequest() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.listener.draining && c.waiting
+}
+
 // Read implements net.Conn. During a drain it returns os.ErrDeadlineExceeded once nothing more arrives on a connection
 // without a request.
 func (c *drainConn) Read(buffer []byte) (int, error) {
-	for {
+	for quiet := 0; ; {
 		started := time.Now()
 		n, err := c.Conn.Read(buffer)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.listener.isDraining() || !c.isWaiting() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.drainsWithoutRequest() {
 			return n, err
 		}
-		if waited := time.Since(started); waited >= readSettleTime && settled(started, readSettleTime) {
+		if quiet = countQuiet(quiet, started, readWait); quiet == quietWaits {
 			return 0, err
 		}
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
--- a/transport/web/drain_test.go
+++ b/transport/web/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,6 +18,22 @@
 
 const drainTimeout = 10 * time.Second
 
+// interruptedListener returns from its first waits at their deadline without looking for connections, like a process
+// that does not run between setting a deadline and accepting.
+type interruptedListener struct {
+	*net.TCPListener
+	pauses []time.Duration
+}
+
+func (l *interruptedListener) Accept() (net.Conn, error) {
+	if len(l.pauses) > 0 {
+		time.Sleep(l.pauses[0])
+		l.pauses = l.pauses[1:]
+		return nil, os.ErrDeadlineExceeded
+	}
+	return l.TCPListener.Accept()
+}
+
 var _ = Describe("DrainListener", func() {
 	var listener *web.DrainListener
 	var server *http.Server
@@ -97,6 +114,23 @@
 		expectDrained(done)
 	})
 
+	// Guards against taking a wait for quiet in which nothing was accepted because its deadline had passed before.
+	It("serves them also if its first waits for connections are interrupted", func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener = web.NewDrainListener(&interruptedListener{
+			TCPListener: inner.(*net.TCPListener), pauses: []time.Duration{0, 0, 30 * time.Millisecond, 0},
+		})
+		server.ConnState = listener.ConnState
+		connection := dial()
+		sendRequest(connection, "/")
+		done := drain()
+		time.Sleep(5 * time.Millisecond)
+		serve()
+		expectResponse(connection)
+		expectDrained(done)
+	})
+
 	// Guards against closing a kept connection on which a request has arrived, because its goroutine did not run yet.
 	It("serves a request on an idle connection that was not read yet", func() {
 		held := make(chan struct{})
