--- a/node/announce.go
+++ b/node/announce.go
@@ -19,8 +19,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.putInService(announcement)
+	return nil
+}
+
+// putInService puts an upstream with a valid announcement into service. The caller holds e.mu.
+func (e *executor) putInService(announcement Announcement) {
 	if e.stopping {
-		return nil
+		return
 	}
 	if e.upstream == nil || e.upstream.announcement != announcement {
 		if e.upstream != nil {
@@ -28,7 +34,7 @@
 		}
 		e.upstream = newUpstream(announcement)
 	} else if e.state == upstreamServing {
-		return nil
+		return
 	}
 	if e.state == upstreamDraining || e.state == upstreamAbsent {
 		// A drained queue refuses all further calls, so a new one is needed.
@@ -42,7 +48,6 @@
 	e.applyDecisions(e.queue.Expire(time.Now()))
 	e.logger.Info().Str("service", announcement.Service).Str("address", announcement.Address).
 		Int("slots", announcement.Slots).Msg("upstream announced itself")
-	return nil
 }
 
 // slots returns the number of calls that the upstream may run at once. The caller holds e.mu.
@@ -87,15 +92,20 @@
 // drainForStop drains the upstream because this process stops; further announcements have no effect.
 func (e *executor) drainForStop() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.stopping = true
-	e.mu.Unlock()
-	e.drain()
+	e.startDrain()
 }
 
 // drain announces that the upstream is leaving and refuses further calls. Calls in flight finish.
 func (e *executor) drain() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.startDrain()
+}
+
+// startDrain is drain for a caller that holds e.mu.
+func (e *executor) startDrain() {
 	if e.upstream == nil || e.state == upstreamDraining {
 		return
 	}
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -48,3 +48,10 @@
 func (n *Node) BlockRecording() {
 	n.executor.background.start(func() { <-n.executor.ctx.Done() })
 }
+
+// UpstreamServes reports whether the upstream beside the node takes calls.
+func (n *Node) UpstreamServes() bool {
+	n.executor.mu.Lock()
+	defer n.executor.mu.Unlock()
+	return n.executor.state == upstreamServing
+}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -43,16 +43,15 @@
 	if !n.knowsService(h.Announcement.Service) {
 		return errors.Wrapf(ErrUnknownService, "service %q", h.Announcement.Service)
 	}
-	return n.executor.heartbeat(h)
+	n.executor.heartbeat(h)
+	return nil
 }
 
 // DeregisterUpstream drains the upstream with the given ID, which is about to stop: its calls in flight finish and it
 // gets no new ones. If the upstream is not known, as after a restart of this node, its later heartbeats do not put it
 // into service.
 func (n *Node) DeregisterUpstream(id string) {
-	if n.executor.markDeregistered(id) {
-		n.executor.drain()
-	}
+	n.executor.deregister(id)
 }
 
 // knowsService reports whether a service is in the settings or in the configuration in force. Before the first
@@ -69,35 +68,33 @@
 	return known
 }
 
-// heartbeat accepts the announcement of a heartbeat, or drains the upstream if it is leaving.
-func (e *executor) heartbeat(h Heartbeat) error {
+// heartbeat puts the upstream of a valid heartbeat into service, or drains it if it is leaving.
+func (e *executor) heartbeat(h Heartbeat) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.lastHeartbeat.supersedes(h) {
-		e.mu.Unlock()
-		return nil
+		return
 	}
 	e.lastHeartbeat = heartbeatPosition{
 		id: h.Announcement.ID, incarnation: h.Announcement.Incarnation, sequence: h.Sequence,
 	}
 	last, deregistered := e.deregistered[h.Announcement.ID]
 	deregistered = deregistered && h.Announcement.Incarnation <= last
-	stopping := e.stopping
-	e.mu.Unlock()
-	if stopping || h.Leaving || deregistered {
+	if h.Leaving || deregistered {
 		// If the leaving upstream was never in service, it has taken the place of the current one, which gets no calls
 		// either.
-		e.drain()
-		return nil
+		e.startDrain()
+		return
 	}
-	return e.acceptAnnouncement(h.Announcement)
+	e.putInService(h.Announcement)
 }
 
 // maxDeregistered bounds the remembered upstreams. The upstream beside a node is replaced a few times an hour at most.
 const maxDeregistered = 64
 
-// markDeregistered records that an upstream is about to stop, and reports whether it is the current one. For an unknown
-// upstream, the message applies to every incarnation that has started before it.
-func (e *executor) markDeregistered(id string) bool {
+// deregister records that an upstream is about to stop, and drains it if it is the current one. For an unknown upstream,
+// the message applies to every incarnation that has started before it.
+func (e *executor) deregister(id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.deregistered) >= maxDeregistered {
@@ -105,10 +102,10 @@
 	}
 	if e.upstream == nil || e.upstream.announcement.ID != id {
 		e.deregistered[id] = time.Now().UnixMilli()
-		return false
+		return
 	}
 	e.deregistered[id] = e.upstream.announcement.Incarnation
-	return true
+	e.startDrain()
 }
 
 // localService returns the service of the upstream beside this node.
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -226,6 +227,21 @@
 			Expect(promoteStatus()).To(Equal(http.StatusOK), "the upstream has started again")
 		})
 
+		// Guards against a heartbeat that is processed half before and half after a deregistration.
+		It("gives a deregistered upstream no calls if a heartbeat arrives at the same time", func() {
+			for incarnation := int64(2); incarnation < 3000; incarnation++ {
+				id := fmt.Sprint("u", incarnation)
+				Expect(sendHeartbeat(n, upstream, id, incarnation, 1, false)).To(Succeed())
+				start := make(chan struct{})
+				var senders sync.WaitGroup
+				senders.Go(func() { <-start; _ = sendHeartbeat(n, upstream, id, incarnation, 2, false) })
+				senders.Go(func() { <-start; n.DeregisterUpstream(id) })
+				close(start)
+				senders.Wait()
+				Expect(n.UpstreamServes()).To(BeFalse(), id)
+			}
+		})
+
 		It("gives a deregistered upstream no more calls, even if it sends further heartbeats", func() {
 			n.DeregisterUpstream("u1")
 			Expect(promoteStatus()).To(Equal(http.StatusServiceUnavailable))
