--- a/node/export_test.go
+++ b/node/export_test.go
@@ -55,3 +55,6 @@
 	defer n.executor.mu.Unlock()
 	return n.executor.state == upstreamServing
 }
+
+// RequestsInFlight returns the number of callers' requests that were admitted and not answered yet.
+func (n *Node) RequestsInFlight() int { return n.requests.count() }
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -51,19 +51,34 @@
 	}
 	f.results <- f.runFirst(ctx, first)
 	for {
-		select {
-		case result := <-f.results:
-			f.pending--
-			switch f.handleResult(ctx, result) {
-			case forward.Respond:
-				return f.complete(result)
-			case forward.Fail:
-				return f.fail()
-			}
-		case <-ctx.Done():
+		result, ok := f.awaitResult(ctx)
+		if !ok {
 			f.lastReason = abandonReason(ctx)
 			return f.fail()
 		}
+		f.pending--
+		switch f.handleResult(ctx, result) {
+		case forward.Respond:
+			return f.complete(result)
+		case forward.Fail:
+			return f.fail()
+		}
+	}
+}
+
+// awaitResult returns the result of the next attempt that ends; false if the context ends first. A result that is ready
+// is returned also if the context has ended.
+func (f *forwarder) awaitResult(ctx context.Context) (attemptResult, bool) {
+	select {
+	case result := <-f.results:
+		return result, true
+	default:
+	}
+	select {
+	case result := <-f.results:
+		return result, true
+	case <-ctx.Done():
+		return attemptResult{}, false
 	}
 }
 
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -268,7 +268,7 @@
 		c.policy.budget.CountCall(c.started)
 	}
 	plan := forward.New(forward.Config{
-		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.deadline, WithinRetry: c.metadata.Retry,
+		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.node.callDeadline(c.deadline), WithinRetry: c.metadata.Retry,
 		Resendable: c.body.buffered(), Exclusive: c.exclusive,
 	})
 	f := &forwarder{call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight)}
--- a/node/request_tracker.go
+++ b/node/request_tracker.go
@@ -62,6 +62,11 @@
 	idle := t.idle
 	t.mu.Unlock()
 	select {
+	case <-idle:
+		return nil
+	default:
+	}
+	select {
 	case <-idle:
 		return nil
 	case <-ctx.Done():
--- a/node/stop.go
+++ b/node/stop.go
@@ -57,9 +57,10 @@
 	n.closeConnections.Store(true)
 	err := n.stopStep("own upstream idle", n.executor.waitIdle(serving))
 	sleep(serving, max(connectionCloseTime, time.Until(noticeEnd)))
-	if drainErr := n.stopStep("no request in flight", n.requests.drain(serving)); drainErr != nil {
-		err = errors.CombineErrors(err, drainErr)
+	err = errors.CombineErrors(err, n.stopStep("no request in flight", n.requests.drain(serving)))
+	if err != nil {
 		n.abandonRequests(errStopping)
+		n.callerListener.LimitActive(time.Now(), time.Now().Add(finalResponseTime/2))
 		err = errors.CombineErrors(err, n.stopStep("requests given up", n.requests.drain(ctx)))
 	}
 	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(ctx)))
@@ -76,7 +77,7 @@
 	if !ok {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(ctx, deadline.Add(-finalResponseTime))
+	return context.WithDeadline(ctx, deadline.Add(-min(finalResponseTime, time.Until(deadline)/4)))
 }
 
 // stopLimits limits the calls of a node that stops.
@@ -91,7 +92,8 @@
 // refuse what they cannot finish in time.
 func (n *Node) limitCalls(ctx context.Context, noticeEnd time.Time) {
 	if deadline, ok := ctx.Deadline(); ok {
-		n.stopLimits.Store(&stopLimits{noticeEnd: noticeEnd, lastDeadline: deadline.Add(-refusalTime)})
+		margin := min(refusalTime, time.Until(deadline)/4)
+		n.stopLimits.Store(&stopLimits{noticeEnd: noticeEnd, lastDeadline: deadline.Add(-margin)})
 	}
 }
 
@@ -109,14 +111,10 @@
 // work after the notice.
 func (c *ingressCall) endsTooLate() bool {
 	limits := c.node.stopLimits.Load()
-	switch {
-	case limits == nil:
+	if limits == nil || !c.deadline.After(limits.lastDeadline) {
 		return false
-	case c.started.After(limits.noticeEnd):
-		return c.deadline.After(limits.lastDeadline)
-	default:
-		return c.started.Add(c.timeUntilTarget()).After(limits.lastDeadline)
 	}
+	return c.started.After(limits.noticeEnd) || c.started.Add(c.timeUntilTarget()).After(limits.lastDeadline)
 }
 
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -1,7 +1,10 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -130,6 +133,26 @@
 		Eventually(stopped, eventuallyTimeout).Should(Receive(HaveOccurred()))
 	})
 
+	// Guards against a stop whose time is used up by one caller who does not send the rest of a request, so that the
+	// following steps are left out.
+	It("does not wait for a request body that does not arrive", func() {
+		f := newFixture(true, newFakeLedger().server.Address(), 4, func(http.ResponseWriter, *http.Request) {})
+		connection, err := net.Dial("tcp", f.callers)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(connection.Close)
+		_, err = fmt.Fprint(connection, "POST /lookup HTTP/1.1\r\nHost: desk\r\nContent-Length: 10\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.ingress.RequestsInFlight, eventuallyTimeout).Should(Equal(1))
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		Expect(f.ingress.Stop(ctx)).To(HaveOccurred())
+		Expect(ctx.Err()).NotTo(HaveOccurred(), "the stop must end before its time does")
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Body.Close()).To(Succeed())
+	})
+
 	// Guards against the same for a call without a key, which runs on after its caller has left.
 	It("answers a keyless irreversible call on the own upstream when its time runs out", func() {
 		upstream := newBlockingUpstream()
--- a/transport/rpc/server.go
+++ b/transport/rpc/server.go
@@ -82,7 +82,8 @@
 // Stop closes all connections immediately.
 func (s *Server) Stop() { s.server.Stop() }
 
-// GracefulStop refuses new streams and waits for open ones. When the context ends, it closes the remaining connections.
+// GracefulStop refuses new streams and waits for open ones. When the context ends, it closes the remaining connections and
+// does not wait for handlers, which may outlast their streams.
 func (s *Server) GracefulStop(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
@@ -93,6 +94,5 @@
 	case <-done:
 	case <-ctx.Done():
 		s.server.Stop()
-		<-done
 	}
 }
--- a/transport/web/drain.go
+++ b/transport/web/drain.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// LimitActive sets the deadlines of the connections with a request that was read, so that a server that gives up its
+// requests need not wait for callers that neither send the rest of their request nor read their response.
+func (l *DrainListener) LimitActive(readDeadline, writeDeadline time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for connection := range l.connections {
+		if !connection.waiting {
+			// The only error is that of a closed connection.
+			_ = connection.Conn.SetReadDeadline(readDeadline)
+			_ = connection.Conn.SetWriteDeadline(writeDeadline)
+		}
+	}
+}
+
 // Accept implements net.Listener. It returns http.ErrServerClosed once the listener is drained.
 func (l *DrainListener) Accept() (net.Conn, error) {
 	for quiet := 0; ; {
