End a caller's request at its deadline when its body or its reader stops

Cause: nothing bounded how long a node reads a request's body or writes a response. A caller that stopped or trickled in the middle of a body got no answer at its deadline and kept its request for ever, past a planned stop too; with a body over 64 KiB it kept the slot and the connection to the upstream, because net/http ends a canceled request only once its body's reader returns, and sends no response while that reader waits. A refusal (404, 413) waited for the caller as well: net/http first reads up to 256 KiB of the body. So did an upstream's response to a body that it had not read. A caller that read no response kept its slot (on the local upstream) and a stopping node.

Change: the connection has a read deadline at the call's deadline until the body has ended, and a write deadline: the call's for a streamed response, 10 s for one that is complete. Responses no longer wait for the body (full duplex); the rest of a refused body is read for 1 s at most. A body that stops at its start is refused as not run (503); one that has been forwarded in part gets 504.

--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -187,7 +188,8 @@
 // failedCallReply returns the reply to a call that was sent and got no reply; it may have run.
 func failedCallReply(callerCtx context.Context, err error) *callReply {
 	switch {
-	case errors.Is(callerCtx.Err(), context.DeadlineExceeded), errors.Is(err, rpc.ErrTimeout):
+	case errors.Is(callerCtx.Err(), context.DeadlineExceeded), errors.Is(err, rpc.ErrTimeout),
+		errors.Is(err, os.ErrDeadlineExceeded): // of reading the caller's body
 		return unknownReply(protocol.ReasonDeadline)
 	case callerCtx.Err() != nil:
 		return unknownReply(protocol.ReasonCallerGone)
@@ -205,8 +207,8 @@
 	if err := stream.Send(first); err != nil {
 		return err
 	}
+	buffer := make([]byte, protocol.ChunkBytes)
 	for {
-		buffer := make([]byte, protocol.ChunkBytes)
 		n, last, err := readChunk(body.rest, buffer)
 		if err != nil {
 			return err
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -72,7 +73,7 @@
 		n.serveOutcome(w, r)
 		return
 	}
-	call, reason := n.prepare(started, r)
+	call, reason := n.prepare(started, w, r)
 	if reason != protocol.ReasonNone {
 		n.refuse(w, r, reason)
 		return
@@ -84,11 +85,14 @@
 	n.metrics.observeRequest(call.route.Class, reply.metadata.Outcome, time.Since(started))
 	n.requestLog.requestEnded(call, reply)
 	call.writeReply(w, reply)
+	if call.limitedBody != nil {
+		closeUnreadBody(w, r)
+	}
 }
 
 // prepare matches the request to a route, applies the route's call limit, reads the request's header and body, and
 // checks the quarantine. On refusal it returns the reason.
-func (n *Node) prepare(started time.Time, r *http.Request) (*ingressCall, protocol.Reason) {
+func (n *Node) prepare(started time.Time, w http.ResponseWriter, r *http.Request) (*ingressCall, protocol.Reason) {
 	current := n.snapshot.Load()
 	if current == nil {
 		return nil, protocol.ReasonNotReady
@@ -108,7 +112,7 @@
 	if reason := call.buildMetadata(r); reason != protocol.ReasonNone {
 		return nil, reason
 	}
-	if reason := call.readBody(r); reason != protocol.ReasonNone {
+	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
 		return nil, reason
 	}
 	return call, call.checkQuarantine()
@@ -168,8 +172,9 @@
 }
 
 // readBody buffers up to maxBufferedBytes of the body and leaves the rest to be streamed. The body of an irreversible
-// call with a key is buffered whole, since its claim in the ledger contains the body's digest.
-func (c *ingressCall) readBody(r *http.Request) protocol.Reason {
+// call with a key is buffered whole, since its claim in the ledger contains the body's digest. Reading ends at the
+// call's deadline, also for a caller that stops in the middle of the body.
+func (c *ingressCall) readBody(w http.ResponseWriter, r *http.Request) protocol.Reason {
 	limit := cmp.Or(c.route.MaxBodyBytes, c.snapshot.maxBodyBytes, c.node.options.Limits.MaxBodyBytes)
 	if r.ContentLength > limit {
 		return protocol.ReasonTooLarge
@@ -181,19 +186,27 @@
 	if c.route.Class == bundle.ClassIrreversible && !c.route.Keyless {
 		bufferLimit = limit
 	}
+	conn := http.NewResponseController(w)
+	// These and the other errors of setting a deadline mean that the connection is closed, which reading reports.
+	_ = conn.SetReadDeadline(c.deadline)
 	var buffer bytes.Buffer
 	if _, err := buffer.ReadFrom(io.LimitReader(r.Body, bufferLimit+1)); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return protocol.ReasonDeadline
+		}
 		return protocol.ReasonCallerGone
 	}
 	c.body.prefix = buffer.Bytes()
 	c.body.trailer = r.Trailer
 	if int64(buffer.Len()) <= bufferLimit {
+		_ = conn.SetReadDeadline(time.Time{})
 		return protocol.ReasonNone
 	}
 	if bufferLimit == limit {
 		return protocol.ReasonTooLarge
 	}
-	c.limitedBody = &maxBytesReader{reader: r.Body, remaining: limit - int64(buffer.Len())}
+	c.limitedBody = &maxBytesReader{reader: r.Body, remaining: limit - int64(buffer.Len()), conn: conn}
+	sendBeforeBodyEnds(conn)
 	c.body.rest = c.limitedBody
 	for name := range r.Trailer {
 		c.metadata.TrailerNames = append(c.metadata.TrailerNames, name)
@@ -202,10 +215,19 @@
 	return protocol.ReasonNone
 }
 
+// sendBeforeBodyEnds keeps net/http from reading the rest of the request's body before it sends the response. It would
+// wait for a caller that sends no more, and take the bytes of a body that is still being forwarded.
+func sendBeforeBodyEnds(conn *http.ResponseController) {
+	// Only HTTP/2 has no support, and needs none.
+	_ = conn.EnableFullDuplex()
+}
+
 // maxBytesReader reads a body of unknown length and returns protocol.ErrTooLarge beyond the route's limit.
 type maxBytesReader struct {
 	reader    io.Reader
 	remaining int64
+	// conn is the caller's connection, whose read deadline is removed at the end of the body.
+	conn *http.ResponseController
 	// exceeded is set when the limit is passed. The attempt reads it on another goroutine to report the reason.
 	exceeded atomic.Bool
 }
@@ -218,6 +240,9 @@
 		r.exceeded.Store(true)
 		return 0, errors.Wrap(protocol.ErrTooLarge, "request body")
 	}
+	if errors.Is(err, io.EOF) {
+		_ = r.conn.SetReadDeadline(time.Time{})
+	}
 	return n, err
 }
 
--- a/node/response.go
+++ b/node/response.go
@@ -20,6 +20,13 @@
 // "key" is its idempotency key.
 const PathOutcome = "/.sapphire/outcome"
 
+// callerWriteTimeout bounds how long a caller may take to read a response that the node holds completely.
+const callerWriteTimeout = 10 * time.Second
+
+// unreadBodyTimeout bounds how long the connection of a refused request is kept for the rest of the body, so that a caller
+// that still sends gets the response before the connection closes.
+const unreadBodyTimeout = time.Second
+
 // outcomeTimeout bounds a query to the ledger for an outcome.
 const outcomeTimeout = 2 * time.Second
 
@@ -59,11 +66,14 @@
 	n.metrics.refusedRequests.WithLabelValues(string(reason)).Inc()
 	n.requestLog.requestRefused(r, n, reason)
 	key := r.Header.Get(protocol.HeaderIdempotencyKey)
+	defer closeUnreadBody(w, r)
 	if key == "" || len(key) > maxKeyBytes {
+		limitUnreadBody(w, r)
 		n.writeOutcome(w, protocol.OutcomeNotRun, reason, refusalStatusCode(reason), protocol.LoadReport{})
 		return
 	}
 	reply := n.lookUpOutcome(r.Context(), ledger.Query{Key: key}, reason)
+	limitUnreadBody(w, r)
 	if reply.metadata.Outcome == protocol.OutcomeUnknown {
 		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(key))
 	}
@@ -74,6 +84,29 @@
 	n.writeOutcome(w, reply.metadata.Outcome, reply.metadata.Reason, refusalStatusCode(reason), protocol.LoadReport{})
 }
 
+// limitUnreadBody lets the refusal of a request be sent before its body has been read, and bounds the time for which
+// net/http reads on.
+func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	conn := http.NewResponseController(w)
+	sendBeforeBodyEnds(conn)
+	// An error means that the connection is closed.
+	_ = conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
+// closeUnreadBody sends the response and then closes a body that was not read to its end. net/http reads on for a while,
+// as it does after the handler, where it would panic at the end of the body after sendBeforeBodyEnds.
+func closeUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = http.NewResponseController(w).Flush()
+	_ = r.Body.Close()
+}
+
 // confirmNotRun queries the ledger before an irreversible call is reported as not run, because an earlier attempt of
 // the caller under the same key may have run.
 func (c *ingressCall) confirmNotRun(ctx context.Context, reply *callReply) *callReply {
@@ -214,6 +247,8 @@
 // writeResponse writes an upstream's response to the caller. It aborts the caller's connection if a streamed response
 // is truncated, so that the caller does not take it for complete.
 func (c *ingressCall) writeResponse(w http.ResponseWriter, reply *callReply) {
+	// An error means that the connection is closed, which writing reports.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.writeDeadline(reply))
 	header := w.Header()
 	for name, values := range reply.metadata.Header {
 		header[name] = values
@@ -245,6 +280,15 @@
 	setTrailers(header, reply.trailer)
 }
 
+// writeDeadline returns when the response must have been written, so that a caller that does not read it holds nothing
+// for longer. A response that streams ends with the call's deadline; one that is complete is delivered also late.
+func (c *ingressCall) writeDeadline(reply *callReply) time.Time {
+	if reply.stream != nil {
+		return c.deadline
+	}
+	return time.Now().Add(callerWriteTimeout)
+}
+
 func setTrailers(header, trailer http.Header) {
 	for name, values := range trailer {
 		header[http.TrailerPrefix+name] = values
