Use one buffer for all frames of a streamed response

Cause: each frame got a new buffer of 64 KiB, also for a single byte.

Change: the stream has one buffer; a frame is valid until the next one. Both consumers copy it (the write to the caller, the encoder of the mesh).

--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -10,6 +10,7 @@
 	"path"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	pause time.Duration
 	// endless counts the connections on which the upstream sends without end.
 	endless atomic.Int32
+	// parts counts the parts that were sent.
+	parts atomic.Int64
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -82,6 +85,7 @@
 	_, err := io.WriteString(conn, response.start)
 	for err == nil {
 		_, err = conn.Write(part)
+		u.parts.Add(1)
 		if u.pause == 0 {
 			continue
 		}
@@ -140,11 +144,15 @@
 	{"a chunk extension", chunkedHead + "10;", "x"},
 	{"a trailer field", chunkedHead + oneChunk + "0\r\nX-Long: ", "x"},
 	{"trailer fields", chunkedHead + oneChunk + "0\r\n", "X-Many: x\r\n"},
+	{"a byte at a time after a long start", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 80_000), "x"},
 	{"a body with an announced length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
 }
 
-// endlessBody is the index of the body without a length.
-const endlessBody = 9
+// Indices of endlessCases.
+const (
+	endlessBody  = 9
+	endlessBytes = 15
+)
 
 const (
 	// endlessDeadline is the deadline of calls that get such a response.
@@ -266,5 +274,20 @@
 				})
 			}
 		}
+
+		// Guards against a buffer of 64 KiB that is allocated for each byte which an upstream sends on its own.
+		It("cost no more memory for being sent a byte at a time, "+path, func() {
+			upstream := &endlessUpstream{pause: 100 * time.Microsecond}
+			f := newEndlessFixture(remote, 1, upstream)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			got := f.discard(fmt.Sprint("/lookup/", endlessBytes), protocol.HeaderDeadline, strconv.FormatInt(endlessDeadline.Milliseconds(), 10))
+			Expect(got.err).To(HaveOccurred())
+			Eventually(upstream.endless.Load, endlessLimit).Should(BeZero())
+			runtime.ReadMemStats(&after)
+			// The first MiB is for the call itself.
+			allocated := after.TotalAlloc - before.TotalAlloc - min(1<<20, after.TotalAlloc-before.TotalAlloc)
+			Expect(allocated / uint64(upstream.parts.Load())).To(BeNumerically("<", protocol.ChunkBytes/8))
+		})
 	}
 })
--- a/node/reply.go
+++ b/node/reply.go
@@ -23,8 +23,8 @@
 
 // replyStream returns the rest of a long response in frames; the last one is marked.
 type replyStream interface {
-	// Next returns the next frame; it must not be called after the last one. Every error means that the response was
-	// truncated.
+	// Next returns the next frame, which is valid until the following call; it must not be called after the last one.
+	// Every error means that the response was truncated.
 	Next() (*protocol.ReplyFrame, error)
 	// Close discards the rest of the response.
 	Close()
--- a/node/run.go
+++ b/node/run.go
@@ -196,16 +196,18 @@
 // upstreamStream reads the rest of a long response from the upstream.
 type upstreamStream struct {
 	response *http.Response
+	// buffer holds the body of the latest frame: a new buffer for each would cost far more memory than an upstream sends
+	// that sends a byte at a time.
+	buffer [protocol.ChunkBytes]byte
 }
 
 // Next reads the next part of the body into a frame.
 func (s *upstreamStream) Next() (*protocol.ReplyFrame, error) {
-	buffer := make([]byte, protocol.ChunkBytes)
-	n, last, err := readChunk(s.response.Body, buffer)
+	n, last, err := readChunk(s.response.Body, s.buffer[:])
 	if err != nil {
 		return nil, errors.Wrapf(web.ErrTruncated, "%v", err)
 	}
-	frame := &protocol.ReplyFrame{Body: buffer[:n], Last: last}
+	frame := &protocol.ReplyFrame{Body: s.buffer[:n], Last: last}
 	if last {
 		frame.Trailer = s.response.Trailer
 	}
