Count the silence of a lost leader from its last message

Operators saw: after the loss of the leader's machine, the group took over 4 s to replace it by the machine that came for it. CatchUp is 4 s on the small sites: two further disks may be lost from then on, and with the lost leader still a voter they take the quorum for good.

Cause: a member without contact is replaced after 3 s, and each new leader began to count at its election, about 1.2 s after the loss of the former one.

Change: a new leader counts the silence of the former one from the last message that it got from it. The contact that keeps a leader in office is counted as before, or a leader that needs the vote of the former one would step down at once.

--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -38,7 +38,7 @@
 	}
 	n.role, n.leader = RoleFollower, leader
 	if leader != "" {
-		n.leaderContact = n.now
+		n.lastLeader, n.leaderContact = leader, n.now
 		n.quorumLost = false
 	}
 	n.votes = nil
@@ -159,6 +159,9 @@
 		n.leaderState.uncommittedBytes += entry.size()
 	}
 	n.updateTrackedMembers()
+	if p := n.leaderState.progress[n.lastLeader]; p != nil {
+		p.silentSince = n.leaderContact
+	}
 	n.appendEntry(n.firstEntry())
 	n.startRound()
 }
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -107,7 +107,7 @@
 	for _, member := range append(slices.Clone(n.membership().Members), Member{ID: n.config.ID}) {
 		p := n.leaderState.progress[member.ID]
 		if p == nil {
-			p = &progress{next: n.log.last() + 1, lastContact: n.now}
+			p = &progress{next: n.log.last() + 1, lastContact: n.now, silentSince: n.now}
 		}
 		tracked[member.ID] = p
 	}
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -40,9 +40,11 @@
 	// memberships holds the membership at the last snapshot and those of later entries, in order of their index.
 	memberships []membershipRecord
 
-	role             Role
-	leader           MemberID
+	role   Role
+	leader MemberID
+	// leaderContact is the time of the last message from lastLeader, which is the present leader or the one before.
 	leaderContact    time.Time
+	lastLeader       MemberID
 	electionDeadline time.Time
 	votes            map[MemberID]bool
 	quorumLost       bool
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -23,6 +23,9 @@
 	// lastContact is when the leader started to track the member.
 	lastContact time.Time
 	contacted   bool
+	// silentSince is lastContact or, for the former leader until its first message in this term, the time of its last
+	// message as the leader.
+	silentSince time.Time
 	// repliedRound is the last heartbeat round that the member replied to. appendRound is the heartbeat round during
 	// which the last append or snapshot was sent.
 	repliedRound, appendRound uint64
@@ -75,7 +78,7 @@
 
 func (p *progress) status(now time.Time) MemberProgress {
 	s := MemberProgress{Match: p.match, Next: p.next, State: p.state, Inflight: len(p.inflight), SinceContact: -1,
-		Silence: now.Sub(p.lastContact)}
+		Silence: now.Sub(p.silentSince)}
 	if p.contacted {
 		s.SinceContact = now.Sub(p.lastContact)
 	}
--- a/coordination/raft/raft_test.go
+++ b/coordination/raft/raft_test.go
@@ -422,6 +422,24 @@
 		Expect(age).To(Equal(1010 * time.Millisecond))
 	})
 
+	// Guards against a group that waits for a lost leader longer than for another lost member: if the silence started
+	// anew with each election, the repair could take longer than the time until the next loss.
+	It("counts the silence of the former leader from its last message", func() {
+		c := newCluster(1, voters("a", "b", "c"))
+		c.run(3 * time.Second)
+		former := c.awaitLeader()
+		c.crash(former)
+		crashed := c.now
+		next := c.awaitLeader()
+		Expect(next.id).NotTo(Equal(former.id))
+		progress := next.node.Status().Progress[former.id]
+		Expect(progress.SinceContact).To(BeNumerically("<", 0), "no message in this term")
+		Expect(progress.Silence).To(BeNumerically("~", c.now-crashed, 300*time.Millisecond))
+		c.restart(former)
+		c.run(time.Second)
+		Expect(next.node.Status().Progress[former.id].Silence).To(BeNumerically("<", 500*time.Millisecond))
+	})
+
 	It("refuses malformed messages and inconsistent state", func() {
 		s := newSingleNode(raft.HardState{Term: 1})
 		gap := []raft.Entry{{Index: 3, Term: 1}}
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -232,7 +232,7 @@
 	if p == nil {
 		return nil
 	}
-	p.lastContact, p.contacted = n.now, true
+	p.lastContact, p.silentSince, p.contacted = n.now, n.now, true
 	p.repliedRound = max(p.repliedRound, m.Round)
 	return p
 }
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -298,8 +298,8 @@
 	Inflight int
 	// SinceContact is the time since the last message of this member; negative if there was none in this term.
 	SinceContact time.Duration
-	// Silence is the time since the last message of this member or, if there was none in this term, since the leader
-	// started to replicate to it.
+	// Silence is the time since the last message of this member. If there was none in this term, it is the time since the
+	// leader started to replicate to it or, for the former leader, since its last message as the leader.
 	Silence time.Duration
 }
 
