Start the sender to a new member before the first message to it

Cause: the leader queued the first append to a new member before the goroutine that sends to it existed; the transport drops such messages, and the next one followed the reply to a heartbeat.

Change: senders follow the membership before a batch is sent, not after it is stored.

Test "adds members without waiting for a heartbeat": failed in 3 of 3 runs before, passes.

--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -22,6 +22,9 @@
 	addresses []string
 	members   []*control.Member
 	founders  []control.Founder
+
+	electionTimeout   time.Duration
+	heartbeatInterval time.Duration
 }
 
 func listenAt(address string) net.Listener {
@@ -34,7 +37,13 @@
 }
 
 func newSelfManagedGroup() *selfManagedGroup {
-	g := &selfManagedGroup{members: make([]*control.Member, 5)}
+	return newSelfManagedGroupWith(300*time.Millisecond, 50*time.Millisecond)
+}
+
+func newSelfManagedGroupWith(electionTimeout, heartbeatInterval time.Duration) *selfManagedGroup {
+	g := &selfManagedGroup{
+		members: make([]*control.Member, 5), electionTimeout: electionTimeout, heartbeatInterval: heartbeatInterval,
+	}
 	for range g.members {
 		listener := listenAt("127.0.0.1:0")
 		g.addresses = append(g.addresses, listener.Addr().String())
@@ -63,7 +72,7 @@
 		Zone: "a", MeshListener: listenAt(g.addresses[i]), AdminListener: listenAt("127.0.0.1:0"), Founders: founders,
 		RegistryFolder: disk.NewFake(rand.New(rand.NewSource(int64(i)))), Keys: bundle.NewKeyring(nil).WithTrustedOperators("ops"),
 		Voters: 5, Seeds: func() []string { return g.addresses[:3] },
-		ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+		ElectionTimeout: g.electionTimeout, HeartbeatInterval: g.heartbeatInterval,
 		Logger: zerolog.New(GinkgoWriter),
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -142,6 +151,25 @@
 		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
 	})
 
+	// Guards against a repair that sends nothing to a member before the next heartbeat, because the first messages to it
+	// are dropped.
+	It("adds members without waiting for a heartbeat", func() {
+		const heartbeatInterval = 3 * time.Second
+		g := newSelfManagedGroupWith(7*time.Second, heartbeatInterval)
+		hasLeader := func() bool {
+			return slices.ContainsFunc(g.members, func(m *control.Member) bool { _, leads := m.Leads(); return leads })
+		}
+		Eventually(hasLeader, eventuallyTimeout).Should(BeTrue())
+		voters := func() int {
+			most := 0
+			for _, m := range g.members {
+				most = max(most, len(m.Voters()))
+			}
+			return most
+		}
+		Eventually(voters, heartbeatInterval).Should(Equal(5))
+	})
+
 	// Guards against a member that is cut off and answers reads with an old version.
 	It("answers no read after the quorum is lost", func() {
 		g := newSelfManagedGroup()
--- a/control/replica.go
+++ b/control/replica.go
@@ -149,6 +149,8 @@
 // processReady passes the next batch of the log to writeLoop, so that the disk never blocks the control goroutine.
 // While a write runs, further proposals collect and share the next synced write.
 func (r *replica) processReady(now time.Time) {
+	// A member that was just added needs a sender before the first message to it, which would be dropped otherwise.
+	r.updateMembership(now)
 	for !r.writeInFlight && !r.hasFailed && r.raft.HasReady() {
 		ready := r.raft.Ready()
 		r.transport.send(ready.EarlyMessages)
@@ -250,7 +252,7 @@
 
 // updateMembership starts and stops senders if the membership has changed, and reports the new membership.
 func (r *replica) updateMembership(now time.Time) {
-	membership := r.raft.Status().Membership
+	membership := r.raft.Membership()
 	if sameMembers(membership, r.membership) {
 		return
 	}
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -41,7 +41,9 @@
 	return m, errors.Wrap(err, "raft: decode membership")
 }
 
-// membership returns the membership in effect: the last one in the log, committed or not.
+// Membership returns the membership in effect: the last one in the log, committed or not.
+func (n *Node) Membership() Membership { return n.membership() }
+
 func (n *Node) membership() Membership { return n.memberships[len(n.memberships)-1].membership }
 
 // membershipPending reports whether the membership in effect is not committed.
