--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand"
 	"net"
 	"slices"
@@ -25,6 +26,8 @@
 	members   []*control.Member
 	founders  []control.Founder
 	network   hangingNetwork
+	// services are part of all versions.
+	services []bundle.Service
 
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
@@ -153,7 +156,7 @@
 		for _, m := range g.members {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			_, err := m.Put(ctx, control.PutRequest{Version: version, Base: base, Operator: "ops", Bundle: &bundle.Bundle{
-				Services: []bundle.Service{{Name: "desk", QueueLimit: int(version)}},
+				Services: append([]bundle.Service{{Name: "desk", QueueLimit: int(version)}}, g.services...),
 			}})
 			cancel()
 			if err == nil {
@@ -242,6 +245,20 @@
 		Eventually(g.isRepaired(1), 5*time.Second).Should(BeTrue())
 	})
 
+	// Guards against a restart, or a repair, that applies all versions of a day one by one: the group has no leader, or the
+	// new member is not a voter, for as long.
+	It("takes a snapshot when applying the log again would take long", func() {
+		g := newSelfManagedGroup()
+		for i := range 1000 {
+			g.services = append(g.services, bundle.Service{Name: fmt.Sprintf("service-%d", i)})
+		}
+		snapshotIndex := func() uint64 { return g.members[0].Snapshot() }
+		for version := uint64(1); version <= 200 && snapshotIndex() <= 1; version++ {
+			g.put(version, version-1)
+		}
+		Expect(snapshotIndex()).To(BeNumerically(">", 1))
+	})
+
 	// Guards against a member that is cut off and answers reads with an old version.
 	It("answers no read after the quorum is lost", func() {
 		g := newSelfManagedGroup()
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+// Snapshot returns the log index of the newest snapshot of the registry.
+func (m *Member) Snapshot() (index uint64) {
+	if m.waitRunning(context.Background()) != nil {
+		return 0
+	}
+	_ = m.host.Query(context.Background(), func(time.Time) { index = m.replicas[registryGroup].raft.Status().SnapshotIndex })
+	return index
+}
+
 // Voters lists the identities of the voters of the registry's group as this member knows them.
 func (m *Member) Voters() (ids []string) {
 	if m.waitRunning(context.Background()) != nil {
--- a/control/member.go
+++ b/control/member.go
@@ -75,7 +75,10 @@
 
 const (
 	defaultSnapshotEntries = 10_000
-	readHeaderTimeout      = 10 * time.Second
+	// registryTrailingEntries is the number of entries of the registry that are kept after a snapshot. A member that lacks
+	// more gets the snapshot, which takes less time to restore than so many entries take to apply.
+	registryTrailingEntries = 32
+	readHeaderTimeout       = 10 * time.Second
 	// adminShutdownTimeout bounds the wait for open requests of operators when the member stops.
 	adminShutdownTimeout = 200 * time.Millisecond
 	// transferTimeout bounds the transfer of the leadership before a planned stop. Without a transfer, the others would
@@ -290,6 +293,10 @@
 		MaxAppendBytes: m.options.MaxAppendBytes,
 	}
 	for i, r := range m.replicas {
+		raftConfig.TrailingEntries = 0
+		if i == registryGroup {
+			raftConfig.TrailingEntries = registryTrailingEntries
+		}
 		if err := r.start(m.ctx, now, raftConfig, recovered[i]); err != nil {
 			return err
 		}
--- a/control/replica.go
+++ b/control/replica.go
@@ -46,8 +46,14 @@
 	hasFailed     bool
 	lastApplied   uint64
 	snapshotIndex uint64
+	// replayTime is the time spent on applying the entries after the last snapshot: a restart takes that long again.
+	replayTime time.Duration
 }
 
+// maxReplayTime is the time that applying the log may take after a restart before a snapshot is due. The control
+// goroutine sends no heartbeats meanwhile, so it is well below the shortest election timeout in use (0.9 s).
+const maxReplayTime = 300 * time.Millisecond
+
 // proposal is a proposal whose log entry is not applied yet.
 type proposal struct {
 	term uint64
@@ -187,10 +193,12 @@
 	}
 	r.snapshotIndex = snapshot.Index
 	r.lastApplied = snapshot.Index
+	r.replayTime = 0
 	r.notifyApplied(now)
 }
 
 func (r *replica) apply(now time.Time, entries []raft.Entry) {
+	started := time.Now()
 	for _, entry := range entries {
 		r.lastApplied = entry.Index
 		if entry.Kind != raft.EntryCommand {
@@ -204,6 +212,7 @@
 		}
 		r.completeProposal(entry, result)
 	}
+	r.replayTime += time.Since(started)
 	if len(entries) > 0 {
 		r.notifyApplied(now)
 	}
@@ -275,10 +284,11 @@
 	return true
 }
 
-// saveSnapshotIfDue saves a snapshot after snapshotEntries entries, so that the size of the log and the duration of a
-// restart stay bounded.
+// saveSnapshotIfDue saves a snapshot after snapshotEntries entries or maxReplayTime, so that the size of the log and the
+// duration of a restart stay bounded.
 func (r *replica) saveSnapshotIfDue() {
-	if r.hasFailed || r.writeInFlight || r.lastApplied-r.snapshotIndex < r.snapshotEntries {
+	due := r.lastApplied-r.snapshotIndex >= r.snapshotEntries || r.replayTime >= maxReplayTime
+	if !due || r.hasFailed || r.writeInFlight {
 		return
 	}
 	data, err := r.machine.snapshot()
@@ -292,6 +302,7 @@
 		return
 	}
 	r.snapshotIndex = r.lastApplied
+	r.replayTime = 0
 	r.writeInFlight = true
 	r.writes <- writeJob{snapshot: &snapshot}
 }
