Discard the state of a replaced member so that a crash leaves all or none of it

Found by reading; the cause is shown by a test.

Cause: a member that the group has replaced removed its files one after the other and synced the folder once, while its replica still ran. After a loss of power some of the removals are kept. Until the process ended, the replica could confirm entries that its folder then lacked.

Change: the member stops first. A marker file is synced before the first removal and removed after the removals are synced; opening a folder with a marker finishes the removal. The process ends only after that. The folders of the ledger stay, as their groups leave the membership to operators.

Test "leaves the complete state or none after a crash at any point" (12 points, 20 seeds each).

--- a/control/automembership.go
+++ b/control/automembership.go
@@ -10,7 +10,7 @@
 	"sapphiregate.example/sapphiregate/coordination/membership"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/protocol"
-	"sapphiregate.example/sapphiregate/state/disk"
+	"sapphiregate.example/sapphiregate/state/wal"
 )
 
 const (
@@ -107,7 +107,7 @@
 
 // requestJoin sends a join request to all known addresses and seeds, and to the members that they name, until a leader
 // answers. It returns the addresses of the members. If this process is listed in its own membership but a leader says
-// that it is no member, it discards its state.
+// that it is no member, it stops and discards its state.
 func (m *Member) requestJoin(listed bool, known []string) []string {
 	addresses := append(slices.Clone(known), m.options.Seeds()...)
 	var members []string
@@ -124,7 +124,7 @@
 			continue
 		}
 		if reply.IsLeader && !reply.IsMember && listed {
-			m.discardState()
+			m.stopRemoved()
 			return nil
 		}
 		if reply.IsLeader {
@@ -144,28 +144,26 @@
 	})
 }
 
-// discardState empties the folder of the registry after the group has removed this member, because the log of a removed
-// identity must not be used again. The member stops; when it is started again, it joins as a candidate.
-func (m *Member) discardState() {
+// stopRemoved stops the member after the group has removed it. Its state is discarded, because the log of a removed
+// identity must not be used again. When the member is started again, it joins as a candidate.
+func (m *Member) stopRemoved() {
 	m.logger.Warn().Str("member", m.ID()).Msg("the group has replaced this member; its state is discarded")
-	if err := removeAll(m.options.RegistryFolder); err != nil {
-		m.logger.Error().Err(err).Msg("cannot discard the state")
-	}
 	close(m.removed)
 	go m.Kill()
 }
 
-func removeAll(folder disk.FS) error {
-	names, err := folder.List()
-	if err != nil {
-		return errors.Wrapf(ErrStorage, "%v", err)
+// discardIfRemoved empties the folder of the registry if the group has removed this member. The member must have
+// stopped: a replica that still runs would confirm entries, and write files, that the folder then lacks. The folders of
+// the ledger stay, since their groups leave the membership to operators.
+func (m *Member) discardIfRemoved() {
+	select {
+	case <-m.removed:
+	default:
+		return
 	}
-	for _, name := range names {
-		if err := folder.Remove(name); err != nil {
-			return errors.Wrapf(ErrStorage, "%v", err)
-		}
+	if err := wal.Discard(m.options.RegistryFolder); err != nil {
+		m.logger.Error().Err(err).Msg("cannot discard the state")
 	}
-	return errors.Wrap(folder.SyncFolder(), "control: sync after discarding")
 }
 
 // Removed is closed once the group has replaced this member.
--- a/control/member.go
+++ b/control/member.go
@@ -488,7 +488,8 @@
 	}
 }
 
-// Kill stops the member at once, without a transfer of the leadership, as a crash would.
+// Kill stops the member at once, without a transfer of the leadership, as a crash would. It returns once the member has
+// stopped and, if the group has removed it, has discarded its state.
 func (m *Member) Kill() {
 	m.killOnce.Do(func() {
 		m.cancel()
@@ -500,5 +501,6 @@
 		for _, r := range m.replicas {
 			r.close()
 		}
+		m.discardIfRemoved()
 	})
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -99,6 +99,8 @@
 func stopReason(member *control.Member) error {
 	select {
 	case <-member.Removed():
+		// The process must not end before the state is discarded.
+		member.Kill()
 		return control.ErrRemoved
 	default:
 		return errors.New("daemon: the control member stopped because of a failure; see its log")
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -10,6 +10,7 @@
 	"encoding/base32"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -32,7 +33,9 @@
 )
 
 const (
-	identityName    = "identity"
+	identityName = "identity"
+	// discardedName is the name of a file that exists while the content of the folder is being discarded.
+	discardedName   = "discarded"
 	segmentPrefix   = "segment-"
 	snapshotPrefix  = "snapshot-"
 	temporarySuffix = ".tmp"
@@ -117,12 +120,55 @@
 	snapshots []uint64
 }
 
-// readFolder lists the files and removes temporary ones, whose creation a crash interrupted.
+// Discard removes the state in a folder. After a crash, the state is complete, or Open finishes the removal: a part of it
+// would be damage, or could lack a vote. No log may be open on the folder.
+func Discard(fs disk.FS) error {
+	marker, err := fs.Open(discardedName)
+	if err != nil {
+		return err
+	}
+	defer marker.Close()
+	if err := marker.Sync(); err != nil {
+		return err
+	}
+	if err := fs.SyncFolder(); err != nil {
+		return err
+	}
+	return finishDiscard(fs)
+}
+
+// finishDiscard removes all files, and the marker once the removal of the others is durable.
+func finishDiscard(fs disk.FS) error {
+	names, err := fs.List()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name == discardedName {
+			continue
+		}
+		if err := fs.Remove(name); err != nil {
+			return err
+		}
+	}
+	if err := fs.SyncFolder(); err != nil {
+		return err
+	}
+	if err := fs.Remove(discardedName); err != nil {
+		return err
+	}
+	return fs.SyncFolder()
+}
+
+// readFolder lists the files. It removes temporary ones, whose creation a crash interrupted, and finishes a Discard.
 func (l *Log) readFolder() (folderContent, error) {
 	names, err := l.fs.List()
 	if err != nil {
 		return folderContent{}, err
 	}
+	if slices.Contains(names, discardedName) {
+		return folderContent{}, finishDiscard(l.fs)
+	}
 	var found folderContent
 	for _, name := range names {
 		if strings.HasSuffix(name, temporarySuffix) {
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -144,6 +144,69 @@
 	})
 })
 
+// interruptedFolder fails all operations that change the folder after the first few.
+type interruptedFolder struct {
+	disk.FS
+	left int
+}
+
+func (f *interruptedFolder) interrupted() error {
+	f.left--
+	if f.left < 0 {
+		return disk.ErrInjected
+	}
+	return nil
+}
+
+func (f *interruptedFolder) Remove(name string) error {
+	if err := f.interrupted(); err != nil {
+		return err
+	}
+	return f.FS.Remove(name)
+}
+
+func (f *interruptedFolder) SyncFolder() error {
+	if err := f.interrupted(); err != nil {
+		return err
+	}
+	return f.FS.SyncFolder()
+}
+
+var _ = Describe("Discard", func() {
+	// Guards against a member that never starts again, or that starts from a part of the state it discarded, because it
+	// lost power on the way.
+	It("leaves the complete state or none after a crash at any point", func() {
+		kept, discarded := 0, 0
+		for operations := range 12 {
+			for seed := range int64(20) {
+				fake := disk.NewFake(rand.New(rand.NewSource(seed)))
+				log, before := reopen(fake)
+				for index := uint64(1); index <= 30; index++ {
+					Expect(log.Append(raft.HardState{Term: 1, Vote: "v"}, entries(index, 1, 1))).To(Succeed())
+				}
+				Expect(log.SaveSnapshot(raft.Snapshot{Index: 20, Term: 1})).To(Succeed())
+				Expect(log.Close()).To(Succeed())
+				fake.SetTornWrites(true)
+				err := wal.Discard(&interruptedFolder{FS: fake, left: operations})
+				fake.Crash()
+				_, after, openErr := wal.OpenWith(fake, wal.Options{SegmentBytes: 2000})
+				Expect(openErr).NotTo(HaveOccurred(), "after %d operations, seed %d", operations, seed)
+				if after.Identity == before.Identity {
+					Expect(err).To(HaveOccurred())
+					Expect(after.Snapshot.Index).To(BeEquivalentTo(20))
+					Expect(after.Entries).To(Equal(entries(21, 10, 1)))
+					Expect(after.HardState.Vote).To(BeEquivalentTo("v"))
+					kept++
+					continue
+				}
+				Expect(after).To(Equal(wal.Recovered{Identity: after.Identity}))
+				discarded++
+			}
+		}
+		Expect(min(kept, discarded)).To(BeNumerically(">", 5), "kept %d, discarded %d", kept, discarded)
+	})
+})
+
 // logModel is the state that a log should have.
 type logModel struct {
 	hs       raft.HardState
