--- a/control/rafttransport.go
+++ b/control/rafttransport.go
@@ -43,10 +43,15 @@
 	return &raftTransport{group: group, self: self, address: address, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
 }
 
-// update stops the senders to members that have left or moved to another address, and starts those of new members.
-func (t *raftTransport) update(membership raft.Membership) {
+// update stops the senders to members that have left or moved to another address, and starts those of new members. A
+// leader that is not listed keeps its sender: the membership may be that of an old snapshot which it has just sent, and
+// the reply would be lost.
+func (t *raftTransport) update(membership raft.Membership, leader raft.MemberID) {
 	for id, current := range t.senders {
 		member, ok := membership.Find(id)
+		if !ok && id == leader {
+			continue
+		}
 		if !ok || member.Address != current.address {
 			current.cancel()
 			delete(t.senders, id)
--- a/control/replica.go
+++ b/control/replica.go
@@ -266,7 +266,7 @@
 		return
 	}
 	r.membership = membership
-	r.transport.update(membership)
+	r.transport.update(membership, r.raft.Status().Leader)
 	if r.onMembershipChange != nil {
 		r.onMembershipChange(now, membership)
 	}
