--- a/control/replica.go
+++ b/control/replica.go
@@ -174,12 +174,16 @@
 	r.endProposalsAfterLeadership()
 }
 
-// finishBatch sends the messages of a batch that is durable and applies its committed entries.
+// finishBatch sends the messages of a batch that is durable and applies its committed entries. If the state machine
+// cannot take the batch, it stays open: the log must not count it as applied, or an older state would be confirmed.
 func (r *replica) finishBatch(now time.Time, ready raft.Ready) {
 	r.transport.send(ready.Messages)
 	if ready.Snapshot != nil {
 		r.installSnapshot(now, *ready.Snapshot)
 	}
+	if r.hasFailed {
+		return
+	}
 	r.apply(now, ready.Committed)
 	r.raft.Advance(ready)
 	r.updateMembership(now)
