Do not add a replaced member under the identity that it gives up

Cause: a member that was cut off and replaced asks whether it still belongs to the group. The members took the question as a request to join, also the leader whose answer makes the process discard its state. If a voter was missing, the leader added the former identity at once and could promote it, so that it counted on a copy that was being removed.

Change: the request says whether the sender's log lists it as a member; such a process is no candidate. It joins under a new identity once it has discarded its state.

--- a/control/automembership.go
+++ b/control/automembership.go
@@ -50,7 +50,8 @@
 }
 
 // describeGroup fills in what this member knows of the group, for a process that asks to join, and registers the
-// process as a candidate unless it is a member.
+// process as a candidate unless it is a member. A process that takes itself for a member is none: if it was replaced, it
+// discards its state, and an identity without its state must not be added again.
 func (m *Member) describeGroup(ctx context.Context, request *protocol.IdentifyRequest, reply *protocol.IdentifyReply) {
 	select {
 	case <-m.ready:
@@ -64,7 +65,7 @@
 		age, confirmed := r.raft.ConfirmedAge(now)
 		reply.IsLeader = status.Role == raft.RoleLeader && !status.MembershipPending && confirmed && age < maxLeaderConfirmationAge
 		reply.Members = memberAddresses(status)
-		if !reply.IsMember {
+		if !reply.IsMember && !request.IsMember {
 			m.candidates.Announce(membership.Candidate{
 				ID: raft.MemberID(request.ID), Address: request.Address, Zone: request.Zone, LastSeen: now,
 			})
@@ -119,7 +120,7 @@
 			continue
 		}
 		asked[address] = true
-		reply, err := m.sendJoinRequest(address)
+		reply, err := m.sendJoinRequest(address, listed)
 		if err != nil {
 			continue
 		}
@@ -136,11 +137,11 @@
 	return members
 }
 
-func (m *Member) sendJoinRequest(address string) (*protocol.IdentifyReply, error) {
+func (m *Member) sendJoinRequest(address string, listed bool) (*protocol.IdentifyReply, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, joinRequestTimeout)
 	defer cancel()
 	return m.pool.Identify(ctx, address, &protocol.IdentifyRequest{
-		ID: m.ID(), Address: m.options.Advertise, Zone: m.options.Zone,
+		ID: m.ID(), Address: m.options.Advertise, Zone: m.options.Zone, IsMember: listed,
 	})
 }
 
--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -15,6 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/control"
+	"sapphiregate.example/sapphiregate/coordination/membership"
+	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/disk"
@@ -259,6 +261,30 @@
 		Expect(snapshotIndex()).To(BeNumerically(">", 1))
 	})
 
+	// Guards against a group that adds an identity again while the process that had it discards its state: the copy that
+	// the leader counts on is gone.
+	It("does not add a replaced member that still takes itself for one", func() {
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
+		g.members[4].Kill()
+		former := listenAt("127.0.0.1:0")
+		defer former.Close()
+		isAdded := func(isMember bool) func() bool {
+			return func() bool {
+				for _, m := range g.members[:4] {
+					_, err := m.Identify(context.Background(), &protocol.IdentifyRequest{
+						ID: "former", Address: former.Addr().String(), Zone: "a", IsMember: isMember,
+					})
+					Expect(err).NotTo(HaveOccurred())
+				}
+				return slices.ContainsFunc(g.members[:4], func(m *control.Member) bool { return m.Lists("former") })
+			}
+		}
+		Consistently(isAdded(true), membership.ReplaceAfter+time.Second, 50*time.Millisecond).Should(BeFalse())
+		Eventually(isAdded(false), eventuallyTimeout, 50*time.Millisecond).Should(BeTrue())
+	})
+
 	// Guards against a member that is cut off and answers reads with an old version.
 	It("answers no read after the quorum is lost", func() {
 		g := newSelfManagedGroup()
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/raft"
 )
 
 // Snapshot returns the log index of the newest snapshot of the registry.
@@ -14,6 +16,14 @@
 	return index
 }
 
+// Lists reports whether the membership of the registry's group, as this member knows it, has a member.
+func (m *Member) Lists(id string) (found bool) {
+	_ = m.host.Query(context.Background(), func(time.Time) {
+		_, found = m.replicas[registryGroup].raft.Status().Membership.Find(raft.MemberID(id))
+	})
+	return found
+}
+
 // Voters lists the identities of the voters of the registry's group as this member knows them.
 func (m *Member) Voters() (ids []string) {
 	if m.waitRunning(context.Background()) != nil {
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -61,6 +61,8 @@
 	ID      string `cbor:"1,keyasint,omitempty"`
 	Address string `cbor:"2,keyasint,omitempty"`
 	Zone    string `cbor:"3,keyasint,omitempty"`
+	// IsMember is set if the sender's log lists it as a member: it asks whether it still is one, and not to join.
+	IsMember bool `cbor:"4,keyasint,omitempty"`
 }
 
 // GroupIdentity describes a member's replica of one raft group.
