--- a/control/automembership.go
+++ b/control/automembership.go
@@ -10,7 +10,7 @@
 	"sapphiregate.example/sapphiregate/coordination/membership"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/protocol"
-	"sapphiregate.example/sapphiregate/state/disk"
+	"sapphiregate.example/sapphiregate/state/wal"
 )
 
 const (
@@ -50,7 +50,8 @@
 }
 
 // describeGroup fills in what this member knows of the group, for a process that asks to join, and registers the
-// process as a candidate unless it is a member.
+// process as a candidate unless it is a member. A process that takes itself for a member is none: if it was replaced, it
+// discards its state, and an identity without its state must not be added again.
 func (m *Member) describeGroup(ctx context.Context, request *protocol.IdentifyRequest, reply *protocol.IdentifyReply) {
 	select {
 	case <-m.ready:
@@ -64,7 +65,7 @@
 		age, confirmed := r.raft.ConfirmedAge(now)
 		reply.IsLeader = status.Role == raft.RoleLeader && !status.MembershipPending && confirmed && age < maxLeaderConfirmationAge
 		reply.Members = memberAddresses(status)
-		if !reply.IsMember {
+		if !reply.IsMember && !request.IsMember {
 			m.candidates.Announce(membership.Candidate{
 				ID: raft.MemberID(request.ID), Address: request.Address, Zone: request.Zone, LastSeen: now,
 			})
@@ -107,7 +108,7 @@
 
 // requestJoin sends a join request to all known addresses and seeds, and to the members that they name, until a leader
 // answers. It returns the addresses of the members. If this process is listed in its own membership but a leader says
-// that it is no member, it discards its state.
+// that it is no member, it stops and discards its state.
 func (m *Member) requestJoin(listed bool, known []string) []string {
 	addresses := append(slices.Clone(known), m.options.Seeds()...)
 	var members []string
@@ -119,12 +120,12 @@
 			continue
 		}
 		asked[address] = true
-		reply, err := m.sendJoinRequest(address)
+		reply, err := m.sendJoinRequest(address, listed)
 		if err != nil {
 			continue
 		}
 		if reply.IsLeader && !reply.IsMember && listed {
-			m.discardState()
+			m.stopRemoved()
 			return nil
 		}
 		if reply.IsLeader {
@@ -136,36 +137,34 @@
 	return members
 }
 
-func (m *Member) sendJoinRequest(address string) (*protocol.IdentifyReply, error) {
+func (m *Member) sendJoinRequest(address string, listed bool) (*protocol.IdentifyReply, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, joinRequestTimeout)
 	defer cancel()
 	return m.pool.Identify(ctx, address, &protocol.IdentifyRequest{
-		ID: m.ID(), Address: m.options.Advertise, Zone: m.options.Zone,
+		ID: m.ID(), Address: m.options.Advertise, Zone: m.options.Zone, IsMember: listed,
 	})
 }
 
-// discardState empties the folder of the registry after the group has removed this member, because the log of a removed
-// identity must not be used again. The member stops; when it is started again, it joins as a candidate.
-func (m *Member) discardState() {
+// stopRemoved stops the member after the group has removed it. Its state is discarded, because the log of a removed
+// identity must not be used again. When the member is started again, it joins as a candidate.
+func (m *Member) stopRemoved() {
 	m.logger.Warn().Str("member", m.ID()).Msg("the group has replaced this member; its state is discarded")
-	if err := removeAll(m.options.RegistryFolder); err != nil {
-		m.logger.Error().Err(err).Msg("cannot discard the state")
-	}
 	close(m.removed)
 	go m.Kill()
 }
 
-func removeAll(folder disk.FS) error {
-	names, err := folder.List()
-	if err != nil {
-		return errors.Wrapf(ErrStorage, "%v", err)
+// discardIfRemoved empties the folder of the registry if the group has removed this member. The member must have
+// stopped: a replica that still runs would confirm entries, and write files, that the folder then lacks. The folders of
+// the ledger stay, since their groups leave the membership to operators.
+func (m *Member) discardIfRemoved() {
+	select {
+	case <-m.removed:
+	default:
+		return
 	}
-	for _, name := range names {
-		if err := folder.Remove(name); err != nil {
-			return errors.Wrapf(ErrStorage, "%v", err)
-		}
+	if err := wal.Discard(m.options.RegistryFolder); err != nil {
+		m.logger.Error().Err(err).Msg("cannot discard the state")
 	}
-	return errors.Wrap(folder.SyncFolder(), "control: sync after discarding")
 }
 
 // Removed is closed once the group has replaced this member.
--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand"
 	"net"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/control"
+	"sapphiregate.example/sapphiregate/coordination/membership"
+	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/disk"
@@ -22,6 +27,70 @@
 	addresses []string
 	members   []*control.Member
 	founders  []control.Founder
+	network   hangingNetwork
+	// services are part of all versions.
+	services []bundle.Service
+
+	electionTimeout   time.Duration
+	heartbeatInterval time.Duration
+}
+
+// hangingNetwork opens connections that hang, rather than break, once their remote instance has lost power.
+type hangingNetwork struct {
+	mu          sync.Mutex
+	connections map[string][]*hangingConnection // by remote address
+}
+
+type hangingConnection struct {
+	net.Conn
+	hangs  atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *hangingNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &hangingConnection{Conn: conn, closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.connections == nil {
+		n.connections = make(map[string][]*hangingConnection)
+	}
+	n.connections[address] = append(n.connections[address], c)
+	return c, nil
+}
+
+// losePower makes the open connections to an address hang.
+func (n *hangingNetwork) losePower(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.connections[address] {
+		c.hangs.Store(true)
+	}
+}
+
+func (c *hangingConnection) Read(p []byte) (int, error) {
+	count, err := c.Conn.Read(p)
+	if c.hangs.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return count, err
+}
+
+func (c *hangingConnection) Write(p []byte) (int, error) {
+	if c.hangs.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *hangingConnection) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 func listenAt(address string) net.Listener {
@@ -34,7 +103,13 @@
 }
 
 func newSelfManagedGroup() *selfManagedGroup {
-	g := &selfManagedGroup{members: make([]*control.Member, 5)}
+	return newSelfManagedGroupWith(300*time.Millisecond, 50*time.Millisecond)
+}
+
+func newSelfManagedGroupWith(electionTimeout, heartbeatInterval time.Duration) *selfManagedGroup {
+	g := &selfManagedGroup{
+		members: make([]*control.Member, 5), electionTimeout: electionTimeout, heartbeatInterval: heartbeatInterval,
+	}
 	for range g.members {
 		listener := listenAt("127.0.0.1:0")
 		g.addresses = append(g.addresses, listener.Addr().String())
@@ -63,7 +138,7 @@
 		Zone: "a", MeshListener: listenAt(g.addresses[i]), AdminListener: listenAt("127.0.0.1:0"), Founders: founders,
 		RegistryFolder: disk.NewFake(rand.New(rand.NewSource(int64(i)))), Keys: bundle.NewKeyring(nil).WithTrustedOperators("ops"),
 		Voters: 5, Seeds: func() []string { return g.addresses[:3] },
-		ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+		ElectionTimeout: g.electionTimeout, HeartbeatInterval: g.heartbeatInterval, Dialer: g.network.dial,
 		Logger: zerolog.New(GinkgoWriter),
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -83,7 +158,7 @@
 		for _, m := range g.members {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			_, err := m.Put(ctx, control.PutRequest{Version: version, Base: base, Operator: "ops", Bundle: &bundle.Bundle{
-				Services: []bundle.Service{{Name: "desk", QueueLimit: int(version)}},
+				Services: append([]bundle.Service{{Name: "desk", QueueLimit: int(version)}}, g.services...),
 			}})
 			cancel()
 			if err == nil {
@@ -142,6 +217,74 @@
 		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
 	})
 
+	// Guards against a repair that sends nothing to a member before the next heartbeat, because the first messages to it
+	// are dropped.
+	It("adds members without waiting for a heartbeat", func() {
+		const heartbeatInterval = 3 * time.Second
+		g := newSelfManagedGroupWith(7*time.Second, heartbeatInterval)
+		hasLeader := func() bool {
+			return slices.ContainsFunc(g.members, func(m *control.Member) bool { _, leads := m.Leads(); return leads })
+		}
+		Eventually(hasLeader, eventuallyTimeout).Should(BeTrue())
+		voters := func() int {
+			most := 0
+			for _, m := range g.members {
+				most = max(most, len(m.Voters()))
+			}
+			return most
+		}
+		Eventually(voters, heartbeatInterval).Should(Equal(5))
+	})
+
+	// Guards against a repair that waits until the connection to a process that lost power times out (15 s): the new
+	// process at that address gets nothing before.
+	It("repairs a member that lost power and its disk although the connection to its former process hangs", func() {
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
+		g.network.losePower(g.addresses[3])
+		g.restartWithEmptyDisk(3)
+		Eventually(g.isRepaired(1), 5*time.Second).Should(BeTrue())
+	})
+
+	// Guards against a restart, or a repair, that applies all versions of a day one by one: the group has no leader, or the
+	// new member is not a voter, for as long.
+	It("takes a snapshot when applying the log again would take long", func() {
+		g := newSelfManagedGroup()
+		for i := range 1000 {
+			g.services = append(g.services, bundle.Service{Name: fmt.Sprintf("service-%d", i)})
+		}
+		snapshotIndex := func() uint64 { return g.members[0].Snapshot() }
+		for version := uint64(1); version <= 200 && snapshotIndex() <= 1; version++ {
+			g.put(version, version-1)
+		}
+		Expect(snapshotIndex()).To(BeNumerically(">", 1))
+	})
+
+	// Guards against a group that adds an identity again while the process that had it discards its state: the copy that
+	// the leader counts on is gone.
+	It("does not add a replaced member that still takes itself for one", func() {
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
+		g.members[4].Kill()
+		former := listenAt("127.0.0.1:0")
+		defer former.Close()
+		isAdded := func(isMember bool) func() bool {
+			return func() bool {
+				for _, m := range g.members[:4] {
+					_, err := m.Identify(context.Background(), &protocol.IdentifyRequest{
+						ID: "former", Address: former.Addr().String(), Zone: "a", IsMember: isMember,
+					})
+					Expect(err).NotTo(HaveOccurred())
+				}
+				return slices.ContainsFunc(g.members[:4], func(m *control.Member) bool { return m.Lists("former") })
+			}
+		}
+		Consistently(isAdded(true), membership.ReplaceAfter+time.Second, 50*time.Millisecond).Should(BeFalse())
+		Eventually(isAdded(false), eventuallyTimeout, 50*time.Millisecond).Should(BeTrue())
+	})
+
 	// Guards against a member that is cut off and answers reads with an old version.
 	It("answers no read after the quorum is lost", func() {
 		g := newSelfManagedGroup()
--- a/control/rafttransport.go
+++ b/control/rafttransport.go
@@ -43,10 +43,15 @@
 	return &raftTransport{group: group, self: self, address: address, pool: pool, ctx: ctx, senders: make(map[raft.MemberID]*sender)}
 }
 
-// update stops the senders to members that have left or moved to another address, and starts those of new members.
-func (t *raftTransport) update(membership raft.Membership) {
+// update stops the senders to members that have left or moved to another address, and starts those of new members. A
+// leader that is not listed keeps its sender: the membership may be that of an old snapshot which it has just sent, and
+// the reply would be lost.
+func (t *raftTransport) update(membership raft.Membership, leader raft.MemberID) {
 	for id, current := range t.senders {
 		member, ok := membership.Find(id)
+		if !ok && id == leader {
+			continue
+		}
 		if !ok || member.Address != current.address {
 			current.cancel()
 			delete(t.senders, id)
@@ -63,6 +68,12 @@
 	if id == t.self || address == "" || t.senders[id] != nil {
 		return
 	}
+	for _, other := range t.senders {
+		if other.address == address {
+			// Another process was at this address. If its instance lost power, the connection to it hangs.
+			t.pool.Forget(address)
+		}
+	}
 	ctx, cancel := context.WithCancel(t.ctx)
 	s := &sender{address: address, queue: make(chan raft.Message, senderQueueLength), cancel: cancel}
 	t.senders[id] = s
--- a/control/replica.go
+++ b/control/replica.go
@@ -46,8 +46,14 @@
 	hasFailed     bool
 	lastApplied   uint64
 	snapshotIndex uint64
+	// replayTime is the time spent on applying the entries after the last snapshot: a restart takes that long again.
+	replayTime time.Duration
 }
 
+// maxReplayTime is the time that applying the log may take after a restart before a snapshot is due. The control
+// goroutine sends no heartbeats meanwhile, so it is well below the shortest election timeout in use (0.9 s).
+const maxReplayTime = 300 * time.Millisecond
+
 // proposal is a proposal whose log entry is not applied yet.
 type proposal struct {
 	term uint64
@@ -149,6 +155,8 @@
 // processReady passes the next batch of the log to writeLoop, so that the disk never blocks the control goroutine.
 // While a write runs, further proposals collect and share the next synced write.
 func (r *replica) processReady(now time.Time) {
+	// A member that was just added needs a sender before the first message to it, which would be dropped otherwise.
+	r.updateMembership(now)
 	for !r.writeInFlight && !r.hasFailed && r.raft.HasReady() {
 		ready := r.raft.Ready()
 		r.transport.send(ready.EarlyMessages)
@@ -166,12 +174,16 @@
 	r.endProposalsAfterLeadership()
 }
 
-// finishBatch sends the messages of a batch that is durable and applies its committed entries.
+// finishBatch sends the messages of a batch that is durable and applies its committed entries. If the state machine
+// cannot take the batch, it stays open: the log must not count it as applied, or an older state would be confirmed.
 func (r *replica) finishBatch(now time.Time, ready raft.Ready) {
 	r.transport.send(ready.Messages)
 	if ready.Snapshot != nil {
 		r.installSnapshot(now, *ready.Snapshot)
 	}
+	if r.hasFailed {
+		return
+	}
 	r.apply(now, ready.Committed)
 	r.raft.Advance(ready)
 	r.updateMembership(now)
@@ -185,10 +197,12 @@
 	}
 	r.snapshotIndex = snapshot.Index
 	r.lastApplied = snapshot.Index
+	r.replayTime = 0
 	r.notifyApplied(now)
 }
 
 func (r *replica) apply(now time.Time, entries []raft.Entry) {
+	started := time.Now()
 	for _, entry := range entries {
 		r.lastApplied = entry.Index
 		if entry.Kind != raft.EntryCommand {
@@ -202,6 +216,7 @@
 		}
 		r.completeProposal(entry, result)
 	}
+	r.replayTime += time.Since(started)
 	if len(entries) > 0 {
 		r.notifyApplied(now)
 	}
@@ -250,12 +265,12 @@
 
 // updateMembership starts and stops senders if the membership has changed, and reports the new membership.
 func (r *replica) updateMembership(now time.Time) {
-	membership := r.raft.Status().Membership
+	membership := r.raft.Membership()
 	if sameMembers(membership, r.membership) {
 		return
 	}
 	r.membership = membership
-	r.transport.update(membership)
+	r.transport.update(membership, r.raft.Status().Leader)
 	if r.onMembershipChange != nil {
 		r.onMembershipChange(now, membership)
 	}
@@ -273,10 +288,11 @@
 	return true
 }
 
-// saveSnapshotIfDue saves a snapshot after snapshotEntries entries, so that the size of the log and the duration of a
-// restart stay bounded.
+// saveSnapshotIfDue saves a snapshot after snapshotEntries entries or maxReplayTime, so that the size of the log and the
+// duration of a restart stay bounded.
 func (r *replica) saveSnapshotIfDue() {
-	if r.hasFailed || r.writeInFlight || r.lastApplied-r.snapshotIndex < r.snapshotEntries {
+	due := r.lastApplied-r.snapshotIndex >= r.snapshotEntries || r.replayTime >= maxReplayTime
+	if !due || r.hasFailed || r.writeInFlight {
 		return
 	}
 	data, err := r.machine.snapshot()
@@ -290,6 +306,7 @@
 		return
 	}
 	r.snapshotIndex = r.lastApplied
+	r.replayTime = 0
 	r.writeInFlight = true
 	r.writes <- writeJob{snapshot: &snapshot}
 }
