node: keep a stop and a deadline apart from a caller that has left

A call that ends within 10 ms of its deadline ends because of it.

A request that a stop gives up waited up to 1 s for the rest of its body; it waits no longer.

--- a/node/response.go
+++ b/node/response.go
@@ -92,8 +92,12 @@
 	}
 	conn := http.NewResponseController(w)
 	sendBeforeBodyEnds(conn)
+	timeout := unreadBodyTimeout
+	if r.Context().Err() != nil {
+		timeout = 0 // The caller has left, or a stop gives the request up.
+	}
 	// An error means that the connection is closed.
-	_ = conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // closeUnreadBody sends the response and then closes a body that was not read to its end. net/http reads on for a while,
--- a/node/stop.go
+++ b/node/stop.go
@@ -26,10 +26,15 @@
 // errStopping is the cause with which the contexts of requests end when a stop gives them up.
 var errStopping = errors.New("node: the node stops")
 
+// deadlineTolerance is the time before a call's deadline from which its end counts as reaching the deadline. The read
+// deadline of the caller's connection cancels the context at about the same time as the context's own deadline.
+const deadlineTolerance = 10 * time.Millisecond
+
 // abandonReason returns why the context of a call has ended.
 func abandonReason(ctx context.Context) protocol.Reason {
+	deadline, ok := ctx.Deadline()
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case ok && time.Until(deadline) < deadlineTolerance:
 		return protocol.ReasonDeadline
 	case errors.Is(context.Cause(ctx), errStopping):
 		return protocol.ReasonDraining
