relay: a node that probes for a member keeps its parent and asks a full member less often

Nodes saw: where the member of a zone is full, its other nodes lost their parent again and again and asked the member every 2 s for ever.

Cause: the probe for the home zone followed redirects, and a full or busy member can redirect a node to its own parent. That parent drops the link to the child in favour of the new one; the child then finds the new parent no better than the present one, leaves it, and has none.

Change: the probe does not try the present parent. A node whose parent is a node of its zone does not follow redirects while it probes for a member, as they lead to nodes. While members refuse the node, the mean interval of its probes grows to 30 s; a probe that fails for another reason leaves it at Config.HomeProbeInterval.

--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -60,7 +60,8 @@
 	// MaxProbeInterval bounds the mean time between two rounds in which a node with a stale parent looks for another one.
 	MaxProbeInterval time.Duration
 	// HomeProbeInterval bounds the mean time between two attempts of a node to find a parent in its own zone if its parent
-	// is in another one, or to find a member there if Config.PreferMembers is set and its parent is a node.
+	// is in another one, or to find a member there if Config.PreferMembers is set and its parent is a node. Members that
+	// refuse a node are asked less often.
 	HomeProbeInterval time.Duration
 	// PreferMembers makes nodes follow members rather than each other as long as the members accept children. It suits
 	// deployments that are small enough for the members to serve all nodes: no node then depends on another one.
--- a/coordination/relay/constants.go
+++ b/coordination/relay/constants.go
@@ -27,6 +27,9 @@
 	// roundPauseStep bounds the random pause after the first unsuccessful round of a search. The bound grows by as much
 	// with every round, up to Config.JoinJitter.
 	roundPauseStep = 500 * time.Millisecond
+	// maxRefusedProbeInterval bounds the mean time between two probes of a node for a member of its zone while the members
+	// accept no more nodes. It may exceed Config.HomeProbeInterval: a full member would otherwise be asked all the time.
+	maxRefusedProbeInterval = 30 * time.Second
 	// fetchTimeout is the time after which an unanswered Fetch is sent again.
 	fetchTimeout = time.Second
 	// countReportDelay is the time for which changes of the counts are collected before they are sent to the parent.
--- a/coordination/relay/parent_search.go
+++ b/coordination/relay/parent_search.go
@@ -44,6 +44,8 @@
 	probeInterval     time.Duration
 	nextHomeProbe     time.Time
 	homeProbeInterval time.Duration
+	// homeProbeRefused is set when a member has refused the node in the last probe for a parent in the home zone.
+	homeProbeRefused bool
 	// lastParent is the ID of the former parent, parentLostAt the time at which it ceased to be the parent.
 	lastParent   string
 	parentLostAt time.Time
@@ -272,13 +274,19 @@
 		return
 	}
 	s.nextHomeProbe = p.now.Add(s.homeProbeInterval/2 + p.random(s.homeProbeInterval))
-	s.homeProbeInterval = min(2*s.homeProbeInterval, p.config.HomeProbeInterval)
+	limit := p.config.HomeProbeInterval
+	if s.homeProbeRefused {
+		limit = max(limit, maxRefusedProbeInterval)
+	}
+	s.homeProbeInterval = min(2*s.homeProbeInterval, limit)
+	s.homeProbeRefused = false
 	home, _ := p.memberTargets()
 	if p.config.PreferMembers && len(home) > 0 {
 		p.startRound(home)
 	} else {
 		p.startRound(append(p.nodeTargets(), home...))
 	}
+	s.tried[p.parent.address] = true
 	p.continueProbe()
 }
 
@@ -324,12 +332,22 @@
 	s.nextAttempt = p.now
 }
 
-// handleRedirect lets the search continue with the addresses of a Redirect. Too many redirects end the round.
+// probesForMember reports whether the node keeps a sound parent that is a node of its zone while it probes for a member.
+func (p *Peer) probesForMember() bool {
+	return p.parent != nil && !p.hasStaleParent() && p.preference(p.parent.remote) == homeNode
+}
+
+// handleRedirect lets the search continue with the addresses of a Redirect. Too many redirects end the round. A probe
+// for a member does not follow redirects: they lead to nodes, which are no better than the parent.
 func (p *Peer) handleRedirect(l *link, addresses []string) {
 	s := &p.search
 	p.closeLink(l)
 	s.attempt = nil
 	s.nextAttempt = p.now
+	if p.probesForMember() {
+		s.homeProbeRefused = true
+		return
+	}
 	s.redirects++
 	if s.redirects > maxRedirects {
 		p.endRound(p.random(p.config.JoinJitter))
@@ -354,6 +372,7 @@
 	s.attempt = nil
 	s.nextAttempt = p.now
 	if l.remote.Member {
+		s.homeProbeRefused = p.probesForMember()
 		delay := min(time.Duration(r.DelayMs)*time.Millisecond, 2*p.config.JoinJitter)
 		p.endRound(max(0, delay))
 	}
@@ -442,10 +461,10 @@
 }
 
 // scheduleHomeProbe schedules a probe for a parent in the home zone within Config.JoinJitter. The interval of further
-// probes grows from there to Config.HomeProbeInterval.
+// probes grows from there to Config.HomeProbeInterval, or to maxRefusedProbeInterval while the members refuse the node.
 func (p *Peer) scheduleHomeProbe() {
 	s := &p.search
-	s.homeProbeInterval = p.config.JoinJitter
+	s.homeProbeInterval, s.homeProbeRefused = p.config.JoinJitter, false
 	s.nextHomeProbe = p.now.Add(p.random(s.homeProbeInterval))
 }
 
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -160,6 +160,58 @@
 		}
 	})
 
+	// Guards against nodes that lose their parent when they ask a full member, which redirects them to that parent, and
+	// against nodes that ask the member again and again.
+	It("lets nodes keep their parent while the member of their zone is full", func() {
+		const count, followers = 96, 32
+		for seed := range int64(3) {
+			s := newSim(seed)
+			config := func(c *relay.Config) {
+				shortIntervals(c)
+				c.ZoneFollowers = followers
+			}
+			member := s.add("m0", "z0", true)
+			member.config = config
+			for n := range count {
+				h := s.add(fmt.Sprintf("n%03d", n), "z0", false, "m0")
+				h.config = config
+				s.schedule(time.Duration(s.rng.Intn(300))*time.Millisecond, func() { s.start(h) })
+			}
+			s.start(member)
+			s.approve(s.stage(bundleOf(1, 20)))
+			s.run(70 * time.Second)
+
+			parentChanges := func() (sum uint64) {
+				for _, h := range s.nodes() {
+					sum += h.peer.Status().Stats.ParentChanges
+				}
+				return sum
+			}
+			before := parentChanges()
+			joins, orphans := 0, 0
+			s.onSend = func(_, to *host, m relay.Message) {
+				if to == member && m.Join != nil {
+					joins++
+				}
+			}
+			for range 30 * 20 {
+				s.run(s.now + 50*time.Millisecond)
+				for _, h := range s.nodes() {
+					if h.peer.Status().Parent == "" {
+						orphans++
+					}
+				}
+			}
+			version := s.approve(s.stage(bundleOf(2, 20)))
+			s.await(2*time.Second, s.allInForce(version))
+			s.run(s.now + 28*time.Second)
+			GinkgoWriter.Println("joins", joins, "parent changes", parentChanges()-before, "samples without a parent", orphans)
+			Expect(orphans).To(BeZero())
+			Expect(parentChanges()).To(Equal(before))
+			Expect(joins).To(BeNumerically("<=", 3*(count-followers)))
+		}
+	})
+
 	// Guards against many copies of the first version on links between zones after all processes started at once: nodes
 	// join any member before the members know each other, and each node would fetch the version from another zone.
 	It("makes nodes follow the member of their zone as soon as the members are known", func() {
