Bound the memory for long responses to irreversible calls

Change: beyond 64 KiB of each, all such bodies of a node together hold at most 16 MiB while they are read; the one that passes it ends as unknown (502), like one beyond 16 MiB by itself. A response of up to 64 KiB, which is what the ledger keeps, never counts.

--- a/node/executor.go
+++ b/node/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,6 +34,8 @@
 	requestLog     *requestLog
 	dialect        *protocol.Dialect
 	healthInterval time.Duration
+	// longBodyBytes is the total that maxLongBodyBytes bounds.
+	longBodyBytes atomic.Int64
 	// background runs work that outlives the call that started it: recording responses and probing.
 	background taskGroup
 	ctx        context.Context
--- a/node/irreversible.go
+++ b/node/irreversible.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,9 +24,14 @@
 	lateResponseTime = 10 * time.Second
 	// maxRecordedBodyBytes bounds the response body of an irreversible call, which stays in memory until recorded.
 	maxRecordedBodyBytes = 16 << 20
+	// maxLongBodyBytes bounds what all calls together hold of such bodies while they read them, beyond the first
+	// shortBodyBytes of each: upstreams that send without end would use up the memory of the node. Short responses, which
+	// the ledger keeps (64 KiB), never count.
+	maxLongBodyBytes = 16 << 20
+	shortBodyBytes   = 64 << 10
 )
 
-// errResponseTooLarge reports a response body longer than maxRecordedBodyBytes.
+// errResponseTooLarge reports a response body beyond maxRecordedBodyBytes, or beyond maxLongBodyBytes of all calls.
 var errResponseTooLarge = errors.New("node: response to an irreversible call is longer than 16 MiB")
 
 // stateMachineInput applies one input to the state machine of an irreversible call and returns its outputs.
@@ -298,7 +304,7 @@
 	if c.executor.dialect.Refused(response.HTTP.StatusCode, response.HTTP.Header) {
 		return c.stateMachine.UpstreamRefused
 	}
-	body, err := readRecordedBody(response.HTTP.Body)
+	body, err := c.executor.readRecordedBody(response.HTTP.Body)
 	if err != nil {
 		c.executor.awaitCrashCheck(ctx, slot)
 		return c.stateMachine.UpstreamFailed
@@ -311,8 +317,13 @@
 }
 
 // readRecordedBody reads a whole body of at most maxRecordedBodyBytes.
-func readRecordedBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxRecordedBodyBytes+1))
+func (e *executor) readRecordedBody(body io.Reader) ([]byte, error) {
+	counted := &longBodyReader{reader: body, total: &e.longBodyBytes}
+	defer counted.release()
+	data, err := io.ReadAll(io.LimitReader(counted, maxRecordedBodyBytes+1))
+	if errors.Is(err, errResponseTooLarge) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, errors.Wrapf(web.ErrTruncated, "%v", err)
 	}
@@ -322,6 +333,31 @@
 	return data, nil
 }
 
+// longBodyReader counts the bytes of a body beyond shortBodyBytes, and returns errResponseTooLarge if the total of all
+// calls passes maxLongBodyBytes.
+type longBodyReader struct {
+	reader io.Reader
+	total  *atomic.Int64
+	read   int64
+}
+
+// Read implements io.Reader.
+func (r *longBodyReader) Read(data []byte) (int, error) {
+	n, err := r.reader.Read(data)
+	before := r.counted()
+	r.read += int64(n)
+	added := r.counted() - before
+	if r.total.Add(added) > maxLongBodyBytes && added > 0 {
+		return n, errResponseTooLarge
+	}
+	return n, err
+}
+
+func (r *longBodyReader) counted() int64 { return max(r.read-shortBodyBytes, 0) }
+
+// release removes the body from the total.
+func (r *longBodyReader) release() { r.total.Add(-r.counted()) }
+
 var executionReasons = map[execution.Reason]protocol.Reason{
 	execution.ReasonNone:       protocol.ReasonNone,
 	execution.ReasonDeadline:   protocol.ReasonDeadline,
