node: leave a stop's last time to its connections, and close them also when waits end late

Cause: a wait that ended late never counted as quiet, so that a process which is always late waited until its time ended. And the drain began only after the requests that were given up had ended.

Change: five late waits in which nothing arrived are enough. After requests are given up, the drain begins at once; it waits for their connections itself.

--- a/node/stop.go
+++ b/node/stop.go
@@ -66,7 +66,6 @@
 	if err != nil {
 		n.abandonRequests(errStopping)
 		n.callerListener.LimitActive(time.Now(), time.Now().Add(finalResponseTime/2))
-		err = errors.CombineErrors(err, n.stopStep("requests given up", n.requests.drain(ctx)))
 	}
 	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(ctx)))
 	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(ctx)))
--- a/transport/web/drain.go
+++ b/transport/web/drain.go
@@ -17,8 +17,12 @@
 	// readWait is the length of the waits for a request on a connection of a draining listener. It lets the rest of a
 	// request arrive that comes in several segments.
 	readWait = 50 * time.Millisecond
-	// quietWaits is the number of quiet waits in a row after which a draining listener or connection closes.
+	// quietWaits is the number of waits in a row, in which nothing arrived and which ended in time, after which a draining
+	// listener or connection closes.
 	quietWaits = 2
+	// maxLateWaits bounds the waits in which nothing arrived. A process that is always short of processor time would
+	// otherwise never close.
+	maxLateWaits = 5
 )
 
 // DrainListener is the listener of an HTTP server that stops without losing requests. http.Server.Shutdown closes the
@@ -48,8 +52,8 @@
 
 // Drain makes the server serve what has arrived, and returns when all connections are closed. Connections that wait to
 // be accepted are accepted, and requests that were not read yet are read; then the listener and the connections without
-// a request are closed. The responses must ask callers to close their connections. It returns the context's error if
-// that ends first.
+// a request are closed. Responses should ask callers to close their connections: a connection that stays open is closed
+// once it has been quiet. Drain returns the context's error if that ends first.
 func (l *DrainListener) Drain(ctx context.Context) error {
 	l.mu.Lock()
 	l.draining = true
@@ -85,7 +89,7 @@
 
 // Accept implements net.Listener. It returns http.ErrServerClosed once the listener is drained.
 func (l *DrainListener) Accept() (net.Conn, error) {
-	for quiet := 0; ; {
+	for quiet := (quietPeriod{}); ; {
 		started := time.Now()
 		if l.isDraining() {
 			l.setAcceptDeadline(started.Add(acceptWait))
@@ -97,21 +101,31 @@
 		if !l.isDraining() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if quiet = countQuiet(quiet, started, acceptWait); quiet == quietWaits {
+		if quiet.waitEnded(time.Since(started), acceptWait) {
 			l.closeDrained()
 			return nil, http.ErrServerClosed
 		}
 	}
 }
 
-// countQuiet returns the number of quiet waits in a row after one that started at a time and ended with its deadline.
-// A wait that was interrupted is not quiet, and neither is one that ended late: the process did not run for a while, and
-// more may have arrived in the meantime. Every new wait first takes what has arrived.
-func countQuiet(quiet int, started time.Time, wait time.Duration) int {
-	if waited := time.Since(started); waited < wait || waited >= 2*wait {
-		return 0
+// quietPeriod counts waits in which nothing arrived. Every new wait first takes what has arrived.
+type quietPeriod struct {
+	waits, inTime int
+}
+
+// waitEnded counts a wait that ended at its deadline after the given time, and reports whether the period is long enough.
+// A wait that was interrupted does not count. After one that ended late, more may have arrived: the process did not run
+// for a while.
+func (q *quietPeriod) waitEnded(waited, wait time.Duration) bool {
+	if waited < wait {
+		return false
+	}
+	q.waits++
+	q.inTime++
+	if waited >= 2*wait {
+		q.inTime = 0
 	}
-	return quiet + 1
+	return q.inTime == quietWaits || q.waits == maxLateWaits
 }
 
 func (l *DrainListener) setAcceptDeadline(deadline time.Time) {
@@ -229,13 +243,13 @@
 // Read implements net.Conn. During a drain it returns os.ErrDeadlineExceeded once nothing more arrives on a connection
 // without a request.
 func (c *drainConn) Read(buffer []byte) (int, error) {
-	for quiet := 0; ; {
+	for quiet := (quietPeriod{}); ; {
 		started := time.Now()
 		n, err := c.Conn.Read(buffer)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.drainsWithoutRequest() {
 			return n, err
 		}
-		if quiet = countQuiet(quiet, started, readWait); quiet == quietWaits {
+		if quiet.waitEnded(time.Since(started), readWait) {
 			return 0, err
 		}
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
