node: close the connection to the former process of an instance that restarted while idle

Cause: trackCall closes the connection only if the instance is still tracked. Ruled out: the pool of the probes (a new connection each), the suspension of the former incarnation (another endpoint). Change: the endpoint table knows each restart; the connection is closed when the new incarnation is seen, before the balancer can choose it, and when an instance leaves the table, which also ends a leak. Before: the new test failed at 1405 ms against 300 ms. After: passes.

--- a/node/control.go
+++ b/node/control.go
@@ -112,6 +112,7 @@
 type knownEndpoint struct {
 	incarnation uint64
 	service     string
+	address     string
 	state       endpoints.State
 	// since is the time at which this node first saw the upstream in service; zero if it was before this node's start.
 	since time.Time
@@ -144,7 +145,7 @@
 }
 
 // changedServices lists the services to which changed records belong or belonged before. It deletes records that are no
-// longer in the table from knownEndpoints.
+// longer in the table from knownEndpoints and closes the connections to their instances.
 func (n *Node) changedServices() []string {
 	changed := make(map[string]bool)
 	for id := range n.changedIDs {
@@ -153,6 +154,7 @@
 		}
 		record, ok := n.peer.Table().Get(id)
 		if !ok {
+			n.calls.Forget(n.knownEndpoints[id].address)
 			delete(n.knownEndpoints, id)
 			continue
 		}
@@ -181,10 +183,17 @@
 }
 
 // observeEndpoint determines the time since which an upstream serves. Upstreams in the first table that this node gets
-// have a zero time: they have probably served for long.
+// have a zero time: they have probably served for long. The connection to the former process of a restarted instance is
+// closed.
 func (n *Node) observeEndpoint(now time.Time, record endpoints.Record, firstTable bool) knownEndpoint {
 	known, ok := n.knownEndpoints[record.ID]
-	observed := knownEndpoint{incarnation: record.Incarnation, service: record.Service, state: record.State, since: now}
+	observed := knownEndpoint{
+		incarnation: record.Incarnation, service: record.Service, address: record.Address, state: record.State, since: now,
+	}
+	if ok && known.incarnation != record.Incarnation {
+		// The connection to the former process may stay open without traffic, as after a loss of power.
+		n.calls.Forget(known.address)
+	}
 	servesAgain := known.state == endpoints.Gone && record.State != endpoints.Gone
 	switch {
 	case firstTable:
--- a/node/liveness_test.go
+++ b/node/liveness_test.go
@@ -19,6 +19,9 @@
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
+// untrackedAfter is longer than the time after its last call for which an instance is tracked.
+const untrackedAfter = time.Second
+
 // blackholeLink is a link to an instance that can drop all traffic without closing connections, like a loss of power.
 type blackholeLink struct {
 	dropping atomic.Bool
@@ -190,6 +193,18 @@
 		}, 3*time.Second).Should(BeNumerically(">", before))
 	})
 
+	// As below, but so long after the last call that the instance is no longer tracked.
+	It("gets calls on a new connection after a restart while it had no calls", func() {
+		time.Sleep(untrackedAfter)
+		link.dropping.Store(true)
+		restart()
+		link.dropping.Store(false)
+		before := firstRuns.Load()
+		for firstRuns.Load() == before {
+			Expect(lookup("")).To(BeNumerically("<", 300*time.Millisecond))
+		}
+	})
+
 	// Guards against calls to a restarted instance on the connection to its former process, which carries no data.
 	It("gets calls on a new connection after a restart", func() {
 		link.dropping.Store(true)
