--- a/coordination/admission/rank.go
+++ b/coordination/admission/rank.go
@@ -11,7 +11,7 @@
 // rankCount is the number of ranks. Calls of priority 1 have rank 0.
 const rankCount = bundle.MaxPriority
 
-// rankOf returns the rank of a call; rank 0 is served first. Unknown classes have the rank of reports.
+// rankOf returns the rank of a call; rank 0 is served first. Downloads and unknown classes have the rank of reports.
 func rankOf(t Ticket) int {
 	if t.Priority > 0 {
 		return min(t.Priority, rankCount) - 1
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -146,7 +146,7 @@
 	case a.Outcome == NotRun:
 		return true
 	case a.Outcome == Unknown:
-		return a.Class == bundle.ClassLookup || a.Class == bundle.ClassReport
+		return a.Class.Repeatable()
 	default:
 		return false
 	}
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -104,6 +104,8 @@
 	},
 		Entry("lookup, unknown", func(*retry.Attempt) {}, true),
 		Entry("lookup, done", func(a *retry.Attempt) { a.Outcome = retry.Done }, false),
+		Entry("report, unknown", func(a *retry.Attempt) { a.Class = bundle.ClassReport }, true),
+		Entry("download, unknown", func(a *retry.Attempt) { a.Class = bundle.ClassDownload }, true),
 		Entry("irreversible, unknown", func(a *retry.Attempt) { a.Class = bundle.ClassIrreversible }, false),
 		Entry("irreversible, not run", func(a *retry.Attempt) {
 			a.Class, a.Outcome = bundle.ClassIrreversible, retry.NotRun
--- a/node/liveness.go
+++ b/node/liveness.go
@@ -73,7 +73,7 @@
 	}
 	l.nextCall++
 	known.detector.CallSent(time.Now(), l.nextCall)
-	if class != bundle.ClassIrreversible {
+	if class.Repeatable() {
 		known.repeatable[l.nextCall] = cancel
 	}
 	l.armTimer(known)
--- a/state/bundle/bundle.go
+++ b/state/bundle/bundle.go
@@ -11,8 +11,16 @@
 	ClassIrreversible Class = "irreversible"
 	ClassLookup       Class = "lookup"
 	ClassReport       Class = "report"
+	// ClassDownload is for reads with long responses. They are streamed, and each byte of them weighs in the choice of
+	// the availability zone.
+	ClassDownload Class = "download"
 )
 
+// Repeatable reports whether a call of the class may run more than once.
+func (c Class) Repeatable() bool {
+	return c == ClassLookup || c == ClassReport || c == ClassDownload
+}
+
 // ZonePolicy decides which availability zones a route's calls may be sent to.
 type ZonePolicy string
 
--- a/state/bundle/validate.go
+++ b/state/bundle/validate.go
@@ -240,9 +240,9 @@
 	case !v.services[r.Service]:
 		v.addProblem(loc.field("service"), strictjson.Quote(r.Service), "a declared service"+v.serviceSuggestions)
 	}
-	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport}, r.Class) {
+	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport, ClassDownload}, r.Class) {
 		v.addProblem(loc.field("class"), strictjson.Quote(string(r.Class)),
-			oneOf(ClassIrreversible, ClassLookup, ClassReport))
+			oneOf(ClassIrreversible, ClassLookup, ClassReport, ClassDownload))
 	}
 	if !slices.Contains([]ZonePolicy{"", ZonePreferLocal, ZoneAny}, r.Zone) {
 		v.addProblem(loc.field("zone"), strictjson.Quote(string(r.Zone)), oneOf(ZonePreferLocal, ZoneAny)+", or no value")
