Stop by a schedule that uses the time the instance gives, and end a drain although callers keep opening connections

Change: package coordination/shutdown computes all times of a stop from the grace period and decides which requests are still accepted; nothing is given up before the last sixth of it, whatever it is. Node.Stop carries it out. Before: "ends before its context although callers keep opening connections" failed with the context's deadline. After: passes; a request on an upstream that never answers is given up in the last sixth of 2, 6 and 10 s.

--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/coordination/shutdown"
 	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/mesh"
@@ -130,8 +131,8 @@
 	closeConnections atomic.Bool
 	// stopping makes the node report that it is not ready.
 	stopping atomic.Bool
-	// stopLimits is nil before the node stops.
-	stopLimits atomic.Pointer[stopLimits]
+	// stopPlan is nil before the node stops.
+	stopPlan atomic.Pointer[shutdown.Schedule]
 	metrics    *metrics
 
 	controlPool *rpc.Pool
--- a/node/stop.go
+++ b/node/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sapphiregate.example/sapphiregate/coordination/shutdown"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -15,12 +16,6 @@
 	drainAnnouncementTime = 300 * time.Millisecond
 	// connectionCloseTime lets callers close their connections before the node does.
 	connectionCloseTime = 500 * time.Millisecond
-	// finalResponseTime is the part of a stop's time that is kept for the responses to the requests that it gives up. A
-	// node that gets little processor time needs some of it to write them.
-	finalResponseTime = 400 * time.Millisecond
-	// refusalTime is how long the refusal of a call may travel that is refused at its deadline, before the stop gives up
-	// the request.
-	refusalTime = 100 * time.Millisecond
 )
 
 // errStopping is the cause with which the contexts of requests end when a stop gives them up.
@@ -43,82 +38,73 @@
 	}
 }
 
-// Stop shuts the node down gracefully. The node reports that it is not ready, announces that its upstream is draining
-// and lets the calls in flight finish. Callers are told to close their connections, and their requests are still served
-// through other nodes until the listeners close. Then the responses of irreversible calls are recorded.
+// Stop shuts the node down gracefully before the context ends. The node reports that it is not ready, announces that its
+// upstream is draining and lets the calls in flight finish. Callers are told to close their connections, and their
+// requests are still served through other nodes until the listeners close. Then the responses of irreversible calls are
+// recorded. Package shutdown decides when each step is taken.
 //
-// Requests that are in flight shortly before the context ends are given up: their callers get a response that says so.
-// A step that is not complete when the context ends is given up, and the following steps are still taken. Recording
-// comes last, so that an unreachable ledger does not cut off requests. The error says whether a step was given up.
+// Requests that are in flight shortly before the end are given up: their callers get a response that says so. A step
+// that is not complete by then is given up, and the following steps are still taken. Recording comes last, so that an
+// unreachable ledger does not cut off requests. The error says whether a step was given up.
 func (n *Node) Stop(ctx context.Context) error {
+	schedule := n.stopSchedule(ctx)
 	n.stopping.Store(true)
 	n.executor.drainForStop()
-	noticeEnd := time.Now().Add(max(n.options.Limits.LeaveNotice, drainAnnouncementTime+connectionCloseTime))
-	serving, cancel := withoutFinalResponseTime(ctx)
-	defer cancel()
-	n.limitCalls(serving, noticeEnd)
+	n.stopPlan.Store(&schedule)
+	serving, cancelServing := withDeadline(ctx, schedule.GiveUp)
+	defer cancelServing()
+	responding, cancelResponding := withDeadline(ctx, schedule.End)
+	defer cancelResponding()
 	sleep(serving, drainAnnouncementTime)
 	// A request may already be in transit on an idle connection that this node closes, so callers close theirs first.
 	n.closeConnections.Store(true)
 	err := n.stopStep("own upstream idle", n.executor.waitIdle(serving))
-	sleep(serving, max(connectionCloseTime, time.Until(noticeEnd)))
+	sleep(serving, max(connectionCloseTime, time.Until(schedule.NoticeEnd)))
 	err = errors.CombineErrors(err, n.stopStep("no request in flight", n.requests.drain(serving)))
 	if err != nil {
 		n.abandonRequests(errStopping)
-		n.callerListener.LimitActive(time.Now(), time.Now().Add(finalResponseTime/2))
+		n.callerListener.LimitActive(time.Now(), time.Now().Add(time.Until(schedule.End)/2))
 	}
-	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(ctx)))
-	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(ctx)))
-	n.mesh.GracefulStop(withFollowStopTimeout(ctx))
+	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(responding)))
+	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(responding)))
+	n.mesh.GracefulStop(withFollowStopTimeout(responding))
 	n.Kill()
 	return errors.Wrap(err, "node: stopped before all calls ended and their responses were recorded")
 }
 
-// withoutFinalResponseTime returns a context that ends finalResponseTime before its parent. It has no deadline if the
-// parent has none.
-func withoutFinalResponseTime(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
+// stopSchedule returns the schedule of a stop that begins now and has until the context's deadline.
+func (n *Node) stopSchedule(ctx context.Context) shutdown.Schedule {
+	now := time.Now()
+	budget := shutdown.Budget{Notice: max(n.options.Limits.LeaveNotice, drainAnnouncementTime+connectionCloseTime)}
+	if deadline, ok := ctx.Deadline(); ok {
+		budget.Grace = max(deadline.Sub(now), time.Millisecond)
 	}
-	return context.WithDeadline(ctx, deadline.Add(-min(finalResponseTime, time.Until(deadline)/4)))
-}
-
-// stopLimits limits the calls of a node that stops.
-type stopLimits struct {
-	// noticeEnd is when callers should have noticed that the node is not ready.
-	noticeEnd time.Time
-	// lastDeadline is the latest deadline of a call.
-	lastDeadline time.Time
+	return shutdown.NewSchedule(now, budget)
 }
 
-// limitCalls makes all calls that are sent from now on end before the context does, so that upstreams and their queues
-// refuse what they cannot finish in time.
-func (n *Node) limitCalls(ctx context.Context, noticeEnd time.Time) {
-	if deadline, ok := ctx.Deadline(); ok {
-		margin := min(refusalTime, time.Until(deadline)/4)
-		n.stopLimits.Store(&stopLimits{noticeEnd: noticeEnd, lastDeadline: deadline.Add(-margin)})
+// withDeadline returns a context that ends at a deadline; the zero time sets none.
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
 	}
+	return context.WithDeadline(ctx, deadline)
 }
 
 // callDeadline returns the deadline of a call that is sent now for a request with the given deadline. It is earlier than
 // that of the request if this node stops before.
 func (n *Node) callDeadline(deadline time.Time) time.Time {
-	if limits := n.stopLimits.Load(); limits != nil && limits.lastDeadline.Before(deadline) {
-		return limits.lastDeadline
+	if schedule := n.stopPlan.Load(); schedule != nil {
+		return schedule.CallDeadline(deadline)
 	}
 	return deadline
 }
 
-// endsTooLate reports whether this node stops before it can finish the call: before the latency target of a call that
-// arrives during the notice, or before the deadline of a later one. The own upstream may need short calls to finish its
-// work after the notice.
+// endsTooLate reports whether this node stops before it can serve the request.
 func (c *ingressCall) endsTooLate() bool {
-	limits := c.node.stopLimits.Load()
-	if limits == nil || !c.deadline.After(limits.lastDeadline) {
-		return false
-	}
-	return c.started.After(limits.noticeEnd) || c.started.Add(c.timeUntilTarget()).After(limits.lastDeadline)
+	schedule := c.node.stopPlan.Load()
+	return schedule != nil && !schedule.Accepts(shutdown.Request{
+		Arrived: c.started, Deadline: c.deadline, Target: c.started.Add(c.timeUntilTarget()),
+	})
 }
 
 // stopStep logs the end of one step of a stop, with what is still in flight, and returns the step's error.
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,32 @@
 		Entry("an irreversible call through another node", true, "/promote", keyHeader, "k1"),
 	)
 
+	// Guards against a stop that gives up running requests long before the instance ends the process, or after that.
+	It("gives up a running request in the last sixth of its time, whatever that is", func() {
+		var stops sync.WaitGroup
+		for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 10 * time.Second} {
+			upstream := newBlockingUpstream()
+			f := newFixture(true, newFakeLedger().server.Address(), 1, upstream.ServeHTTP)
+			running := f.async(context.Background(), "/lookup", "")
+			Eventually(upstream.runs.Load, eventuallyTimeout).Should(BeEquivalentTo(1))
+			stops.Go(func() {
+				defer GinkgoRecover()
+				started := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), grace)
+				defer cancel()
+				stopped := make(chan error, 1)
+				go func() { stopped <- f.ingress.Stop(ctx) }()
+				got := <-running
+				Expect(time.Since(started)).To(BeNumerically(">=", grace*5/6), "grace period %v", grace)
+				Expect(got.err).NotTo(HaveOccurred())
+				Expect(got.header.Get(protocol.HeaderReason)).To(BeEquivalentTo(protocol.ReasonDraining))
+				Expect(<-stopped).To(HaveOccurred())
+				Expect(time.Since(started)).To(BeNumerically("<", grace), "grace period %v", grace)
+			})
+		}
+		stops.Wait()
+	})
+
 	// Guards against a request that is accepted during a stop and waits for longer than the stop may take.
 	It("gives the calls that it accepts while it stops no more time than it has left", func() {
 		var given atomic.Int64
--- a/transport/web/drain.go
+++ b/transport/web/drain.go
@@ -23,6 +23,9 @@
 	// maxLateWaits bounds the waits in which nothing arrived. A process that is always short of processor time would
 	// otherwise never close.
 	maxLateWaits = 5
+	// lastWait is the length of a wait in the last half of the time that a drain has. Callers that keep opening connections
+	// would otherwise keep it from ending. One such wait in which nothing arrives is enough.
+	lastWait = 2 * time.Millisecond
 )
 
 // DrainListener is the listener of an HTTP server that stops without losing requests. http.Server.Shutdown closes the
@@ -35,8 +38,10 @@
 	net.Listener
 
 	// mu guards the fields below and drainConn.waiting.
-	mu          sync.Mutex
-	draining    bool
+	mu       sync.Mutex
+	draining bool
+	// hurryAt is when a drain stops to wait for quiet; zero if it may wait for as long as it takes.
+	hurryAt     time.Time
 	connections map[*drainConn]bool
 	// finished is closed once the listener is drained and all its connections are closed.
 	finished       chan struct{}
@@ -53,10 +58,14 @@
 // Drain makes the server serve what has arrived, and returns when all connections are closed. Connections that wait to
 // be accepted are accepted, and requests that were not read yet are read; then the listener and the connections without
 // a request are closed. Responses should ask callers to close their connections: a connection that stays open is closed
-// once it has been quiet. Drain returns the context's error if that ends first.
+// once it has been quiet. In the last half of the time until the context's deadline, the listener and the connections
+// close as soon as nothing waits to be read. Drain returns the context's error if that ends first.
 func (l *DrainListener) Drain(ctx context.Context) error {
 	l.mu.Lock()
 	l.draining = true
+	if deadline, ok := ctx.Deadline(); ok {
+		l.hurryAt = time.Now().Add(time.Until(deadline) / 2)
+	}
 	for connection := range l.connections {
 		if connection.waiting {
 			// This ends the read that waits for a request, so that Read can take what has arrived.
@@ -90,9 +99,10 @@
 // Accept implements net.Listener. It returns http.ErrServerClosed once the listener is drained.
 func (l *DrainListener) Accept() (net.Conn, error) {
 	for quiet := (quietPeriod{}); ; {
+		wait := l.waitLength(acceptWait)
 		started := time.Now()
 		if l.isDraining() {
-			l.setAcceptDeadline(started.Add(acceptWait))
+			l.setAcceptDeadline(started.Add(wait))
 		}
 		connection, err := l.Listener.Accept()
 		if err == nil {
@@ -101,7 +111,7 @@
 		if !l.isDraining() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if quiet.waitEnded(time.Since(started), acceptWait) {
+		if quiet.waitEnded(time.Since(started), wait) {
 			l.closeDrained()
 			return nil, http.ErrServerClosed
 		}
@@ -122,10 +132,25 @@
 	}
 	q.waits++
 	q.inTime++
-	if waited >= 2*wait {
+	if waited >= max(2*wait, acceptWait) {
 		q.inTime = 0
 	}
-	return q.inTime == quietWaits || q.waits == maxLateWaits
+	return q.inTime >= quietWaits || q.waits >= maxLateWaits || wait == lastWait && q.inTime > 0
+}
+
+// waitLength returns the length of the next wait, which is usually the given one.
+func (l *DrainListener) waitLength(usual time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.currentWait(usual)
+}
+
+// currentWait is waitLength for a caller that holds l.mu.
+func (l *DrainListener) currentWait(usual time.Duration) time.Duration {
+	if l.draining && !l.hurryAt.IsZero() && time.Now().After(l.hurryAt) {
+		return lastWait
+	}
+	return usual
 }
 
 func (l *DrainListener) setAcceptDeadline(deadline time.Time) {
@@ -228,7 +253,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if c.listener.draining && c.waiting {
-		deadline = time.Now().Add(readWait)
+		deadline = time.Now().Add(c.listener.currentWait(readWait))
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
@@ -244,12 +269,13 @@
 // without a request.
 func (c *drainConn) Read(buffer []byte) (int, error) {
 	for quiet := (quietPeriod{}); ; {
+		wait := c.listener.waitLength(readWait)
 		started := time.Now()
 		n, err := c.Conn.Read(buffer)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.drainsWithoutRequest() {
 			return n, err
 		}
-		if quiet.waitEnded(time.Since(started), readWait) {
+		if quiet.waitEnded(time.Since(started), wait) {
 			return 0, err
 		}
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
--- a/transport/web/drain_test.go
+++ b/transport/web/drain_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -171,6 +172,35 @@
 		expectDrained(done)
 	})
 
+	// Guards against a drain that waits for quiet until its time is over, so that the process is killed.
+	It("ends before its context although callers keep opening connections", func() {
+		serve()
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(3 * time.Millisecond):
+				}
+				connection, err := net.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					continue
+				}
+				_, _ = fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: desk\r\nConnection: close\r\n\r\n")
+				defer connection.Close()
+			}
+		})
+		DeferCleanup(func() { close(stop); callers.Wait() })
+		Eventually(func() int { active, waiting := listener.Connections(); return active + waiting }, drainTimeout).
+			Should(BeNumerically(">", 0))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		Expect(listener.Drain(ctx)).To(Succeed())
+		Eventually(served, drainTimeout).Should(Receive(Equal(http.ErrServerClosed)))
+	})
+
 	It("ends with its context while a request is running", func() {
 		serve()
 		connection := dial()
