--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -77,8 +77,10 @@
 type Config struct {
 	// Slots bounds the calls in flight.
 	Slots int
-	// QueueLimit bounds the waiting calls of each rank.
-	QueueLimit int
+	// QueueLimit bounds the waiting calls of each rank, and TargetQueueLimit those of them with a target. These are bounded
+	// by their expected wait before: many short calls may wait where few long ones may.
+	QueueLimit       int
+	TargetQueueLimit int
 	// ExclusiveShare bounds the share of time for which the upstream is reserved for exclusive calls while other calls
 	// wait, including the time until the slots are empty. It also bounds their share of QueueLimit.
 	ExclusiveShare float64
@@ -98,6 +100,7 @@
 func (c Config) withDefaults() Config {
 	c.Slots = cmp.Or(c.Slots, DefaultSlots)
 	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.TargetQueueLimit = cmp.Or(c.TargetQueueLimit, c.QueueLimit)
 	c.ExclusiveShare = cmp.Or(c.ExclusiveShare, DefaultExclusiveShare)
 	c.EstimateLifetime = cmp.Or(c.EstimateLifetime, DefaultEstimateLifetime)
 	return c
@@ -106,7 +109,18 @@
 // targetWaitShare is the share of the time between now and the target, less the expected service time, that a call may
 // spend waiting. Service times vary by about their mean, so a call that waits until the last moment is late every
 // second time.
-const targetWaitShare = 0.8
+const targetWaitShare = 0.4
+
+const (
+	// standingWaitShare takes the place of targetWaitShare while the queue is a standing one: calls then arrive faster than
+	// they are served, and each wait that is granted delays all later calls without serving more of them.
+	standingWaitShare = 0.1
+	// shortWaitShare takes the place of both for a call that takes much less time than others on this upstream. It delays
+	// them little, and often a call on another upstream waits for it, whose slot would be wasted by a refusal.
+	shortWaitShare = 0.5
+	// shortFactor is the ratio of the longest service time of a route to that of a short call.
+	shortFactor = 4
+)
 
 // maxRouteEstimates bounds the number of routes with a separate estimate of the service time.
 const maxRouteEstimates = 256
@@ -127,6 +141,7 @@
 	pending           []Decision           // not yet returned to the executor
 	draining          bool
 	lastInput         time.Time // time of the last Offer, Cancel, Finish or Expire
+	lastEmpty         time.Time // time of the last Offer before which no call waited
 	reservation
 }
 
@@ -151,6 +166,9 @@
 // call, the next call of Expire, Finish or Cancel returns the Decision on that one, and NextExpiry is due at once.
 func (q *Queue) Offer(now time.Time, t Ticket) Verdict {
 	q.lastInput = now
+	if len(q.waiting) == 0 {
+		q.lastEmpty = now
+	}
 	c := newCall(t, now)
 	c.sortTime = now.Add(overtakeFactor * q.expectedService(c, now))
 	switch {
@@ -295,7 +313,40 @@
 		return false
 	}
 	slack := c.target.Sub(now) - q.expectedService(c, now)
-	return slack > 0 && float64(q.expectedWait(c, now)) > targetWaitShare*float64(slack)
+	return slack > 0 && float64(q.expectedWait(c, now)) > q.waitShare(c, now)*float64(slack)
+}
+
+// waitShare returns the share of the time between now and its target, less its expected service time, that a call may
+// spend waiting.
+func (q *Queue) waitShare(c *call, now time.Time) float64 {
+	switch {
+	case q.isShort(c, now):
+		return shortWaitShare
+	case q.isStanding(now):
+		return standingWaitShare
+	default:
+		return targetWaitShare
+	}
+}
+
+// isShort reports whether a call takes much less time than the longest ones on this upstream.
+func (q *Queue) isShort(c *call, now time.Time) bool {
+	service := q.expectedService(c, now)
+	if service == 0 {
+		return false
+	}
+	for _, estimate := range q.routeServiceTimes {
+		if estimate.current(now, q.config.EstimateLifetime) >= shortFactor*service {
+			return true
+		}
+	}
+	return false
+}
+
+// isStanding reports whether calls have waited without a break for longer than a service time. In a burst that the
+// slots can serve, the queue is empty again before.
+func (q *Queue) isStanding(now time.Time) bool {
+	return len(q.waiting) > 0 && now.Sub(q.lastEmpty) > q.serviceTime.mean
 }
 
 // mayStart reports whether a new call may start without waiting.
@@ -317,9 +368,15 @@
 	if c.exclusive && queue.exclusive.Len() >= max(1, int(float64(q.config.QueueLimit)*q.config.ExclusiveShare)) {
 		return false
 	}
-	if len(queue.byDeadline) < q.config.QueueLimit {
+	if len(queue.byDeadline) < q.queueLimit(c) {
 		return true
 	}
+	if !c.exclusive && queue.ordinary.Len() > 0 {
+		if last := queue.ordinary.Back().Value.(*call); c.overtakes(last) {
+			q.evict(last, ReasonQueueFull, now)
+			return true
+		}
+	}
 	if !queue.overloaded(now) {
 		return false
 	}
@@ -327,6 +384,14 @@
 	return true
 }
 
+// queueLimit returns the number of calls that may wait in the rank of a call.
+func (q *Queue) queueLimit(c *call) int {
+	if c.target.IsZero() {
+		return q.config.QueueLimit
+	}
+	return q.config.TargetQueueLimit
+}
+
 func (q *Queue) enqueue(c *call) {
 	q.waiting[c.id] = c
 	q.rankQueue(c).push(c)
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -169,6 +169,8 @@
 	// Route and ServiceTime are the call's route and the time that the upstream itself took, if they are known.
 	Route       string
 	ServiceTime time.Duration
+	// ResponseBytes is the size of the response's body; 0 if it is not known.
+	ResponseBytes int64
 	// Load is the load that the executor counted. It takes precedence over UpstreamLoad.
 	Load *Load
 	// UpstreamLoad is the load that the upstream reports about itself. It may be outdated or wrong.
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -45,34 +45,51 @@
 	latency           atomic.Int64 // nanoseconds
 	otherCallsPerSlot atomic.Int64 // calls of other nodes per slot, in thousandths
 	errorRate         atomic.Int64 // share of failed calls, in thousandths
-	// routes holds the service time in nanoseconds of each route, as *atomic.Int64 by name: short calls of one route
-	// and long ones of another run on the same upstreams. Routes beyond maxRoutes have no entry.
+	// routes holds the averages of each route, as *routeAverages by name: short calls of one route and long ones of
+	// another run on the same upstreams. Routes beyond maxRoutes have no entry.
 	routes     sync.Map
 	routeCount atomic.Int64
 }
 
-// observeRoute adds the service time of one call to the average of its route.
-func (a *averages) observeRoute(name string, serviceTime time.Duration) {
-	if name == "" || serviceTime <= 0 {
+// routeAverages holds the running averages of one route.
+type routeAverages struct {
+	serviceTime   atomic.Int64 // nanoseconds
+	responseBytes atomic.Int64
+}
+
+// observeRoute adds one call to the averages of its route.
+func (a *averages) observeRoute(r Report) {
+	if r.Route == "" || r.ServiceTime <= 0 {
 		return
 	}
-	average, ok := a.routes.Load(name)
+	known, ok := a.routes.Load(r.Route)
 	if !ok {
 		if a.routeCount.Add(1) > maxRoutes {
 			return
 		}
-		average, _ = a.routes.LoadOrStore(name, new(atomic.Int64))
+		known, _ = a.routes.LoadOrStore(r.Route, new(routeAverages))
+	}
+	route := known.(*routeAverages)
+	addSample(&route.serviceTime, int64(r.ServiceTime))
+	if r.ResponseBytes > 0 {
+		addSample(&route.responseBytes, r.ResponseBytes)
 	}
-	addSample(average.(*atomic.Int64), int64(serviceTime))
 }
 
 // routeServiceTime returns the average service time of a route in nanoseconds, or 0 if it is not known.
 func (a *averages) routeServiceTime(name string) float64 {
-	average, ok := a.routes.Load(name)
-	if !ok {
-		return 0
+	if route, ok := a.routes.Load(name); ok {
+		return float64(route.(*routeAverages).serviceTime.Load())
+	}
+	return 0
+}
+
+// routeResponseBytes returns the average size of a route's responses, or 0 if it is not known.
+func (a *averages) routeResponseBytes(name string) float64 {
+	if route, ok := a.routes.Load(name); ok {
+		return float64(route.(*routeAverages).responseBytes.Load())
 	}
-	return float64(average.(*atomic.Int64).Load())
+	return 0
 }
 
 // endpoint is one incarnation of an upstream with the counters of this process. All times, here and in the parameters
@@ -211,7 +228,7 @@
 	switch r.Outcome {
 	case Completed:
 		e.connectFailures.Store(0)
-		e.averages.observeRoute(r.Route, r.ServiceTime)
+		e.averages.observeRoute(r)
 		e.observeError(at, false)
 		e.observeLatency(at, e.serviceTime(r))
 	case Refused:
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -24,6 +24,11 @@
 	// zone. A failed call has no value for the caller, so that the charge for the link matters less than for a late
 	// call.
 	maxErrorRateExcess = 0.15
+	// crossingShare is the time, as a share of the time left until the target, that a call must save by leaving its zone.
+	// A smaller share costs more bytes on the links, a larger one leaves slots idle while calls wait in another zone.
+	crossingShare = 0.2
+	// crossingBytes is the size of a response for which a call must save twice that time.
+	crossingBytes = 64 << 10
 	// maxRemoteTimeRatio is the ratio of the expected response times of a remote and the local upstream below which the
 	// call goes to the remote one. It is well below 1 because load reports from other zones are older and their links
 	// are charged for.
@@ -114,6 +119,9 @@
 		return p.better(p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone()))
 	}
 	local := p.pickFrom(p.service.local)
+	if local != nil && p.request.TargetRemaining > 0 {
+		return p.fasterZone(local)
+	}
 	if local != nil && p.sufficient(local) {
 		return local
 	}
@@ -128,6 +136,24 @@
 	return local
 }
 
+// fasterZone returns the given local endpoint, or one in another zone if that is expected to answer a call with a target
+// so much earlier that it is worth the bytes between the zones, or fails clearly fewer calls.
+func (p *picker) fasterZone(local *endpoint) *endpoint {
+	remote := p.better(p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone()))
+	if remote == nil {
+		return local
+	}
+	bytes := local.averages.routeResponseBytes(p.request.Route)
+	saving := crossingShare * (1 + bytes/crossingBytes) * float64(p.request.TargetRemaining)
+	if p.expectedResponseTime(remote)+saving < p.expectedResponseTime(local) {
+		return remote
+	}
+	if local.boundedErrorRate(p.config, p.now) > remote.boundedErrorRate(p.config, p.now)+maxErrorRateExcess {
+		return remote
+	}
+	return local
+}
+
 func (p *picker) expectedResponseTime(e *endpoint) float64 {
 	return e.expectedResponseTime(p.config, p.now, p.request.Route)
 }
--- a/node/announce.go
+++ b/node/announce.go
@@ -67,8 +67,9 @@
 	}
 	config.Slots = e.slots()
 	config.QueueLimit = defaultQueuePerSlot * config.Slots
+	config.TargetQueueLimit = max(config.QueueLimit, admission.DefaultQueueLimit)
 	if service, ok := e.service(e.upstream.announcement.Service); ok && service.QueueLimit > 0 {
-		config.QueueLimit = service.QueueLimit
+		config.QueueLimit, config.TargetQueueLimit = service.QueueLimit, service.QueueLimit
 	}
 	return config
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -351,6 +351,7 @@
 func (c *ingressCall) balancerReport(ctx context.Context, reply *callReply, elapsed time.Duration) balance.Report {
 	report := balance.Report{
 		Outcome: balance.Completed, Latency: elapsed, Route: c.route.Name, ServiceTime: reply.metadata.UpstreamTime,
+		ResponseBytes: max(0, reply.metadata.ContentLength),
 	}
 	if load := reply.metadata.Load; load.Slots > 0 {
 		reported := balanceLoad(load)
