--- a/coordination/retry/after.go
+++ b/coordination/retry/after.go
@@ -37,7 +37,7 @@
 	switch cause {
 	case CauseOverload:
 		mean := time.Duration(load.LatencyMicros) * time.Microsecond
-		wait = mean * time.Duration(load.Queued+load.Slots) / time.Duration(max(load.Slots, 1))
+		wait = mean * time.Duration(load.Queued+1) / time.Duration(max(load.Slots, 1))
 	case CauseUnavailable:
 		wait = unavailableRetryAfter
 	}
