--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -31,8 +31,8 @@
 				target: 300 * ms, deadline: 600 * ms, worth: 2, lateWorth: 0.6, calls: 2, callee: "index", share: 0.7, bytes: 5000},
 			{name: "export", service: "ledgers", class: bundle.ClassDownload, priority: 3, perSecond: 41, work: 48 * ms,
 				target: 300 * ms, deadline: 600 * ms, worth: 1, lateWorth: 0.3, bytes: 90000},
-			{name: "status", service: "contributions", class: bundle.ClassLookup, priority: 3, work: 15 * ms, target: 100 * ms, deadline: 200 * ms, bytes: 500},
-			{name: "index", service: "ledgers", class: bundle.ClassLookup, priority: 3, work: 15 * ms, target: 100 * ms, deadline: 200 * ms, bytes: 500},
+			{name: "status", service: "contributions", class: bundle.ClassLookup, priority: 2, work: 15 * ms, target: 100 * ms, deadline: 200 * ms, bytes: 500},
+			{name: "index", service: "ledgers", class: bundle.ClassLookup, priority: 2, work: 15 * ms, target: 100 * ms, deadline: 200 * ms, bytes: 500},
 		},
 	}
 }
@@ -56,9 +56,9 @@
 				target: 600 * ms, deadline: 4000 * ms, worth: 1, lateWorth: 0.3, calls: 1, callee: "archive", share: 0.7, bytes: 400},
 			{name: "sheets", service: "exams", class: bundle.ClassLookup, priority: 3, perSecond: 14 * scale, work: 360 * ms,
 				target: 1000 * ms, deadline: 6000 * ms, worth: 1, lateWorth: 0.3, bytes: 5000},
-			{name: "check", service: "promotions", class: bundle.ClassLookup, priority: 3, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
-			{name: "peek", service: "lineage", class: bundle.ClassLookup, priority: 3, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
-			{name: "archive", service: "exams", class: bundle.ClassLookup, priority: 3, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
+			{name: "check", service: "promotions", class: bundle.ClassLookup, priority: 2, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
+			{name: "peek", service: "lineage", class: bundle.ClassLookup, priority: 2, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
+			{name: "archive", service: "exams", class: bundle.ClassLookup, priority: 2, work: 22 * ms, target: 120 * ms, deadline: 250 * ms, bytes: 500},
 		},
 	}
 }
