--- a/coordination/retry/after.go
+++ b/coordination/retry/after.go
@@ -30,14 +30,15 @@
 )
 
 // After returns how long a refused caller should wait before it retries, for the header Retry-After. Under overload
-// that is the time in which the upstream serves its present queue. The time is spread by a random fraction in [0, 1),
-// so that callers that were refused together in a burst do not retry together.
+// that is the time until the upstream has a free slot again: as much time as possible is left to meet the target then,
+// and waiting longer is no surer, since new requests arrive all the time. The time is spread by a random fraction in
+// [0, 1), so that callers that were refused together in a burst do not retry together.
 func After(cause Cause, load balance.Load, fraction float64) time.Duration {
 	wait := minRetryAfter
 	switch cause {
 	case CauseOverload:
 		mean := time.Duration(load.LatencyMicros) * time.Microsecond
-		wait = mean * time.Duration(load.Queued+1) / time.Duration(max(load.Slots, 1))
+		wait = mean / time.Duration(max(load.Slots, 1))
 	case CauseUnavailable:
 		wait = unavailableRetryAfter
 	}
