node: verify the first upstream after a start by a health check

Ruled out: the node's former record in the endpoint table, which names no upstream. Later upstreams and returns after a crash are as before. Before: the new test ("...deregistered before a restart, when a late heartbeat arrives") failed; after: passes.

--- a/node/control.go
+++ b/node/control.go
@@ -35,6 +35,7 @@
 		waiters:        make(map[uint64]chan admission.Verdict),
 		active:         make(map[uint64]*activeCall),
 		deregistered:   make(map[string]int64),
+		verify:         make(chan struct{}, 1),
 		ledger:         &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
 		service: func(name string) (bundle.Service, bool) {
 			current := n.snapshot.Load()
--- a/node/crash.go
+++ b/node/crash.go
@@ -115,17 +115,26 @@
 			}
 			failures = e.checkServing(current, failures)
 			sleep(e.ctx, e.healthInterval)
-		case upstreamDown:
+		case upstreamDown, upstreamUnverified:
 			failures = 0
 			acceptingSince = e.checkDown(current, acceptingSince)
-			sleep(e.ctx, probeInterval)
+			e.awaitProbe()
 		default:
 			failures = 0
-			sleep(e.ctx, probeInterval)
+			e.awaitProbe()
 		}
 	}
 }
 
+// awaitProbe waits for probeInterval, or until there is an upstream to verify.
+func (e *executor) awaitProbe() {
+	select {
+	case <-e.verify:
+	case <-time.After(probeInterval):
+	case <-e.ctx.Done():
+	}
+}
+
 // checkServing probes a serving upstream and returns the number of consecutive failed probes.
 func (e *executor) checkServing(current *upstream, failures int) int {
 	if current.acceptsConnections(e.ctx) {
@@ -141,7 +150,7 @@
 	return failures
 }
 
-// checkDown puts an upstream back into service once it accepts connections and reports itself healthy, or has accepted
+// checkDown puts an upstream that is down or unverified into service once it accepts connections and reports itself healthy, or has accepted
 // connections for maxUnhealthyTime. It returns the time since which the upstream accepts connections; zero if it does
 // not, or is back in service.
 func (e *executor) checkDown(current *upstream, acceptingSince time.Time) time.Time {
@@ -151,20 +160,35 @@
 	if acceptingSince.IsZero() {
 		acceptingSince = time.Now()
 	}
-	if !current.healthy(e.ctx) && time.Since(acceptingSince) < maxUnhealthyTime {
+	path, known := e.checkedHealthPath(current)
+	if (!known || !current.healthy(e.ctx, path)) && time.Since(acceptingSince) < maxUnhealthyTime {
 		return acceptingSince
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.upstream != current || e.state != upstreamDown {
+	if e.upstream != current || e.state != upstreamDown && e.state != upstreamUnverified {
 		return time.Time{}
 	}
+	e.logger.Info().Str("service", current.announcement.Service).Str("address", current.announcement.Address).
+		Str("was", e.state.String()).Msg("upstream accepts connections; it is in service")
 	e.state = upstreamServing
-	e.logger.Info().Msg("upstream accepts connections again")
 	e.announceState(endpoints.Serving)
 	return time.Time{}
 }
 
+// checkedHealthPath returns the path of the health check that an upstream must pass before it is put into service; empty
+// if there is none. It is not known while an unverified upstream announces no path and there is no configuration.
+func (e *executor) checkedHealthPath(current *upstream) (path string, known bool) {
+	e.mu.Lock()
+	unverified := e.state == upstreamUnverified
+	e.mu.Unlock()
+	if current.announcement.HealthPath != "" || !unverified {
+		return current.announcement.HealthPath, true
+	}
+	service, known := e.service(current.announcement.Service)
+	return service.HealthPath, known
+}
+
 // announceState publishes the upstream's endpoint record with the given state. The caller holds e.mu.
 func (e *executor) announceState(state endpoints.State) {
 	e.announce(endpoints.Record{
--- a/node/executor.go
+++ b/node/executor.go
@@ -42,6 +42,8 @@
 	background taskGroup
 	ctx        context.Context
 	stop       context.CancelFunc
+	// verify makes monitorUpstream check the upstream without waiting.
+	verify chan struct{}
 	// requestsContext ends when a stop gives up the requests in flight.
 	requestsContext context.Context
 
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/coordination/admission"
 )
 
 // Heartbeat is an announcement that an upstream repeats periodically. Heartbeats may arrive late, out of order, or
@@ -86,9 +88,32 @@
 		e.startDrain()
 		return
 	}
+	if e.upstream == nil || e.state == upstreamUnverified {
+		e.startVerification(h.Announcement)
+		return
+	}
 	e.putInService(h.Announcement)
 }
 
+// startVerification takes the first upstream of this process, which gets calls once it has passed a health check: the
+// former process on this instance may have acknowledged that it leaves, and its late heartbeat says that it serves. The
+// caller holds e.mu.
+func (e *executor) startVerification(announcement Announcement) {
+	if e.stopping || e.upstream != nil && e.upstream.announcement == announcement {
+		return
+	}
+	if e.upstream != nil {
+		e.upstream.client.Close()
+	}
+	e.upstream = newUpstream(announcement)
+	e.state = upstreamUnverified
+	e.queue = admission.New(e.queueConfig())
+	select {
+	case e.verify <- struct{}{}:
+	default:
+	}
+}
+
 // maxDeregistered bounds the remembered upstreams. The upstream beside a node is replaced a few times an hour at most.
 const maxDeregistered = 64
 
--- a/node/keyless_test.go
+++ b/node/keyless_test.go
@@ -228,6 +228,28 @@
 		})
 
 		// Guards against a heartbeat that is processed half before and half after a deregistration.
+		// Guards against a process that starts again and forgets that its upstream leaves.
+		It("gives no calls to an upstream that deregistered before a restart, when a late heartbeat arrives", func() {
+			var leaving atomic.Bool
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" && leaving.Load() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}
+			leaving.Store(true)
+			restarted, _, address := startCustomDialectNode(handler)
+			b := testBundle()
+			for i := range b.Services {
+				b.Services[i].HealthPath = "/health"
+			}
+			Expect(restarted.PutInForce(bundle.Approval{Version: 2}, b)).To(Succeed())
+			Expect(sendHeartbeat(restarted, address, "u1", 1, 7, false)).To(Succeed())
+			Expect(sendHeartbeat(restarted, address, "u1", 1, 8, false)).To(Succeed())
+			Consistently(func() bool { _, ok := restarted.OwnRecord(); return ok }, time.Second).Should(BeFalse())
+			leaving.Store(false)
+			Eventually(func() bool { _, ok := restarted.OwnRecord(); return ok }, eventuallyTimeout).Should(BeTrue())
+		})
+
 		It("gives a deregistered upstream no calls if a heartbeat arrives at the same time", func() {
 			for incarnation := int64(2); incarnation < 3000; incarnation++ {
 				id := fmt.Sprint("u", incarnation)
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -71,11 +71,14 @@
 	// upstreamDown: the upstream does not accept connections; it is probed until it does.
 	upstreamDown
 	upstreamDraining
+	// upstreamUnverified: the first heartbeat since this process started has arrived. It may be a late one of an upstream
+	// that has told the former process that it leaves.
+	upstreamUnverified
 )
 
 // String returns the name used in dumps.
 func (s upstreamState) String() string {
-	return [...]string{"absent", "serving", "down", "draining"}[s]
+	return [...]string{"absent", "serving", "down", "draining", "unverified"}[s]
 }
 
 const (
@@ -115,13 +118,13 @@
 }
 
 // healthy reports whether the upstream's health check succeeds. An upstream without a health path counts as healthy.
-func (u *upstream) healthy(ctx context.Context) bool {
-	if u.announcement.HealthPath == "" {
+func (u *upstream) healthy(ctx context.Context, path string) bool {
+	if path == "" {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	status, _, err := u.client.Get(ctx, u.announcement.HealthPath, maxReportBytes)
+	status, _, err := u.client.Get(ctx, path, maxReportBytes)
 	return err == nil && status < http.StatusMultipleChoices
 }
 
