rpc: a handler that panics ends its call, not the process

It could happen here: grpc-go does not recover panics of handlers, so that a fault in one would end a node or member with all its calls. Change: interceptors that report the panic as a violated invariant with its stack and answer with an error; a call that had been sent to its upstream stays "unknown" to its caller. Before: the new test ended the test process ("panic: first ping"). After: passes. Panics on the control goroutine still end the process: its state could be half changed.

--- a/transport/rpc/server.go
+++ b/transport/rpc/server.go
@@ -44,6 +44,8 @@
 	server := grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.ForceServerCodecV2(codec{}),
+		grpc.UnaryInterceptor(recoverUnary),
+		grpc.StreamInterceptor(recoverStream),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(flowWindowBytes),
