admission: calls expect much shorter ones of their own rank to overtake them

Change: the share of slots that such calls hold lengthens the expected wait, as for calls of higher ranks, so that the caller is told at once.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -119,8 +119,8 @@
 	shortWaitShare = 0.8
 	// shortFactor is the ratio of the longest service time of a route to that of a short call.
 	shortFactor = 4
-	// maxUrgentShare bounds the share of the slots of which a call expects that more urgent ones take them.
-	maxUrgentShare = 0.8
+	// maxOvertakingShare bounds the share of the slots of which a call expects that overtaking ones take them.
+	maxOvertakingShare = 0.8
 )
 
 // maxRouteEstimates bounds the number of routes with a separate estimate of the service time.
@@ -294,8 +294,8 @@
 	return known
 }
 
-// expectedWait returns the expected time until a new call gets a slot, given the waiting calls before it and the more
-// urgent ones that will still arrive. Under overload the newest call of a rank is served first, so that the waiting
+// expectedWait returns the expected time until a new call gets a slot, given the waiting calls before it and those that
+// will arrive and overtake it. Under overload the newest call of a rank is served first, so that the waiting
 // calls of its own rank are not ahead of it.
 func (q *Queue) expectedWait(c *call, now time.Time) time.Duration {
 	callsAhead := 1
@@ -306,19 +306,21 @@
 		callsAhead += q.rankQueue(c).countAhead(c, now, q.expectedService)
 	}
 	wait := float64(callsAhead) * float64(q.serviceTime.mean) / float64(q.config.Slots)
-	return time.Duration(wait / (1 - q.urgentShare(c.rank)))
+	return time.Duration(wait / (1 - q.overtakingShare(c, now)))
 }
 
-// urgentShare returns the share of the slots that calls of higher ranks hold, up to maxUrgentShare. More such calls will
-// arrive and overtake a call of this rank while it waits.
-func (q *Queue) urgentShare(rank int) float64 {
+// overtakingShare returns the share of the slots that calls hold which would be served before this one: those of higher
+// ranks and much shorter ones of its own, up to maxOvertakingShare. More of them will arrive while this one waits.
+func (q *Queue) overtakingShare(c *call, now time.Time) float64 {
+	service := q.expectedService(c, now)
 	count := 0
-	for _, c := range q.running {
-		if c.rank < rank {
+	for _, other := range q.running {
+		shorter := other.rank == c.rank && shortFactor*q.expectedService(other, now) <= service && !c.target.IsZero()
+		if other.rank < c.rank || shorter {
 			count++
 		}
 	}
-	return min(maxUrgentShare, float64(count)/float64(q.config.Slots))
+	return min(maxOvertakingShare, float64(count)/float64(q.config.Slots))
 }
 
 // waitMissesTarget reports whether a call is expected to miss its target because of its wait. A call whose service time
--- a/coordination/admission/target_test.go
+++ b/coordination/admission/target_test.go
@@ -206,6 +206,17 @@
 		Expect(offer(q, now, 11, "payment", 1, 2*long).Action).To(Equal(admission.Wait))
 	})
 
+	// Replays payments beside many short status calls of the same rank, which overtake them: payments waited until their
+	// deadlines and were refused then.
+	It("expects much shorter calls to overtake those of their own rank", func() {
+		q, now := learned(admission.Config{Slots: 4, QueueLimit: 100}, map[string]time.Duration{"payment": long, "status": short})
+		for id := range uint64(4) {
+			Expect(offer(q, now, id, "status", 2, time.Hour).Action).To(Equal(admission.Run))
+		}
+		Expect(offer(q, now, 10, "payment", 2, long+50*time.Millisecond).Reason).To(Equal(admission.ReasonTarget))
+		Expect(offer(q, now, 11, "status", 2, 200*time.Millisecond).Action).To(Equal(admission.Wait))
+	})
+
 	// Guards against refusing short calls because long calls of another route raise the estimate of the service time.
 	It("estimates the service time of each route separately", func() {
 		q := admission.New(admission.Config{Slots: 1, QueueLimit: 10})
