--- a/node/crash.go
+++ b/node/crash.go
@@ -169,8 +169,12 @@
 	if e.upstream != current || e.state != upstreamDown && e.state != upstreamUnverified {
 		return time.Time{}
 	}
+	message := "upstream accepts connections again"
+	if e.state == upstreamUnverified {
+		message = "upstream announced itself"
+	}
 	e.logger.Info().Str("service", current.announcement.Service).Str("address", current.announcement.Address).
-		Str("was", e.state.String()).Msg("upstream accepts connections; it is in service")
+		Int("slots", current.announcement.Slots).Msg(message)
 	e.state = upstreamServing
 	e.announceState(endpoints.Serving)
 	return time.Time{}
