Pace downloads, and refuse those that the link of an instance cannot carry in time

The exports offered more bytes than the links of their instances carry; the queue of a link is served in order, so that the 500-byte responses of ledger-index waited behind them until their deadline and the payments failed. Ruled out: slots (the ledgers had some free), admission of the short calls (they run; their responses are late). The body of a download is read ahead, up to 1 MiB each and 16 MiB in all, so that a slow link holds no slot. The rate comes from the settings (limits.link_mbps). Tests: a replay of 1.5 times a link's rate for 10 s; downloads beside short calls through a node whose link has 16 Mbit/s; a response that breaks off is never complete, also in parts.

--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -82,6 +82,9 @@
 
 // sendReply sends the metadata with the start of the body, then the frames of the rest.
 func sendReply(stream rpc.CallServerStream, reply *callReply) error {
+	if reply.download != nil && len(reply.body) > 0 {
+		return sendDownload(stream, reply)
+	}
 	frame := &protocol.ReplyFrame{Metadata: &reply.metadata, Body: reply.body}
 	if reply.stream == nil {
 		frame.Last = true
@@ -105,6 +108,32 @@
 	return nil
 }
 
+// sendDownload is sendReply for a download, in parts that each wait for their turn on the link.
+func sendDownload(stream rpc.CallServerStream, reply *callReply) error {
+	frame := &protocol.ReplyFrame{Metadata: &reply.metadata}
+	for rest := reply.body; len(rest) > 0; frame = new(protocol.ReplyFrame) {
+		size := min(len(rest), downloadChunkBytes)
+		frame.Body, rest = rest[:size], rest[size:]
+		if frame.Last = len(rest) == 0 && reply.stream == nil; frame.Last {
+			frame.Trailer = reply.trailer
+		}
+		reply.download.wait(stream.Context(), size)
+		if err := stream.Send(frame); err != nil || frame.Last {
+			return err
+		}
+	}
+	for {
+		frame, err := reply.stream.Next()
+		if err != nil {
+			return err
+		}
+		reply.download.wait(stream.Context(), len(frame.Body))
+		if err := stream.Send(frame); err != nil || frame.Last {
+			return err
+		}
+	}
+}
+
 // frameReader reads the rest of a request's body from its stream.
 type frameReader struct {
 	recv    func() (*protocol.CallFrame, error)
--- a/node/control.go
+++ b/node/control.go
@@ -31,6 +31,7 @@
 
 		healthInterval: n.options.Limits.HealthInterval,
 		drainWithin:    n.options.Limits.DrainWithin,
+		downloads:      newDownloads(n.options.Limits.LinkMegabits),
 		queue:          admission.New(admission.Config{Slots: 1}),
 		waiters:        make(map[uint64]chan admission.Verdict),
 		active:         make(map[uint64]*activeCall),
--- a/node/executor.go
+++ b/node/executor.go
@@ -36,6 +36,7 @@
 	healthInterval time.Duration
 	// drainWithin is how long after the start of a drain a call may still start.
 	drainWithin time.Duration
+	downloads   *downloads
 	// longBodyBytes is the total that maxLongBodyBytes bounds.
 	longBodyBytes atomic.Int64
 	// background runs work that outlives the call that started it: recording responses and probing.
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -58,3 +58,6 @@
 
 // RequestsInFlight returns the number of callers' requests that were admitted and not answered yet.
 func (n *Node) RequestsInFlight() int { return n.requests.count() }
+
+// SetLinkMegabits sets the rate of the instance's link before the first call.
+func (n *Node) SetLinkMegabits(rate float64) { n.executor.downloads = newDownloads(rate) }
--- a/node/node.go
+++ b/node/node.go
@@ -85,6 +85,8 @@
 	LeaveNotice time.Duration
 	// DrainWithin is the time after which an upstream that leaves must receive no new call.
 	DrainWithin time.Duration
+	// LinkMegabits is the rate of the instance's link in Mbit/s; 0 sets no limit.
+	LinkMegabits float64
 	// HealthInterval is the time between two probes of a serving upstream, which detect a crash while there are no
 	// calls. A negative value disables them, for upstreams that send heartbeats.
 	HealthInterval time.Duration
--- a/node/reply.go
+++ b/node/reply.go
@@ -37,6 +37,8 @@
 	body    []byte
 	trailer http.Header
 	stream  replyStream
+	// download is set for the response to a call of class download.
+	download *download
 	// onFinish is called once the reply has been written or discarded.
 	onFinish func()
 }
--- a/node/run.go
+++ b/node/run.go
@@ -49,6 +49,22 @@
 // disconnected: a request that was executed in part would be worse.
 func (e *executor) runWithoutKey(
 	ctx context.Context, meta *protocol.CallMetadata, body *requestBody, deadline time.Time,
+) *callReply {
+	download, ok := e.downloads.admit(time.Now(), meta)
+	if !ok {
+		return notRunReply(protocol.ReasonShed)
+	}
+	reply := e.runAdmitted(ctx, meta, body, deadline, download)
+	if download != nil {
+		reply.download = download
+		reply.addOnFinish(download.done)
+	}
+	return reply
+}
+
+// runAdmitted runs a call without a key once it gets a slot. download is nil unless its class is download.
+func (e *executor) runAdmitted(
+	ctx context.Context, meta *protocol.CallMetadata, body *requestBody, deadline time.Time, download *download,
 ) *callReply {
 	slot, reason := e.admit(ctx, meta, deadline)
 	if slot == nil {
@@ -57,14 +73,15 @@
 	if meta.Class == bundle.ClassIrreversible {
 		detached, cancel := context.WithDeadline(e.requestsContext, deadline)
 		// The rest of a long response is read after this function has returned.
-		return e.exchange(detached, meta, body, slot, deadline).addOnFinish(cancel)
+		return e.exchange(detached, meta, body, slot, deadline, download).addOnFinish(cancel)
 	}
-	return e.exchange(ctx, meta, body, slot, deadline)
+	return e.exchange(ctx, meta, body, slot, deadline, download)
 }
 
 // exchange sends a call that has a slot to the upstream and returns the reply.
 func (e *executor) exchange(
 	ctx context.Context, meta *protocol.CallMetadata, body *requestBody, slot *grantedSlot, deadline time.Time,
+	download *download,
 ) *callReply {
 	started := time.Now()
 	request := e.upstreamRequest(slot.upstream, meta, body, deadline)
@@ -83,14 +100,15 @@
 		e.releaseSlot(slot, 0)
 		return notRunReply(protocol.ReasonUpstreamRefused)
 	}
-	return e.forwardResponse(ctx, meta, slot, started, response)
+	return e.forwardResponse(ctx, meta, slot, started, response, download)
 }
 
-// forwardResponse buffers a response of up to maxBufferedResponseBytes and streams a longer one.
+// forwardResponse buffers a response of up to maxBufferedResponseBytes, or more of a download, and streams a longer one.
 func (e *executor) forwardResponse(
 	ctx context.Context, meta *protocol.CallMetadata, slot *grantedSlot, started time.Time, response *web.UpstreamResponse,
+	download *download,
 ) *callReply {
-	prefix, complete, err := readPrefix(response.HTTP.Body)
+	prefix, complete, err := readPrefix(response.HTTP.Body, download.bufferLimit())
 	if err != nil {
 		response.HTTP.Body.Close()
 		defer e.releaseSlot(slot, 0)
@@ -103,24 +121,26 @@
 		reply.metadata.ContentLength = int64(len(prefix))
 		reply.metadata.UpstreamTime = time.Since(response.WrittenAt)
 		e.releaseSlot(slot, time.Since(started))
+		download.observe(reply.metadata.ContentLength, reply.metadata.UpstreamTime)
 		e.clearSuspicion(meta)
 		return reply
 	}
 	reply.metadata.UpstreamTime = time.Since(response.WrittenAt)
+	download.observe(reply.metadata.ContentLength, reply.metadata.UpstreamTime)
 	reply.stream = &upstreamStream{response: response.HTTP}
 	reply.onFinish = func() { e.releaseSlot(slot, time.Since(started)) }
 	return reply
 }
 
-// readPrefix reads up to one byte more than maxBufferedResponseBytes and reports whether the body is complete. net/http
-// returns an error for a body that is shorter than announced.
-func readPrefix(body io.Reader) (prefix []byte, complete bool, err error) {
+// readPrefix reads up to one byte more than the limit and reports whether the body is complete. net/http returns an error
+// for a body that is shorter than announced.
+func readPrefix(body io.Reader, limit int) (prefix []byte, complete bool, err error) {
 	buffer := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
-	_, err = buffer.ReadFrom(io.LimitReader(body, maxBufferedResponseBytes+1))
+	_, err = buffer.ReadFrom(io.LimitReader(body, int64(limit)+1))
 	if err != nil {
 		return nil, false, err
 	}
-	return buffer.Bytes(), buffer.Len() <= maxBufferedResponseBytes, nil
+	return buffer.Bytes(), buffer.Len() <= limit, nil
 }
 
 // upstreamRequest builds the request that is sent to the upstream.
--- a/settings/check.go
+++ b/settings/check.go
@@ -25,6 +25,7 @@
 	maxDescriptors    = 10_000_000
 	minMemoryMB       = 32
 	maxMemoryMB       = 1 << 20
+	maxLinkMegabits   = 1_000_000
 	maxSlots          = 10_000
 	maxConnections    = 100_000
 	minHealthInterval = 100 * time.Millisecond
@@ -102,6 +103,7 @@
 	c.leaveNotice(n.Limits)
 	c.descriptors("limits.max_descriptors", n.Limits.MaxDescriptors)
 	c.memory("limits.memory_mb", n.Limits.MemoryMB)
+	c.numberBetween("limits.link_mbps", n.Limits.LinkMegabits, 0, maxLinkMegabits)
 }
 
 // leaveNotice checks that a stop has time left after the notice for the requests that were accepted during it.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,8 @@
 	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// MemoryMB is the memory, in MiB, above which the instance ends the process; 0 sets no limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
+	// LinkMegabits is the rate of the instance's link in Mbit/s; 0 sets no limit.
+	LinkMegabits float64 `json:"link_mbps,omitempty"`
 }
 
 // Node is the settings of a node process.
