--- a/node/download.go
+++ b/node/download.go
@@ -19,6 +19,9 @@
 	// sent, so that a slow link holds no slot of the upstream. Together they take 16 MiB.
 	maxBufferedDownloadBytes = 1 << 20
 	maxBufferedDownloads     = 16
+	// downloadWaitShare is the share of the time until its target, less the service time, within which the link must be able
+	// to send a download. Those that share the link end together, and the way to the caller takes time as well.
+	downloadWaitShare = 0.5
 	// initialDownloadBytes is the expected size of a route's responses before the first one.
 	initialDownloadBytes = 64 << 10
 	// maxDownloadRoutes bounds the routes with expectations of their own.
@@ -73,7 +76,8 @@
 			d.routes[meta.Route] = route
 		}
 	}
-	response, ok := d.link.Admit(now, route.bytes, within-route.serviceTime)
+	within = time.Duration(downloadWaitShare * float64(within-route.serviceTime))
+	response, ok := d.link.Admit(now, route.bytes, within)
 	if !ok {
 		return nil, false
 	}
