pacing: admit a response that has the link for itself

Cause, found when reading the change again: on a link that cannot send one download in half of its target (1.4 Mbit/s, 90 KB, 0.6 s) every download was refused, also while nothing else was sent, and the usual size was never learned. Change: an idle link takes one. Before: the new test fails at its first line.

--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -37,9 +37,11 @@
 }
 
 // Admit reports whether a response of the expected size can be sent within the given time, after those that were admitted
-// before. The caller must call Done on the response.
+// before. A response that has the link for itself is admitted in any case: nothing could serve it sooner. The caller must
+// call Done on the response.
 func (l *Link) Admit(now time.Time, size int64, within time.Duration) (*Response, bool) {
-	if l.bytesPerSecond > 0 && l.backlog(now)+l.duration(l.expected+size) > within {
+	idle := l.expected == 0 && l.backlog(now) == 0
+	if l.bytesPerSecond > 0 && !idle && l.backlog(now)+l.duration(l.expected+size) > within {
 		return nil, false
 	}
 	l.expected += size
--- a/coordination/pacing/pacing_test.go
+++ b/coordination/pacing/pacing_test.go
@@ -48,6 +48,18 @@
 		Expect(refused).To(BeNumerically(">", 0))
 	})
 
+	// Guards against a link so slow that it cannot send one download within the target: all of them would be refused.
+	It("admits one response at a time on a link that is too slow for the target", func() {
+		link := pacing.NewLink(0.5)
+		response, ok := link.Admit(start, size, 100*time.Millisecond)
+		Expect(ok).To(BeTrue())
+		_, ok = link.Admit(start, size, 100*time.Millisecond)
+		Expect(ok).To(BeFalse())
+		response.Done()
+		_, ok = link.Admit(start, size, 100*time.Millisecond)
+		Expect(ok).To(BeTrue())
+	})
+
 	It("forgets a response that ends early", func() {
 		link := pacing.NewLink(15)
 		for range 1000 {
