--- a/node/crash.go
+++ b/node/crash.go
@@ -150,9 +150,9 @@
 	return failures
 }
 
-// checkDown puts an upstream that is down or unverified into service once it accepts connections and reports itself healthy, or has accepted
-// connections for maxUnhealthyTime. It returns the time since which the upstream accepts connections; zero if it does
-// not, or is back in service.
+// checkDown puts an upstream that is down or unverified into service once it accepts connections and reports itself
+// healthy, or has accepted connections for maxUnhealthyTime. It returns the time since which the upstream accepts
+// connections; zero if it does not, or is in service.
 func (e *executor) checkDown(current *upstream, acceptingSince time.Time) time.Time {
 	if !current.acceptsConnections(e.ctx) {
 		return time.Time{}
