--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,36 @@
+// Command standin runs a case of the review: it starts the project's programs as separate processes, with stand-ins for
+// workers, clients and the platform. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the cases by name. trouble is false for the run without the disruption.
+var cases = map[string]func(r *record, trouble bool) error{
+	"smuggle": smuggle,
+	"leaving": leaving,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		os.Exit(2)
+	}
+	r, err := newRecord(os.Args[2])
+	if err == nil {
+		err = cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
+	}
+	if err != nil {
+		fmt.Println("the case could not run:", err)
+		os.Exit(2)
+	}
+	if len(r.broken) > 0 {
+		r.add("the rule was broken %d times", len(r.broken))
+		fmt.Println("broken:", r.broken[0])
+		os.Exit(1)
+	}
+	r.add("the rule held")
+	fmt.Println("the rule held")
+}
