--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 
 // cases are the cases by name. trouble is false for the run without the disruption.
 var cases = map[string]func(r *record, trouble bool) error{
+	"slash":   slash,
 	"smuggle": smuggle,
 	"leaving": leaving,
 	"extra":   extra,
