--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -227,6 +227,8 @@
 	m.command = exec.Command("target/sapphiregate", m.role)
 	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.folder, "SAPPHIREGATE_NODE_FILE=" + settings}
 	m.command.Stdout, m.command.Stderr = m.log, m.log
+	// No process outlives the case, also if that is killed.
+	m.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := m.command.Start(); err != nil {
 		return err
 	}
