--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -155,6 +155,8 @@
 		if len(runs[id]) > 1 {
 			r.breaks("TWICE: request %s ran on %v; the client got %d", id, runs[id], status)
 		}
+	}
+	for id, status := range statuses {
 		switch status {
 		case 408, 421, 429, 503:
 			if len(runs[id]) > 0 {
