--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // cases are the cases by name. trouble is false for the run without the disruption.
@@ -15,7 +16,14 @@
 	"extra":   extra,
 }
 
+// timeLimit ends a case that hangs. The processes that it started end with it.
+const timeLimit = 110 * time.Second
+
 func main() {
+	time.AfterFunc(timeLimit, func() {
+		fmt.Println("the case could not run: time limit")
+		os.Exit(2)
+	})
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
