node, endpoints: the release of an upstream's software, and how long it expects to be cold

Cause: heartbeats name the version of the upstream's software and the rest of its warm-up; both were read and dropped. Rollouts of a release and the pace of a start need them on every node and at the node beside the upstream. Change: Announcement and endpoint records carry the release, heartbeats the warm-up. Nothing uses them yet.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -40,6 +40,8 @@
 	Address     string
 	State       State
 	Slots       int
+	// Release is the version of the upstream's software; empty if it is not known.
+	Release string
 	// ServingSince is the local time at which this incarnation began to serve. Slow start begins then; the zero value
 	// switches slow start off for the endpoint.
 	ServingSince time.Time
--- a/coordination/endpoints/record.go
+++ b/coordination/endpoints/record.go
@@ -73,6 +73,8 @@
 	// Leaving identifies the process of the upstream that has said that it is about to stop; nil if it has not. The node
 	// keeps no state of its own, and learns this from its parent after a restart.
 	Leaving *UpstreamProcess `cbor:"10,keyasint,omitempty"`
+	// Release is the version of the upstream's software; empty if it announces none.
+	Release string `cbor:"11,keyasint,omitempty"`
 }
 
 // UpstreamProcess identifies one process of an upstream by its ID and its start time in Unix milliseconds.
--- a/node/control.go
+++ b/node/control.go
@@ -201,7 +201,8 @@
 		n.knownEndpoints[record.ID] = known
 		table = append(table, balance.Endpoint{
 			ID: record.ID, Incarnation: record.Incarnation, Zone: record.Zone, Service: record.Service,
-			Address: record.Address, State: balanceStates[record.State], Slots: record.Slots, ServingSince: known.since,
+			Address: record.Address, State: balanceStates[record.State], Slots: record.Slots, Release: record.Release,
+			ServingSince: known.since,
 		})
 	}
 	return table
--- a/node/crash.go
+++ b/node/crash.go
@@ -210,7 +210,8 @@
 // announceState publishes the upstream's endpoint record with the given state. The caller holds e.mu.
 func (e *executor) announceState(state endpoints.State) {
 	announcement := e.upstream.announcement
-	record := endpoints.Record{Service: announcement.Service, State: state, Slots: announcement.Slots}
+	record := endpoints.Record{Service: announcement.Service, State: state, Slots: announcement.Slots,
+		Release: announcement.Release}
 	if e.hasDeregistered(announcement) {
 		record.Leaving = &endpoints.UpstreamProcess{ID: announcement.ID, Incarnation: announcement.Incarnation}
 	}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -16,6 +16,8 @@
 	Sequence uint64
 	// Leaving is set by an upstream that is about to stop.
 	Leaving bool
+	// Warmup is how much longer the upstream expects to be slow after its start; 0 if it is warm or does not know.
+	Warmup time.Duration
 }
 
 // ErrUnknownService reports a heartbeat for a service that is in neither the settings nor the configuration in force.
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -39,6 +39,8 @@
 	ID string `json:"id,omitempty"`
 	// Incarnation is the start time of the upstream in Unix milliseconds; the announcement with the later start counts.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Release is the version of the upstream's software; empty if it has none.
+	Release string `json:"release,omitempty"`
 }
 
 // Validate returns nil, or ErrAnnouncement with all invalid fields.
