settings: objectives for quotas and for rollouts of a release

Cause: the bounds of quotas and rollouts differ from deployment to deployment and were not read from the platform's settings. Nothing uses them yet.

--- a/settings/objectives.go
+++ b/settings/objectives.go
@@ -22,6 +22,17 @@
 	// in it beyond its share; 0 gives each node the same number, however many there are.
 	RetryWindow    Duration `json:"retry_window,omitempty"`
 	RetryAllowance float64  `json:"retry_allowance,omitempty"`
+	// QuotaWindow is the time over which the requests of a team are compared with its quota. In it, all nodes together may
+	// exceed the quota by the share QuotaOvershoot and by QuotaAllowance requests.
+	QuotaWindow    Duration `json:"quota_window,omitempty"`
+	QuotaOvershoot float64  `json:"quota_overshoot,omitempty"`
+	QuotaAllowance float64  `json:"quota_allowance,omitempty"`
+	// CanaryShare bounds the requests of a service that a release gets before it is judged, as a share of all since the
+	// start of its rollout; CanaryAllowance is a number of requests beyond it. RollbackWithin is the time after which a
+	// release that was found bad gets no further request.
+	CanaryShare     float64  `json:"canary_share,omitempty"`
+	CanaryAllowance float64  `json:"canary_allowance,omitempty"`
+	RollbackWithin  Duration `json:"rollback_within,omitempty"`
 }
 
 // Default objectives.
@@ -31,6 +42,14 @@
 	defaultRepairWithin = 4 * time.Second
 	defaultRetryShare   = 0.2
 	defaultRetryWindow  = 10 * time.Second
+
+	defaultQuotaWindow    = 5 * time.Second
+	defaultQuotaOvershoot = 0.1
+	defaultQuotaAllowance = 20
+
+	defaultCanaryShare     = 0.1
+	defaultCanaryAllowance = 50
+	defaultRollbackWithin  = 5 * time.Second
 )
 
 // DefaultObjectives returns the defaults.
@@ -39,6 +58,8 @@
 		ApplyWithin: Duration(defaultApplyWithin), DrainWithin: Duration(defaultDrainWithin),
 		RepairWithin: Duration(defaultRepairWithin), RetryShare: defaultRetryShare,
 		RetryWindow: Duration(defaultRetryWindow),
+		QuotaWindow: Duration(defaultQuotaWindow), QuotaOvershoot: defaultQuotaOvershoot, QuotaAllowance: defaultQuotaAllowance,
+		CanaryShare: defaultCanaryShare, CanaryAllowance: defaultCanaryAllowance, RollbackWithin: Duration(defaultRollbackWithin),
 	}
 }
 
@@ -51,6 +72,10 @@
 	minRetryWindow    = 100 * time.Millisecond
 	maxObjective      = time.Hour
 	maxRetryAllowance = 1_000_000
+	minQuotaWindow    = 100 * time.Millisecond
+	maxAllowance      = 1_000_000
+	// minRollbackWithin leaves time for a verdict to reach all nodes.
+	minRollbackWithin = 500 * time.Millisecond
 )
 
 func (c *checker) objectives(o Objectives) {
@@ -60,6 +85,12 @@
 	c.durationBetween("objectives.retry_window", o.RetryWindow, minRetryWindow, maxObjective)
 	c.numberBetween("objectives.retry_share", o.RetryShare, 0, 1)
 	c.numberBetween("objectives.retry_allowance", o.RetryAllowance, 0, maxRetryAllowance)
+	c.durationBetween("objectives.quota_window", o.QuotaWindow, minQuotaWindow, maxObjective)
+	c.numberBetween("objectives.quota_overshoot", o.QuotaOvershoot, 0, 1)
+	c.numberBetween("objectives.quota_allowance", o.QuotaAllowance, 0, maxAllowance)
+	c.numberBetween("objectives.canary_share", o.CanaryShare, 0, 1)
+	c.numberBetween("objectives.canary_allowance", o.CanaryAllowance, 0, maxAllowance)
+	c.durationBetween("objectives.rollback_within", o.RollbackWithin, minRollbackWithin, maxObjective)
 }
 
 func (c *checker) numberBetween(field string, value, low, high float64) {
