bundle, node, platform: teams with keys, public routes, and routes of type upload

Change: a bundle holds teams (name, keys, priority, quota) as parts of their own; the ingress finds the team by the digest of its key, removes the key, sets the team's name for the upstream, answers 401 for an unknown key, and takes the team's priority before the route's. Uploads run at most once like keyless irreversible calls.

--- a/coordination/admission/rank.go
+++ b/coordination/admission/rank.go
@@ -18,7 +18,7 @@
 		return min(t.Priority, rankCount) - 1
 	}
 	switch t.Class {
-	case bundle.ClassIrreversible:
+	case bundle.ClassIrreversible, bundle.ClassUpload:
 		return 0
 	case bundle.ClassLookup:
 		return 1
--- a/coordination/relay/bundles.go
+++ b/coordination/relay/bundles.go
@@ -315,6 +315,9 @@
 	for _, resource := range b.Resources {
 		names = append(names, resource.Name)
 	}
+	for _, team := range b.Teams {
+		names = append(names, team.Name)
+	}
 	if !invariant.Check(len(names) == len(manifest.Entries), invariant.PartialApply, "bundle lacks parts of its manifest",
 		map[string]any{"parts": len(names), "entries": len(manifest.Entries)}) {
 		return bundle.ErrMissingPart
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -44,6 +44,8 @@
 	snapshot *snapshot
 	route    *routing.Route
 	policy   *routePolicy
+	// team is the caller's team; nil if it has none.
+	team     *bundle.Team
 	metadata protocol.CallMetadata
 	body     requestBody
 	// limitedBody reads the part of the body that is streamed; nil if the whole body is buffered.
@@ -107,6 +109,9 @@
 	call := &ingressCall{
 		node: n, started: started, snapshot: current, route: route, policy: current.policies[route.Name],
 	}
+	if reason := call.identifyTeam(r.Header); reason != protocol.ReasonNone {
+		return nil, reason
+	}
 	if call.policy.limiter != nil && !call.policy.limiter.AllowN(started, 1) {
 		return nil, protocol.ReasonCallLimit
 	}
@@ -143,10 +148,13 @@
 		header[http.CanonicalHeaderKey(name)] = []string{value}
 	}
 	for _, name := range []string{
-		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream,
+		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream, dialect.Team,
 	} {
 		header.Del(name) // The executor sets these from the metadata.
 	}
+	if c.snapshot.teams != nil {
+		header.Del(headerKey)
+	}
 	if dialect.CallerService != "" {
 		header[http.CanonicalHeaderKey(dialect.CallerService)] = []string{c.node.executor.localService()}
 	}
@@ -157,6 +165,10 @@
 		ContentLength: r.ContentLength, Version: c.snapshot.version, Priority: c.route.Priority,
 		RequestID: r.Header.Get(dialect.RequestID),
 	}
+	if c.team != nil {
+		c.metadata.Team = c.team.Name
+		c.metadata.Priority = cmp.Or(c.team.Priority, c.route.Priority)
+	}
 	if c.route.Class != bundle.ClassIrreversible || c.route.Keyless {
 		return protocol.ReasonNone
 	}
--- a/node/response.go
+++ b/node/response.go
@@ -34,6 +34,8 @@
 // refusalStatusCodes maps the reasons of requests that were not run to HTTP status codes; all others get 503.
 var refusalStatusCodes = map[protocol.Reason]int{
 	protocol.ReasonNoRoute:    http.StatusNotFound,
+	protocol.ReasonUnknownKey: http.StatusUnauthorized,
+	protocol.ReasonQuota:      http.StatusTooManyRequests,
 	protocol.ReasonShed:       http.StatusTooManyRequests,
 	protocol.ReasonCallLimit:  http.StatusTooManyRequests,
 	protocol.ReasonKeyMissing: http.StatusBadRequest,
@@ -46,6 +48,8 @@
 // reasonTexts explains reasons to callers and says what they can do.
 var reasonTexts = map[protocol.Reason]string{
 	protocol.ReasonNoRoute:           "no route of the configuration in force matches this request",
+	protocol.ReasonUnknownKey:        "no team has this key in the configuration in force",
+	protocol.ReasonQuota:             "the team has used up its quota; try again later",
 	protocol.ReasonNotReady:          "this node has no configuration yet; try another node",
 	protocol.ReasonNoUpstream:        "no upstream of the service takes calls; try again later",
 	protocol.ReasonShed:              "the upstreams are full; try again later",
@@ -339,6 +343,7 @@
 	set(e.dialect.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	set(e.dialect.Depth, strconv.Itoa(meta.Depth+1))
 	set(e.dialect.RequestID, meta.RequestID)
+	set(e.dialect.Team, meta.Team)
 	set(e.dialect.ExpectUpstream, target.announcement.ID)
 	if meta.Retry {
 		set(e.dialect.Retry, "1")
--- a/node/run.go
+++ b/node/run.go
@@ -70,7 +70,7 @@
 	if slot == nil {
 		return notRunReply(reason)
 	}
-	if meta.Class == bundle.ClassIrreversible {
+	if meta.Class.RunsOnce() {
 		detached, cancel := context.WithDeadline(e.requestsContext, deadline)
 		// The rest of a long response is read after this function has returned.
 		return e.exchange(detached, meta, body, slot, deadline, download).addOnFinish(cancel)
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -51,6 +51,8 @@
 	// TargetRemaining is the time left in which a response has its full value for the caller; 0 if the route has no
 	// target.
 	TargetRemaining time.Duration `cbor:"22,keyasint,omitempty"`
+	// Team is the name of the caller's team; empty if it has none.
+	Team string `cbor:"24,keyasint,omitempty"`
 	// Progress asks the executor for a progress frame as soon as it has the call. A hedged request waits for it.
 	Progress bool `cbor:"21,keyasint,omitempty"`
 }
--- a/protocol/dialect.go
+++ b/protocol/dialect.go
@@ -23,6 +23,9 @@
 	// CallerService is the field with the service of the caller. The ingress sets it, and replaces any value that the
 	// caller sent.
 	CallerService string
+	// Team is the field in which an upstream gets the name of the caller's team. The ingress sets it, and removes any value
+	// that the caller sent. It also removes the caller's key.
+	Team string
 	// ExpectUpstream is the field with the identity of the upstream that should run a request. Any other upstream
 	// responds with 421 Misdirected Request and does not run it.
 	ExpectUpstream string
@@ -49,7 +52,7 @@
 var DefaultDialect = Dialect{
 	Deadline: HeaderDeadline, Depth: HeaderDepth, Retry: HeaderRetry,
 	NotRun: HeaderOutcome, NotRunValue: string(OutcomeNotRun), OutcomeHeaders: true,
-	UpstreamLimit: HeaderUpstreamLimit, UpstreamLeaving: HeaderUpstreamLeaving,
+	Team: HeaderTeam, UpstreamLimit: HeaderUpstreamLimit, UpstreamLeaving: HeaderUpstreamLeaving,
 }
 
 // Refused reports whether an upstream's response states that the request was not run.
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -20,6 +20,8 @@
 	HeaderUpstreamLimit = "Sapphire-Upstream-Limit"
 	// HeaderUpstreamLeaving is set to 1 in all responses of an upstream that is about to stop.
 	HeaderUpstreamLeaving = "Sapphire-Upstream-Leaving"
+	// HeaderTeam is the name of the team whose key the caller of a request has.
+	HeaderTeam = "Sapphire-Team"
 	// HeaderVersion is the configuration version that routed the request.
 	HeaderVersion = "Sapphire-Version"
 	// HeaderIdempotencyKey is the key by which irreversible requests are idempotent.
@@ -72,4 +74,8 @@
 	ReasonTooDeep           Reason = "too-deep"
 	ReasonCallerGone        Reason = "caller-gone"
 	ReasonResponseNotKept   Reason = "answer-not-kept"
+	// ReasonUnknownKey means that no team has the key of the request, or that it has none and needs one.
+	ReasonUnknownKey Reason = "unknown-key"
+	// ReasonQuota means that the caller's team has used up its quota.
+	ReasonQuota Reason = "quota"
 )
--- a/state/bundle/bundle.go
+++ b/state/bundle/bundle.go
@@ -14,6 +14,9 @@
 	// ClassDownload is for reads with long responses. They are streamed, and each byte of them weighs in the choice of
 	// the availability zone.
 	ClassDownload Class = "download"
+	// ClassUpload is for requests with long bodies that may run at most once. They carry no idempotency key, and their
+	// bodies are streamed: what was sent to one upstream cannot be sent to another.
+	ClassUpload Class = "upload"
 )
 
 // Repeatable reports whether a call of the class may run more than once.
@@ -21,6 +24,9 @@
 	return c == ClassLookup || c == ClassReport || c == ClassDownload
 }
 
+// RunsOnce reports whether a call of the class may run at most once.
+func (c Class) RunsOnce() bool { return c == ClassIrreversible || c == ClassUpload }
+
 // ZonePolicy decides which availability zones a route's calls may be sent to.
 type ZonePolicy string
 
@@ -49,6 +55,21 @@
 	Services  []Service  `json:"services" cbor:"1,keyasint"`
 	Routes    []Route    `json:"routes" cbor:"2,keyasint"`
 	Resources []Resource `json:"resources" cbor:"3,keyasint"`
+	// Teams are the groups of callers. If there is any, requests on routes that are not public need a key of a team.
+	Teams []Team `json:"teams,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Team is a group of callers who share a priority and a quota. Its callers identify themselves by one of its keys.
+type Team struct {
+	Name string `json:"name" cbor:"1,keyasint"`
+	// Keys are secrets. A team without keys has no callers. No key belongs to two teams.
+	Keys []string `json:"keys" cbor:"2,keyasint"`
+	// Priority takes the place of the priority of the routes that the team calls; 0 leaves it.
+	Priority int `json:"priority,omitempty" cbor:"3,keyasint,omitempty"`
+	// RequestsPerSecond is the team's quota over all nodes together; 0 sets none. Burst is the number of requests that it
+	// may send at once after a pause.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty" cbor:"4,keyasint,omitempty"`
+	Burst             float64 `json:"burst,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Service is the configuration of the upstreams that register under one name.
@@ -124,6 +145,8 @@
 	// Keyless marks an irreversible route whose requests carry no idempotency key. Such a request runs at most once
 	// because it is sent to another upstream only after the previous one confirmed that it did not run the request.
 	Keyless bool `json:"keyless,omitempty" cbor:"13,keyasint,omitempty"`
+	// Public marks a route whose requests need no key of a team.
+	Public bool `json:"public,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
 // Shares returns the services of the route with their weights; a route without Split has a single share.
--- a/state/bundle/canonical.go
+++ b/state/bundle/canonical.go
@@ -13,6 +13,7 @@
 	slices.SortStableFunc(b.Services, func(x, y Service) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Resources, func(x, y Resource) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortStableFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
 	for i := range b.Routes {
 		canonicalizeRoute(&b.Routes[i])
 	}
--- a/state/bundle/changes.go
+++ b/state/bundle/changes.go
@@ -51,12 +51,14 @@
 }
 
 // Changes lists the differences between two bundles, which must be in canonical form: services, then routes, then
-// resources, each sorted by name.
+// resources, then teams, each sorted by name. Keys are shown by their digests.
 func Changes(from, to *Bundle) []Change {
 	changes := changesOf("service", from.Services, to.Services, func(s Service) string { return s.Name })
 	changes = append(changes, changesOf("route", from.Routes, to.Routes, func(r Route) string { return r.Name })...)
-	return append(changes,
+	changes = append(changes,
 		changesOf("resource", from.Resources, to.Resources, func(r Resource) string { return r.Name })...)
+	return append(changes,
+		changesOf("team", redactedTeams(from.Teams), redactedTeams(to.Teams), func(t Team) string { return t.Name })...)
 }
 
 func changesOf[T any](kind string, from, to []T, name func(T) string) []Change {
--- a/state/bundle/limits.go
+++ b/state/bundle/limits.go
@@ -6,10 +6,13 @@
 	MaxServices  = 4096
 	MaxRoutes    = 16384
 	MaxResources = 4096
+	MaxTeams     = 16384
 	// MaxRoutesPerPath bounds the routes with the same host and path prefix. The check for ambiguous matches compares
 	// all pairs of them.
 	MaxRoutesPerPath     = 64
 	MaxResourcesPerRoute = 16
+	MaxKeysPerTeam       = 64
+	MaxKeyLength         = 512
 
 	MaxNameLength        = 63
 	MaxHostLength        = 253
--- a/state/bundle/load.go
+++ b/state/bundle/load.go
@@ -84,6 +84,10 @@
 		b.Resources = append(b.Resources, resource)
 		from.resources = append(from.resources, origin{file: file, index: i})
 	}
+	for i, team := range other.Teams {
+		b.Teams = append(b.Teams, team)
+		from.teams = append(from.teams, origin{file: file, index: i})
+	}
 }
 
 // Parse decodes the content of one bundle file. Unknown fields and duplicate keys are rejected. The returned
@@ -107,6 +111,7 @@
 		Services:  append([]Service{}, b.Services...),
 		Routes:    append([]Route{}, b.Routes...),
 		Resources: append([]Resource{}, b.Resources...),
+		Teams:     b.Teams,
 	}
 	data, err := json.MarshalIndent(full, "", "  ")
 	return append(data, '\n'), errors.Wrap(err, "bundle: format")
--- a/state/bundle/part.go
+++ b/state/bundle/part.go
@@ -59,6 +59,7 @@
 	KindService Kind = iota + 1
 	KindRoute
 	KindResource
+	KindTeam
 )
 
 // PartID identifies a part within a bundle.
@@ -72,7 +73,7 @@
 	return cmp.Or(cmp.Compare(p.Kind, other.Kind), cmp.Compare(p.Name, other.Name))
 }
 
-// Part is the canonical encoding of one service, route or resource, addressed by its digest.
+// Part is the canonical encoding of one service, route, resource or team, addressed by its digest.
 type Part struct {
 	Digest Digest `cbor:"1,keyasint"`
 	Data   []byte `cbor:"2,keyasint"`
@@ -136,7 +137,7 @@
 	return Part{Digest: sha256.Sum256(data), Data: data}, nil
 }
 
-// Split encodes the services, routes and resources of a bundle as parts, and returns them with the manifest that lists
+// Split encodes the services, routes, resources and teams of a bundle as parts, and returns them with the manifest that lists
 // them.
 func Split(b *Bundle) ([]Part, Manifest, error) {
 	var parts []Part
@@ -165,6 +166,11 @@
 			return nil, Manifest{}, err
 		}
 	}
+	for _, team := range b.Teams {
+		if err := add(KindTeam, team.Name, team); err != nil {
+			return nil, Manifest{}, err
+		}
+	}
 	manifest.sort()
 	return parts, manifest, nil
 }
@@ -215,6 +221,8 @@
 		return appendDecoded(&b.Routes, id, data, func(r *Route) string { return r.Name })
 	case KindResource:
 		return appendDecoded(&b.Resources, id, data, func(r *Resource) string { return r.Name })
+	case KindTeam:
+		return appendDecoded(&b.Teams, id, data, func(t *Team) string { return t.Name })
 	default:
 		return errors.Wrapf(ErrUnknownKind, "%d", id.Kind)
 	}
--- a/state/bundle/validate.go
+++ b/state/bundle/validate.go
@@ -35,7 +35,7 @@
 // origins holds the origins of the items of a bundle, in the order of the bundle's lists. The lists are nil if the
 // bundle was not loaded from files.
 type origins struct {
-	services, routes, resources []origin
+	services, routes, resources, teams []origin
 }
 
 // location is the file and the field path of a value, as a Problem reports them.
@@ -91,6 +91,7 @@
 	for i := range b.Routes {
 		v.checkRoute(itemLocation("routes", from.routes, i), &b.Routes[i], names)
 	}
+	v.checkTeams()
 	v.checkAmbiguousMatches()
 	return v.problems
 }
@@ -103,6 +104,7 @@
 	v.checkRange(location{path: "services"}, int64(len(v.bundle.Services)), 0, MaxServices)
 	v.checkRange(location{path: "routes"}, int64(len(v.bundle.Routes)), 0, MaxRoutes)
 	v.checkRange(location{path: "resources"}, int64(len(v.bundle.Resources)), 0, MaxResources)
+	v.checkRange(location{path: "teams"}, int64(len(v.bundle.Teams)), 0, MaxTeams)
 }
 
 func (v *validator) checkRange(loc location, value, low, high int64) {
@@ -240,9 +242,9 @@
 	case !v.services[r.Service]:
 		v.addProblem(loc.field("service"), strictjson.Quote(r.Service), "a declared service"+v.serviceSuggestions)
 	}
-	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport, ClassDownload}, r.Class) {
+	if !slices.Contains([]Class{ClassIrreversible, ClassLookup, ClassReport, ClassDownload, ClassUpload}, r.Class) {
 		v.addProblem(loc.field("class"), strictjson.Quote(string(r.Class)),
-			oneOf(ClassIrreversible, ClassLookup, ClassReport, ClassDownload))
+			oneOf(ClassIrreversible, ClassLookup, ClassReport, ClassDownload, ClassUpload))
 	}
 	if !slices.Contains([]ZonePolicy{"", ZonePreferLocal, ZoneAny}, r.Zone) {
 		v.addProblem(loc.field("zone"), strictjson.Quote(string(r.Zone)), oneOf(ZonePreferLocal, ZoneAny)+", or no value")
