bundle, ctl: no key of a team in errors, changes and files that others can read

Cause: a malformed list of keys, such as a string or an object in its place, was quoted in the error of validate; a team without keys changed its encoding through JSON; a built bundle with keys was readable for all users; load_test.go expected the lists of fields and classes of before teams and uploads. Change: Parse names the field down to the key and shows no value there; Canonicalize turns missing keys into an empty list; bundle build writes files with teams for their owner only; the summary counts teams. Tests: load_test.go: two expected texts now name teams and upload, and the format page must have the fields of teams.

--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -74,23 +74,32 @@
 	return builtBundle{bundle: b, update: update, encoded: encoded}, bundle.Validate(b).Err()
 }
 
+// fileMode returns the permissions of a built file. Only its owner may read the keys of teams.
+func (b builtBundle) fileMode() os.FileMode {
+	if len(b.bundle.Teams) > 0 {
+		return 0o600
+	}
+	return 0o644
+}
+
 // summary is the output of bundle validate and bundle build. File is the path of the written file.
 type summary struct {
 	Digest    bundle.Digest `json:"digest"`
 	Services  int           `json:"services"`
 	Routes    int           `json:"routes"`
 	Resources int           `json:"resources"`
+	Teams     int           `json:"teams"`
 	File      string        `json:"file,omitempty"`
 }
 
 func (b builtBundle) summary(file string) summary {
 	return summary{Digest: b.update.Target, Services: len(b.bundle.Services), Routes: len(b.bundle.Routes),
-		Resources: len(b.bundle.Resources), File: file}
+		Resources: len(b.bundle.Resources), Teams: len(b.bundle.Teams), File: file}
 }
 
 func (s summary) print(w io.Writer) {
 	fmt.Fprintf(w, "digest\t%s\n", s.Digest)
-	fmt.Fprintf(w, "content\t%d services, %d routes, %d resources\n", s.Services, s.Routes, s.Resources)
+	fmt.Fprintf(w, "content\t%d services, %d routes, %d resources, %d teams\n", s.Services, s.Routes, s.Resources, s.Teams)
 	if s.File != "" {
 		fmt.Fprintf(w, "file\t%s\n", s.File)
 	}
@@ -131,7 +140,7 @@
 			if err != nil {
 				return err
 			}
-			if err := os.WriteFile(file, b.encoded, 0o644); err != nil {
+			if err := os.WriteFile(file, b.encoded, b.fileMode()); err != nil {
 				return errors.Wrap(err, "write bundle")
 			}
 			s := b.summary(file)
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -214,6 +214,35 @@
 		Expect(h.member.registry.State().Latest.Version).To(Equal(uint64(4)))
 	})
 
+	// Guards against keys of teams on terminals, in the logs of pipelines and in files that others can read.
+	It("shows no key of a team in any output", func() {
+		folder, file := GinkgoT().TempDir(), filepath.Join(h.folder, "t.bundle")
+		write := func(teams string) {
+			content := `{"services":[{"name":"s"}],"teams":[` + teams + `]}`
+			Expect(os.WriteFile(filepath.Join(folder, "b.json"), []byte(content), 0o600)).To(Succeed())
+		}
+		write(`{"name":"a","keys":["secret-1"]}`)
+		output := h.mustRun("bundle", "validate", folder) + h.mustRun("bundle", "build", folder, "--file", file)
+		Expect(output).To(ContainSubstring("1 teams"))
+		info, err := os.Stat(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(info.Mode().Perm()).To(Equal(os.FileMode(0o600)))
+		write(`{"name":"a","keys":["secret-1","secret-2"]}`)
+		for _, format := range []string{"text", "json"} {
+			diff := h.mustRun("bundle", "diff", file, folder, "--output", format)
+			Expect(diff).To(ContainSubstring("sha256:"))
+			output += diff + h.mustRun("approve", folder, "--version", "1", "--output", format)
+			for _, command := range []string{"status", "history", "dump"} {
+				output += h.mustRun(command, "--output", format)
+			}
+		}
+		write(`{"name":"a","keys":["secret-1"]},{"name":"b","keys":["secret-1"]}`)
+		_, stderr, code := h.run("ana", "bundle", "validate", folder)
+		Expect(code).To(Equal(ctl.ExitInvalid))
+		Expect(stderr).To(ContainSubstring("teams[1].keys[0]"))
+		Expect(output + stderr).NotTo(ContainSubstring("secret"))
+	})
+
 	It("stages again when the staged bundle was dropped before its approval", func() {
 		h.member.dropStaged = true
 		Expect(h.mustRun("approve", kalasagBundle, "--version", "1")).To(ContainSubstring("approved"))
--- a/state/bundle/canonical.go
+++ b/state/bundle/canonical.go
@@ -17,6 +17,11 @@
 	for i := range b.Routes {
 		canonicalizeRoute(&b.Routes[i])
 	}
+	for i := range b.Teams {
+		if b.Teams[i].Keys == nil {
+			b.Teams[i].Keys = []string{}
+		}
+	}
 	for i := range b.Resources {
 		b.Resources[i].Headers = canonicalHeaders(b.Resources[i].Headers)
 	}
--- a/state/bundle/load.go
+++ b/state/bundle/load.go
@@ -100,7 +100,9 @@
 	}
 	var problems Problems
 	for _, fault := range strictjson.Decode(data, b) {
-		problems = append(problems, Problem{File: file, Field: fault.Path, Value: fault.Value, Allowed: fault.Allowed})
+		problem := Problem{File: file, Field: fault.Path, Value: fault.Value, Allowed: fault.Allowed}
+		problem.redactKeys()
+		problems = append(problems, problem)
 	}
 	return b, problems
 }
--- a/state/bundle/load_test.go
+++ b/state/bundle/load_test.go
@@ -59,14 +59,14 @@
 			`a.json: extra: got duplicate key, allowed: each key once`,
 			`a.json: services[0].slots: got unknown field, allowed: one of name, max_concurrency, queue_limit, slow_start_ms, ` +
 				`health_path, max_connections, protocol, tls`,
-			`a.json: extra: got unknown field, allowed: one of services, routes, resources`,
+			`a.json: extra: got unknown field, allowed: one of services, routes, resources, teams`,
 			`b/c.json: routes[1].max_body_bytes: got "1", allowed: an integer of 64 bits`,
 			`d.json: line 2, column 13: got invalid character ',' looking for beginning of value, allowed: valid JSON`,
 			`a.json: services[1].name: got "rank", allowed: a name that no other entry of the list has`,
 			`b/c.json: routes[1].match.path_prefix: got "rank", allowed: / or a path of at most 512 characters such as ` +
 				`/a/b or /a/b/, without empty or dot segments, %, ? or #`,
 			`b/c.json: routes[1].service: got "rang", allowed: a declared service (rank)`,
-			`b/c.json: routes[1].class: got "fast", allowed: one of "irreversible", "lookup", "report", "download"`,
+			`b/c.json: routes[1].class: got "fast", allowed: one of "irreversible", "lookup", "report", "download", "upload"`,
 			`b/c.json: routes[1].deadline_ms: got 0, allowed: 1 to 600000`,
 			`b/c.json: routes[1].retry.max_attempts: got 9, allowed: 0 to 8`,
 			`b/c.json: routes[1].resources[0]: got "limit", allowed: a declared resource (there is none)`,
@@ -227,8 +227,9 @@
 		visit(reflect.TypeFor[bundle.Match](), "match.")
 		visit(reflect.TypeFor[bundle.Retry](), "retry.")
 		visit(reflect.TypeFor[bundle.Resource](), "")
+		visit(reflect.TypeFor[bundle.Team](), "")
 		visit(reflect.TypeFor[bundle.CallLimit](), "call_limit.")
-		for _, field := range []string{"match", "service", "class", "deadline_ms", "zone", "max_body_bytes", "resources"} {
+		for _, field := range []string{"match", "service", "class", "public", "deadline_ms", "zone", "max_body_bytes", "resources"} {
 			Expect(string(data)).To(ContainSubstring("`" + field + "`"))
 		}
 	})
--- a/state/bundle/property_test.go
+++ b/state/bundle/property_test.go
@@ -45,6 +45,7 @@
 // after the bundle was split into parts, assembled, formatted as JSON and parsed again.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"services":[{"name":"a"}]}`))
+	f.Add([]byte(`{"services":[{"name":"a"}],"teams":[{"name":"t"},{"name":"u","keys":["k"],"burst":1.5}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b, problems := bundle.Parse("fuzz.json", data)
 		if len(problems)+len(bundle.Validate(b)) > 0 {
--- a/state/bundle/team.go
+++ b/state/bundle/team.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,6 +39,16 @@
 	return redacted
 }
 
+// keysField matches the path of the keys of a team; what follows it in a malformed file may contain a key.
+var keysField = regexp.MustCompile(`^teams\[\d+\]\.keys(\[\d+\])?`)
+
+// redactKeys removes from a problem what a file holds in the place of keys.
+func (p *Problem) redactKeys() {
+	if field := keysField.FindString(p.Field); field != "" {
+		p.Field, p.Value = field, "(not shown)"
+	}
+}
+
 // checkTeams checks the teams, and that no key belongs to two of them. Problems show the digests of keys.
 func (v *validator) checkTeams() {
 	names := make(map[string]bool, len(v.bundle.Teams))
