node, relay, settings: keys are judged by how recent the configuration is; no key or made-up team in trailers

Cause, found by reading: trailers took the caller's key and a made-up team to the upstream; a key was removed only after the operator's header resources had been applied, and with it a field Authorization that these set; a refusal for an unknown key and the outcome page gave recorded responses to callers without a team; two teams with one idempotency key got each other's response; a node that was cut off answered an added key with 401, after which callers don't come back. Change: the fields that callers cannot set are removed from header and trailer alike, before the operator's; 401 names the scheme; the outcome page needs a key; the digest of a keyed request contains the team. relay.Peer.ConfirmedAt tells how recently the version in force was the latest: with an older confirmation than apply_within, an unknown key is refused as not run (503, reason unconfirmed). revoke_strict with revoke_within: beyond it, a node refuses all requests that need a key. A stopped rollout counts as current, since nodes keep their versions then.

--- a/coordination/relay/poll.go
+++ b/coordination/relay/poll.go
@@ -37,6 +37,17 @@
 	f.confirmed = true
 }
 
+// ConfirmedAt returns a time at which the version in force was the latest approved one; false if it is not known to have
+// been.
+func (p *Peer) ConfirmedAt() (time.Time, bool) {
+	// While a rollout is stopped, nodes keep the version that they have.
+	outdated := p.bundles.inForce.Version < p.freshness.version && !p.bundles.stopped()
+	if !p.freshness.confirmed || outdated {
+		return time.Time{}, false
+	}
+	return p.now.Add(-p.freshness.ageAt(p.now)), true
+}
+
 // currentFreshness returns the freshness that this peer tells its children.
 func (p *Peer) currentFreshness() Freshness {
 	if !p.freshness.confirmed {
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -146,6 +146,35 @@
 		}
 	})
 
+	// Guards against a node that takes its configuration for current because it hears of a version that it does not have
+	// yet, and so judges keys that were added or removed since by an old one.
+	It("lets a node know how recently its version was the latest", func() {
+		s := fastMesh(7)
+		node := s.hosts["n1-003"]
+		age := func() time.Duration {
+			at, ok := node.peer.ConfirmedAt()
+			Expect(ok || node.inForce < 2).To(BeTrue())
+			if !ok {
+				return math.MaxInt64
+			}
+			return s.localTime(node).Sub(at)
+		}
+		s.run(s.now + 5*time.Second)
+		Expect(age()).To(BeNumerically("<", applyWithin))
+		s.isolate(node, 10*time.Second)
+		second := s.approve(s.stage(bundleOf(2, 20)))
+		s.run(s.now + 9*time.Second)
+		Expect(age()).To(BeNumerically(">", 8*time.Second))
+		for node.inForce < second {
+			s.run(s.now + 5*time.Millisecond)
+			if node.inForce < second {
+				Expect(age()).To(BeNumerically(">", 8*time.Second))
+			}
+		}
+		s.run(s.now + applyWithin)
+		Expect(age()).To(BeNumerically("<", applyWithin))
+	})
+
 	// Guards against nodes that keep an old version for longer than 2 s because the member that they follow has just been
 	// cut off from the quorum, although they can reach the other members.
 	It("brings a version into force within 2 s after a member was cut off if the intervals are short", func() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -77,6 +77,7 @@
 		ID: loaded.Instance, Zone: loaded.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
 		Advertise: loaded.Advertise, Members: loaded.Join, Keys: keys, Identity: identity,
 		ZoneDelay: zoneDelays(loaded), Logger: logger, Limits: nodeLimits(loaded), RetryLimits: retryLimits(loaded.Objectives),
+		KeyLimits: keyLimits(loaded.Objectives),
 	}
 	if loaded.Platform != nil {
 		platform.ConfigureNode(&options, loaded)
@@ -129,6 +130,14 @@
 	return limits
 }
 
+func keyLimits(o settings.Objectives) node.KeyLimits {
+	limits := node.KeyLimits{AddedWithin: o.ApplyWithin.Std()}
+	if o.RevokeStrict {
+		limits.RevokedWithin = o.RevokeWithin.Std()
+	}
+	return limits
+}
+
 func retryLimits(o settings.Objectives) retry.Limits {
 	return retry.Limits{Share: o.RetryShare, Window: o.RetryWindow.Std(), Allowance: o.RetryAllowance}
 }
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -6,6 +6,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
@@ -69,3 +70,12 @@
 
 // SetLinkMegabits sets the rate of the instance's link before the first call.
 func (n *Node) SetLinkMegabits(rate float64) { n.executor.downloads = newDownloads(rate) }
+
+// SetKeyLimits sets Options.KeyLimits.
+func (n *Node) SetKeyLimits(limits KeyLimits) { n.options.KeyLimits = limits }
+
+// SetConfirmedAge sets the time since the configuration was confirmed.
+func (n *Node) SetConfirmedAge(age time.Duration) {
+	at := clock.Now().Add(-age)
+	n.confirmedAt.Store(&at)
+}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -109,7 +110,8 @@
 	call := &ingressCall{
 		node: n, started: started, snapshot: current, route: route, policy: current.policies[route.Name],
 	}
-	if reason := call.identifyTeam(r.Header); reason != protocol.ReasonNone {
+	var reason protocol.Reason
+	if call.team, reason = n.identifyTeam(current, r.Header, route.Public); reason != protocol.ReasonNone {
 		return nil, reason
 	}
 	if call.policy.limiter != nil && !call.policy.limiter.AllowN(started, 1) {
@@ -144,17 +146,11 @@
 	}
 	c.deadline = c.started.Add(remaining)
 	header := web.CopyHeader(r.Header)
+	c.removeInternalFields(header)
 	for name, value := range c.policy.headers {
 		header[http.CanonicalHeaderKey(name)] = []string{value}
 	}
-	for _, name := range []string{
-		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream, dialect.Team,
-	} {
-		header.Del(name) // The executor sets these from the metadata.
-	}
-	if c.snapshot.teams != nil {
-		header.Del(headerKey)
-	}
+	header.Del(dialect.Team) // Only a key names a team.
 	if dialect.CallerService != "" {
 		header[http.CanonicalHeaderKey(dialect.CallerService)] = []string{c.node.executor.localService()}
 	}
@@ -213,7 +209,9 @@
 		return protocol.ReasonCallerGone
 	}
 	c.body.prefix = buffer.Bytes()
+	c.removeInternalFields(r.Trailer)
 	c.body.trailer = r.Trailer
+	c.metadata.TrailerNames = slices.Sorted(maps.Keys(r.Trailer))
 	if int64(buffer.Len()) <= bufferLimit {
 		_ = conn.SetReadDeadline(time.Time{})
 		return protocol.ReasonNone
@@ -221,13 +219,12 @@
 	if bufferLimit == limit {
 		return protocol.ReasonTooLarge
 	}
-	c.limitedBody = &maxBytesReader{reader: r.Body, remaining: limit - int64(buffer.Len()), conn: conn}
+	c.limitedBody = &maxBytesReader{
+		reader: r.Body, remaining: limit - int64(buffer.Len()), conn: conn,
+		atEnd: func() { c.removeInternalFields(r.Trailer) },
+	}
 	sendBeforeBodyEnds(conn)
 	c.body.rest = c.limitedBody
-	for name := range r.Trailer {
-		c.metadata.TrailerNames = append(c.metadata.TrailerNames, name)
-	}
-	slices.Sort(c.metadata.TrailerNames)
 	return protocol.ReasonNone
 }
 
@@ -244,6 +241,8 @@
 	remaining int64
 	// conn is the caller's connection, whose read deadline is removed at the end of the body.
 	conn *http.ResponseController
+	// atEnd is called at the end of the body, when the trailer is complete.
+	atEnd func()
 	// exceeded is set when the limit is passed. The attempt reads it on another goroutine to report the reason.
 	exceeded atomic.Bool
 }
@@ -257,6 +256,7 @@
 		return 0, errors.Wrap(protocol.ErrTooLarge, "request body")
 	}
 	if errors.Is(err, io.EOF) {
+		r.atEnd()
 		_ = r.conn.SetReadDeadline(time.Time{})
 	}
 	return n, err
@@ -282,7 +282,11 @@
 // requestDigest hashes the fields by which two requests under one idempotency key count as the same request.
 func requestDigest(meta *protocol.CallMetadata, body [32]byte) [32]byte {
 	hash := sha256.New()
-	for _, field := range []string{meta.Service, meta.Method, meta.URI} {
+	fields := []string{meta.Service, meta.Method, meta.URI}
+	if meta.Team != "" {
+		fields = append(fields, meta.Team)
+	}
+	for _, field := range fields {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
 		hash.Write(length[:])
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,8 @@
 	Logger    zerolog.Logger
 	// OnApplied is called on the control goroutine after each activation of a bundle; it may be nil.
 	OnApplied func(approval bundle.Approval, b *bundle.Bundle, at time.Time)
+	// KeyLimits bounds the age of the configuration by which the keys of teams are judged.
+	KeyLimits KeyLimits
 	// RetryLimits bounds the retries of all nodes together; zero fields mean the defaults.
 	RetryLimits retry.Limits
 	// Relay overrides the limits of the distribution tree; zero fields mean the defaults.
@@ -136,7 +138,9 @@
 	balancer   *balance.Balancer
 	quarantine *quarantine.List
 	snapshot   atomic.Pointer[snapshot]
-	delays     *zonedelay.Estimator
+	// confirmedAt is a time at which the version in force was the latest; nil if none is known.
+	confirmedAt atomic.Pointer[time.Time]
+	delays      *zonedelay.Estimator
 	// fleet holds this node's share of the retries.
 	fleet      *retry.Fleet
 	requests   requestTracker
@@ -213,7 +217,7 @@
 	n.peer = relay.New(clock.Now(), n.relayConfig())
 	n.control = mesh.NewHost(mesh.Options{
 		Peer: n.peer, Pool: n.controlPool, Logger: logging.Part(options.Logger, "control"),
-		Output: n.handleOutput, AfterBatch: n.refreshEndpoints,
+		Output: n.handleOutput, AfterBatch: func(now time.Time) { n.refreshEndpoints(now); n.publishConfirmation(now) },
 	})
 	n.mesh.ServeNode(n)
 	n.callerListener = web.NewDrainListener(options.Callers)
--- a/node/request_log_test.go
+++ b/node/request_log_test.go
@@ -32,6 +32,12 @@
 	return l.data.Write(data)
 }
 
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.data.String()
+}
+
 // linesAbout returns the lines about a request; for "", those about any request.
 func (l *logBuffer) linesAbout(request string) []map[string]any {
 	l.mu.Lock()
--- a/node/response.go
+++ b/node/response.go
@@ -49,6 +49,7 @@
 var reasonTexts = map[protocol.Reason]string{
 	protocol.ReasonNoRoute:           "no route of the configuration in force matches this request",
 	protocol.ReasonUnknownKey:        "no team has this key in the configuration in force",
+	protocol.ReasonUnconfirmed:       "this node cannot confirm that its keys are current; try another node",
 	protocol.ReasonQuota:             "the team has used up its quota; try again later",
 	protocol.ReasonNotReady:          "this node has no configuration yet; try another node",
 	protocol.ReasonNoUpstream:        "no upstream of the service takes calls; try again later",
@@ -72,6 +73,12 @@
 	n.requestLog.requestRefused(r, n, reason)
 	key := r.Header.Get(protocol.HeaderIdempotencyKey)
 	defer closeUnreadBody(w, r)
+	if key != "" && (reason == protocol.ReasonUnknownKey || reason == protocol.ReasonUnconfirmed) {
+		// What the ledger holds is not for a caller without a team.
+		limitUnreadBody(w, r)
+		n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), protocol.LoadReport{})
+		return
+	}
 	if key == "" || len(key) > maxKeyBytes {
 		limitUnreadBody(w, r)
 		n.writeOutcome(w, protocol.OutcomeNotRun, reason, refusalStatusCode(reason), protocol.LoadReport{})
@@ -177,6 +184,9 @@
 		header.Set(protocol.HeaderReason, string(reason))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", keyScheme)
+	}
 	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests {
 		after := retry.After(retryCauses[reason], balanceLoad(load), rand.Float64())
 		header.Set("Retry-After", n.formatRetryAfter(after))
@@ -197,6 +207,7 @@
 	protocol.ReasonNodeFailed:      retry.CauseTransient,
 	protocol.ReasonNoUpstream:      retry.CauseUnavailable,
 	protocol.ReasonNotReady:        retry.CauseUnavailable,
+	protocol.ReasonUnconfirmed:     retry.CauseUnavailable,
 	protocol.ReasonDraining:        retry.CauseUnavailable,
 }
 
@@ -355,6 +366,12 @@
 
 // serveOutcome responds to a caller that asks for the outcome of an earlier irreversible request.
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	if current := n.snapshot.Load(); current != nil {
+		if _, reason := n.identifyTeam(current, r.Header, false); reason != protocol.ReasonNone {
+			n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), protocol.LoadReport{})
+			return
+		}
+	}
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
 		n.writeOutcome(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalStatusCode(protocol.ReasonKeyMissing), protocol.LoadReport{})
--- a/node/team.go
+++ b/node/team.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"math"
 	"net/http"
 	"strings"
+	"time"
 
+	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
@@ -14,26 +17,63 @@
 	keyScheme = "Bearer"
 )
 
-// identifyTeam finds the caller's team by the key of its request. Bundles without teams need no keys.
-func (c *ingressCall) identifyTeam(header http.Header) protocol.Reason {
-	if c.snapshot.teams == nil {
-		return protocol.ReasonNone
+// KeyLimits bounds how old the latest confirmation of a node's configuration may be when it decides about a key.
+type KeyLimits struct {
+	// AddedWithin is the time after which an added key is in force on all nodes. A node with an older confirmation does not
+	// know whether an unknown key was added since: it refuses the request as not run. 0 sets no limit.
+	AddedWithin time.Duration
+	// RevokedWithin is the time after which a removed key must no longer be accepted. 0 sets no limit. A node with an older
+	// confirmation refuses all requests that need a key: a key that it knows may have been removed since.
+	RevokedWithin time.Duration
+}
+
+// identifyTeam finds the caller's team by the key of its request. It returns no team if the request needs no key.
+func (n *Node) identifyTeam(current *snapshot, header http.Header, public bool) (*bundle.Team, protocol.Reason) {
+	if current.teams == nil {
+		return nil, protocol.ReasonNone
 	}
-	values := header[headerKey]
-	if len(values) == 0 && c.route.Public {
-		return protocol.ReasonNone
+	limits := n.options.KeyLimits
+	if !public && limits.RevokedWithin > 0 && n.confirmedAge() > limits.RevokedWithin {
+		return nil, protocol.ReasonUnconfirmed
 	}
-	if len(values) == 1 {
-		scheme, key, _ := strings.Cut(values[0], " ")
-		if team := c.snapshot.teams[bundle.DigestKey(strings.TrimSpace(key))]; team != nil && strings.EqualFold(scheme, keyScheme) {
-			c.team = team
-			return protocol.ReasonNone
-		}
+	team := current.teamOf(header[headerKey])
+	switch {
+	case team != nil || public:
+		return team, protocol.ReasonNone
+	case limits.AddedWithin > 0 && n.confirmedAge() > limits.AddedWithin:
+		return nil, protocol.ReasonUnconfirmed
 	}
-	if c.route.Public {
-		return protocol.ReasonNone
+	return nil, protocol.ReasonUnknownKey
+}
+
+// teamOf returns the team whose key the values of headerKey hold; nil if there is none. Several values name no team, since
+// the processes on the way could choose different ones.
+func (s *snapshot) teamOf(values []string) *bundle.Team {
+	if len(values) != 1 {
+		return nil
+	}
+	scheme, key, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, keyScheme) {
+		return nil
+	}
+	return s.teams[bundle.DigestKey(strings.TrimSpace(key))]
+}
+
+// confirmedAge returns an upper bound of the time since the version in force was the latest.
+func (n *Node) confirmedAge() time.Duration {
+	at := n.confirmedAt.Load()
+	if at == nil {
+		return math.MaxInt64
+	}
+	return clock.Now().Sub(*at)
+}
+
+// publishConfirmation stores when the version in force was last confirmed, for the goroutines that serve callers. It runs on
+// the control goroutine.
+func (n *Node) publishConfirmation(time.Time) {
+	if at, ok := n.peer.ConfirmedAt(); ok {
+		n.confirmedAt.Store(&at)
 	}
-	return protocol.ReasonUnknownKey
 }
 
 // teamsByKey returns the teams of a bundle by the digests of their keys; nil if the bundle has no team.
@@ -49,3 +89,23 @@
 	}
 	return teams
 }
+
+// internalFields lists the header fields that callers cannot set for an upstream: those that the executor sets from the
+// metadata, and the key of the caller's team.
+func (c *ingressCall) internalFields() []string {
+	dialect := &c.node.options.Dialect
+	fields := []string{
+		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream, dialect.Team,
+	}
+	if c.snapshot.teams != nil {
+		fields = append(fields, headerKey)
+	}
+	return fields
+}
+
+// removeInternalFields removes the fields of internalFields from a header or trailer.
+func (c *ingressCall) removeInternalFields(header http.Header) {
+	for _, name := range c.internalFields() {
+		header.Del(name)
+	}
+}
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -76,6 +76,8 @@
 	ReasonResponseNotKept   Reason = "answer-not-kept"
 	// ReasonUnknownKey means that no team has the key of the request, or that it has none and needs one.
 	ReasonUnknownKey Reason = "unknown-key"
+	// ReasonUnconfirmed means that the node does not know whether its keys are still those of the latest version.
+	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonQuota means that the caller's team has used up its quota.
 	ReasonQuota Reason = "quota"
 )
--- a/settings/objectives.go
+++ b/settings/objectives.go
@@ -27,6 +27,10 @@
 	QuotaWindow    Duration `json:"quota_window,omitempty"`
 	QuotaOvershoot float64  `json:"quota_overshoot,omitempty"`
 	QuotaAllowance float64  `json:"quota_allowance,omitempty"`
+	// RevokeWithin is the time after which no node accepts a key that was taken away from a team. With RevokeStrict, this
+	// holds also on nodes that are cut off from the control members: they refuse requests that need a key.
+	RevokeWithin Duration `json:"revoke_within,omitempty"`
+	RevokeStrict bool     `json:"revoke_strict,omitempty"`
 	// CanaryShare bounds the requests of a service that a release gets before it is judged, as a share of all since the
 	// start of its rollout; CanaryAllowance is a number of requests beyond it. RollbackWithin is the time after which a
 	// release that was found bad gets no further request.
@@ -47,6 +51,8 @@
 	defaultQuotaOvershoot = 0.1
 	defaultQuotaAllowance = 20
 
+	defaultRevokeWithin = 5 * time.Second
+
 	defaultCanaryShare     = 0.1
 	defaultCanaryAllowance = 50
 	defaultRollbackWithin  = 5 * time.Second
@@ -59,7 +65,8 @@
 		RepairWithin: Duration(defaultRepairWithin), RetryShare: defaultRetryShare,
 		RetryWindow: Duration(defaultRetryWindow),
 		QuotaWindow: Duration(defaultQuotaWindow), QuotaOvershoot: defaultQuotaOvershoot, QuotaAllowance: defaultQuotaAllowance,
-		CanaryShare: defaultCanaryShare, CanaryAllowance: defaultCanaryAllowance, RollbackWithin: Duration(defaultRollbackWithin),
+		RevokeWithin: Duration(defaultRevokeWithin),
+		CanaryShare:  defaultCanaryShare, CanaryAllowance: defaultCanaryAllowance, RollbackWithin: Duration(defaultRollbackWithin),
 	}
 }
 
@@ -72,8 +79,10 @@
 	minRetryWindow    = 100 * time.Millisecond
 	maxObjective      = time.Hour
 	maxRetryAllowance = 1_000_000
-	minQuotaWindow    = 100 * time.Millisecond
-	maxAllowance      = 1_000_000
+	// minRevokeWithin is that of a version, by which a key is taken away.
+	minRevokeWithin = minApplyWithin
+	minQuotaWindow  = 100 * time.Millisecond
+	maxAllowance    = 1_000_000
 	// minRollbackWithin leaves time for a verdict to reach all nodes.
 	minRollbackWithin = 500 * time.Millisecond
 )
@@ -88,6 +97,10 @@
 	c.durationBetween("objectives.quota_window", o.QuotaWindow, minQuotaWindow, maxObjective)
 	c.numberBetween("objectives.quota_overshoot", o.QuotaOvershoot, 0, 1)
 	c.numberBetween("objectives.quota_allowance", o.QuotaAllowance, 0, maxAllowance)
+	c.durationBetween("objectives.revoke_within", o.RevokeWithin, minRevokeWithin, maxObjective)
+	if o.RevokeStrict && o.RevokeWithin < o.ApplyWithin {
+		c.add("objectives.revoke_within", o.RevokeWithin.Std().String(), "at least apply_within, with revoke_strict")
+	}
 	c.numberBetween("objectives.canary_share", o.CanaryShare, 0, 1)
 	c.numberBetween("objectives.canary_allowance", o.CanaryAllowance, 0, maxAllowance)
 	c.durationBetween("objectives.rollback_within", o.RollbackWithin, minRollbackWithin, maxObjective)
