node, web, pacing: uploads wait for their body, not for a slot, and do not fill the link

Cause: an upload took a slot of its upstream while a slow caller still sent; beyond 64 KiB a refusal ended it although another upstream had room; its body filled the queue of the link, behind which short calls waited; through another node, an answer that came early waited for the caller's next bytes; and net/http reports a reset connection only once the body has ended, so an upload whose upstream had reset it got 504 at its deadline. Change: bodies of uploads up to 1 MiB are read before the call is sent, within 16 MiB for all uploads of a node; longer ones and those beyond that are streamed as before. The parts go at the rate of the link's share, after the chunks of downloads. The rest of a streamed body is sent beside the reply. A streamed body ends when the connection to the upstream breaks. Weighed: to ask for a slot before the body is sent costs a round trip for each attempt and holds the slot for the time of the body.

--- a/coordination/pacing/pacing.go
+++ b/coordination/pacing/pacing.go
@@ -1,4 +1,4 @@
-// Package pacing keeps long responses from filling the link of an instance. A link sends in order: when downloads fill its
+// Package pacing keeps long bodies from filling the link of an instance. A link sends in order: when downloads fill its
 // queue, the short responses of all other calls on the instance wait behind them, and miss their deadlines although their
 // upstreams have free slots. Downloads therefore use a share of the link, one chunk after another, and those that the link
 // cannot carry in time are refused before they run.
@@ -61,6 +61,12 @@
 	counted := min(r.remaining, int64(bytes))
 	r.remaining -= counted
 	l.expected -= counted
+	return l.Schedule(now, bytes)
+}
+
+// Schedule returns how long a chunk that belongs to no admitted response, such as a part of a long request, must wait
+// before it is sent.
+func (l *Link) Schedule(now time.Time, bytes int) time.Duration {
 	if l.bytesPerSecond == 0 {
 		return 0
 	}
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -12,6 +12,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/protocol"
+	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 )
 
@@ -191,8 +192,8 @@
 		// No frame was sent, so the call cannot have run.
 		return notRunReply(protocol.ReasonNodeFailed)
 	}
-	// io.EOF means that the executor has ended the call before it has read the whole body; its reply says how.
-	if err := sendCall(stream, meta, body); err != nil && !errors.Is(err, io.EOF) {
+	sendFailed, err := n.startSending(stream, meta, body, cancel)
+	if err != nil {
 		cancel()
 		return failedCallReply(callerCtx, err)
 	}
@@ -204,6 +205,10 @@
 	}
 	if err != nil || first.Metadata == nil {
 		cancel()
+		select {
+		case err = <-sendFailed:
+		default:
+		}
 		return failedCallReply(callerCtx, err)
 	}
 	pending.responded()
@@ -227,32 +232,77 @@
 	return unknownReply(protocol.ReasonNodeFailed)
 }
 
-// sendCall sends the metadata with the start of the body, then the rest.
-func sendCall(stream rpc.CallClientStream, meta *protocol.CallMetadata, body *requestBody) error {
-	first := &protocol.CallFrame{Metadata: meta, Body: body.prefix, Last: body.buffered()}
+// startSending sends the metadata with the start of the body. It sends the rest of a body that is not buffered beside the
+// reply, since the executor may reply before a slow caller has sent all of it. If that fails, the channel has the error
+// and the call is canceled.
+func (n *Node) startSending(
+	stream rpc.CallClientStream, meta *protocol.CallMetadata, body *requestBody, cancel context.CancelFunc,
+) (<-chan error, error) {
+	failed := make(chan error, 1)
 	if body.buffered() {
-		first.Trailer = body.trailer
-		return stream.Send(first)
+		return failed, n.sendBuffered(stream, meta, body)
 	}
-	if err := stream.Send(first); err != nil {
-		return err
+	if err := stream.Send(&protocol.CallFrame{Metadata: meta, Body: body.prefix}); err != nil {
+		return failed, ignoreEnd(err)
+	}
+	go func() {
+		if err := ignoreEnd(n.sendRest(stream, meta, body)); err != nil {
+			failed <- err
+			cancel()
+		}
+	}()
+	return failed, nil
+}
+
+// ignoreEnd returns nil for io.EOF: the executor has ended the call before it has read the whole body; its reply says how.
+func ignoreEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// sendBuffered sends the metadata and a whole body. Longer bodies are sent in parts, so that the executor does not hold
+// them before the call has a slot.
+func (n *Node) sendBuffered(stream rpc.CallClientStream, meta *protocol.CallMetadata, body *requestBody) error {
+	size := len(body.prefix)
+	if meta.Class == bundle.ClassUpload {
+		size = min(size, uploadChunkBytes)
 	}
+	frame := &protocol.CallFrame{Metadata: meta, Body: body.prefix[:size]}
+	for rest := body.prefix[size:]; ; {
+		if frame.Last = len(rest) == 0; frame.Last {
+			frame.Trailer = body.trailer
+		}
+		n.paceUpload(stream.Context(), meta, len(frame.Body))
+		if err := stream.Send(frame); err != nil || frame.Last {
+			return ignoreEnd(err)
+		}
+		size = min(len(rest), uploadChunkBytes)
+		frame = &protocol.CallFrame{Body: rest[:size]}
+		rest = rest[size:]
+	}
+}
+
+// sendRest sends the part of the body that is not buffered.
+func (n *Node) sendRest(stream rpc.CallClientStream, meta *protocol.CallMetadata, body *requestBody) error {
 	buffer := make([]byte, protocol.ChunkBytes)
+	if meta.Class == bundle.ClassUpload {
+		buffer = buffer[:uploadChunkBytes]
+	}
 	for {
-		n, last, err := readChunk(body.rest, buffer)
+		size, last, err := readChunk(body.rest, buffer)
 		if err != nil {
 			return err
 		}
-		frame := &protocol.CallFrame{Body: buffer[:n], Last: last}
+		frame := &protocol.CallFrame{Body: buffer[:size], Last: last}
 		if last {
 			frame.Trailer = body.trailer
 		}
-		if err := stream.Send(frame); err != nil {
+		n.paceUpload(stream.Context(), meta, size)
+		if err := stream.Send(frame); err != nil || last {
 			return err
 		}
-		if last {
-			return nil
-		}
 	}
 }
 
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -79,3 +79,6 @@
 	at := clock.Now().Add(-age)
 	n.confirmedAt.Store(&at)
 }
+
+// ReservedUploadBytes returns what uploads hold of the node's memory.
+func (n *Node) ReservedUploadBytes() int64 { return n.uploads.reserved.Load() }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -31,7 +31,7 @@
 const (
 	// maxBufferedBytes is the largest body of a repeatable request that is kept in memory for a retry; longer bodies
 	// are streamed and sent once.
-	maxBufferedBytes = 64 << 10
+	maxBufferedBytes = protocol.ChunkBytes
 	// maxKeyBytes bounds an idempotency key, which the ledger stores for days.
 	maxKeyBytes = 256
 	// maxAttemptsInFlight counts the first attempt and one hedge.
@@ -51,6 +51,8 @@
 	body     requestBody
 	// limitedBody reads the part of the body that is streamed; nil if the whole body is buffered.
 	limitedBody *maxBytesReader
+	// releaseBody gives back the memory that is reserved for the body; nil if none is.
+	releaseBody func()
 	deadline    time.Time
 	// exclusive is set if the quarantine requires that the call runs with no other call in flight on its upstream.
 	exclusive bool
@@ -77,6 +79,9 @@
 		return
 	}
 	call, reason := n.prepare(started, w, r)
+	if call != nil && call.releaseBody != nil {
+		defer call.releaseBody()
+	}
 	if reason != protocol.ReasonNone {
 		n.refuse(w, r, reason)
 		return
@@ -89,6 +94,9 @@
 	n.requestLog.requestEnded(call, reply)
 	call.writeReply(w, reply)
 	if call.limitedBody != nil {
+		if !call.limitedBody.ended.Load() {
+			limitUnreadBody(w, r) // The upstream responded before it had read the body.
+		}
 		closeUnreadBody(w, r)
 	}
 }
@@ -124,7 +132,7 @@
 		return nil, protocol.ReasonDraining
 	}
 	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
-		return nil, reason
+		return call, reason
 	}
 	return call, call.checkQuarantine()
 }
@@ -183,9 +191,8 @@
 	return r.URL.RequestURI()
 }
 
-// readBody buffers up to maxBufferedBytes of the body and leaves the rest to be streamed. The body of an irreversible
-// call with a key is buffered whole, since its claim in the ledger contains the body's digest. Reading ends at the
-// call's deadline, also for a caller that stops in the middle of the body.
+// readBody buffers the body up to bodyBufferLimit and leaves the rest to be streamed. Reading ends at the call's deadline,
+// also for a caller that stops in the middle of the body.
 func (c *ingressCall) readBody(w http.ResponseWriter, r *http.Request) protocol.Reason {
 	limit := cmp.Or(c.route.MaxBodyBytes, c.snapshot.maxBodyBytes, c.node.options.Limits.MaxBodyBytes)
 	if r.ContentLength > limit {
@@ -194,14 +201,14 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return protocol.ReasonNone
 	}
-	bufferLimit := min(limit, maxBufferedBytes)
-	if c.route.Class == bundle.ClassIrreversible && !c.route.Keyless {
-		bufferLimit = limit
-	}
+	bufferLimit := c.bodyBufferLimit(r.ContentLength, limit)
 	conn := http.NewResponseController(w)
 	// These and the other errors of setting a deadline mean that the connection is closed, which reading reports.
 	_ = conn.SetReadDeadline(c.deadline)
 	var buffer bytes.Buffer
+	if r.ContentLength > 0 {
+		buffer.Grow(int(min(r.ContentLength, bufferLimit)) + bytes.MinRead)
+	}
 	if _, err := buffer.ReadFrom(io.LimitReader(r.Body, bufferLimit+1)); err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return protocol.ReasonDeadline
@@ -245,6 +252,8 @@
 	atEnd func()
 	// exceeded is set when the limit is passed. The attempt reads it on another goroutine to report the reason.
 	exceeded atomic.Bool
+	// ended is set at the end of the body.
+	ended atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -257,6 +266,7 @@
 	}
 	if errors.Is(err, io.EOF) {
 		r.atEnd()
+		r.ended.Store(true)
 		_ = r.conn.SetReadDeadline(time.Time{})
 	}
 	return n, err
--- a/node/node.go
+++ b/node/node.go
@@ -144,6 +144,7 @@
 	// fleet holds this node's share of the retries.
 	fleet      *retry.Fleet
 	requests   requestTracker
+	uploads    uploadBuffers
 	requestLog *requestLog
 	// closeConnections makes responses ask callers to close their connections.
 	closeConnections atomic.Bool
--- a/node/run.go
+++ b/node/run.go
@@ -169,7 +169,7 @@
 	}
 	switch {
 	case body.rest != nil:
-		request.Body = io.MultiReader(bytes.NewReader(body.prefix), body.rest)
+		request.Body, request.Streamed = io.MultiReader(bytes.NewReader(body.prefix), body.rest), true
 	case len(body.trailer) > 0:
 		// net/http sends trailers only with a chunked body.
 		request.Body = bytes.NewReader(body.prefix)
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -52,7 +52,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &countingConn{Conn: conn}, nil
+				return &countingConn{Conn: conn, broken: make(chan struct{})}, nil
 			},
 			MaxConnsPerHost:        connections,
 			MaxIdleConnsPerHost:    connections,
@@ -68,6 +68,18 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// broken is closed once a read has failed.
+	broken    chan struct{}
+	breakOnce sync.Once
+}
+
+// Read notes a failure.
+func (c *countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err != nil {
+		c.breakOnce.Do(func() { close(c.broken) })
+	}
+	return n, err
 }
 
 // Write counts the bytes before it writes them, because a failed write may have sent some of them.
@@ -83,6 +95,8 @@
 	Host   string
 	Header http.Header
 	Body   io.Reader
+	// Streamed is set if the sender of the body may pause in the middle of it.
+	Streamed bool
 	// ContentLength is -1 if the length is not known in advance.
 	ContentLength int64
 	// Trailer holds the trailer fields. Their values need to be set only when Body has been read to its end.
@@ -124,6 +138,16 @@
 	}
 }
 
+// broken returns a channel that is closed once the request's connection has broken; nil before the request has one.
+func (t *requestTrace) broken() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	return t.conn.broken
+}
+
 func (t *requestTrace) wroteRequest(httptrace.WroteRequestInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,6 +182,9 @@
 		// net/http resends a request without a body by itself when a reused connection breaks.
 		body = emptyBody{}
 	}
+	if request.Streamed {
+		body = newInterruptibleBody(body, trace)
+	}
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, "http://"+c.address+request.URI, body)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotWritten, "%v", err)
