registry: rollouts of a service's release

Cause: an operator's order to move a service to a new version of its software had no place to live: answers 404. A copy of an order gets the first acknowledgement, also after the end; another order meanwhile is refused; a decision takes effect only on the revision that it names, so that a former leader changes nothing. The leader sets the time of an order. Members of the former version skip the new commands: all members are updated before the first order.

--- a/control/statemachine.go
+++ b/control/statemachine.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"sapphiregate.example/sapphiregate/protocol"
@@ -31,12 +33,17 @@
 	return &registryStateMachine{keyring: keyring, registry: registry.New(keyring)}
 }
 
-// prepare reduces the update of a stage to the parts that the registry lacks, so that the log carries each part once.
-func (s *registryStateMachine) prepare(_ int64, data []byte) ([]byte, error) {
+// prepare reduces the update of a stage to the parts that the registry lacks, so that the log carries each part once,
+// and sets the time of an order of a rollout.
+func (s *registryStateMachine) prepare(nowMs int64, data []byte) ([]byte, error) {
 	command, err := registry.DecodeCommand(data)
 	if err != nil {
 		return nil, err
 	}
+	if command.Rollout != nil {
+		command.Stamp(time.UnixMilli(nowMs))
+		return registry.EncodeCommand(command)
+	}
 	if command.Stage == nil {
 		return data, nil
 	}
--- a/state/registry/apply.go
+++ b/state/registry/apply.go
@@ -49,6 +49,10 @@
 
 func (r *Registry) execute(index uint64, c Command) Result {
 	switch {
+	case c.Rollout != nil && c.Stage == nil && c.Approve == nil && c.Stop == nil:
+		return r.changeRollout(index, c.RequestID, *c.Rollout)
+	case c.Rollout != nil:
+		return refuse(CodeMalformed, "a change of a rollout must be set alone")
 	case c.Stage != nil && c.Approve == nil && c.Stop == nil:
 		return r.stage(index, *c.Stage)
 	case c.Stage != nil && c.Approve != nil && c.Stop == nil:
@@ -58,7 +62,7 @@
 	case c.Stage == nil && c.Approve == nil && c.Stop != nil:
 		return r.stop(index, *c.Stop)
 	default:
-		return refuse(CodeMalformed, "one of stage, approve and stop must be set, or stage and approve")
+		return refuse(CodeMalformed, "one of stage, approve, stop and rollout must be set, or stage and approve")
 	}
 }
 
--- a/state/registry/command.go
+++ b/state/registry/command.go
@@ -12,8 +12,8 @@
 	"sapphiregate.example/sapphiregate/state/bundle"
 )
 
-// Command is one entry of the replicated log. Either exactly one of Stage, Approve and Stop is set, or Stage and
-// Approve together. The two together take effect in one step or not at all.
+// Command is one entry of the replicated log. Either exactly one of Stage, Approve, Stop and Rollout is set, or Stage
+// and Approve together. The two together take effect in one step or not at all.
 type Command struct {
 	Stage   *Stage           `cbor:"1,keyasint,omitempty"`
 	Approve *bundle.Approval `cbor:"2,keyasint,omitempty"`
@@ -21,7 +21,8 @@
 	// RequestID identifies the command when it is sent again. A command that equals an earlier one, including this
 	// identifier, gets the earlier result. If it is empty, the result is not kept, and a command that is sent again is
 	// recognized only by its version and digest.
-	RequestID string `cbor:"4,keyasint,omitempty"`
+	RequestID string         `cbor:"4,keyasint,omitempty"`
+	Rollout   *RolloutChange `cbor:"5,keyasint,omitempty"`
 }
 
 // Stage adds a bundle to the registry under a version that is not approved yet.
@@ -76,13 +77,19 @@
 }
 
 // key returns the key under which the result of the command is kept. The key does not cover the update of a stage: the
-// digest identifies its content, and the leader may encode the update of a copy differently.
+// digest identifies its content, and the leader may encode the update of a copy differently. Nor does it cover the time
+// that the leader sets.
 func (c Command) key() (bundle.Digest, error) {
 	if c.Stage != nil {
 		stage := *c.Stage
 		stage.Update = nil
 		c.Stage = &stage
 	}
+	if c.Rollout != nil && c.Rollout.Start != nil {
+		start := *c.Rollout.Start
+		start.UnixMs = 0
+		c.Rollout = &RolloutChange{Start: &start}
+	}
 	data, err := EncodeCommand(c)
 	return sha256.Sum256(data), err
 }
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // Action is the kind of a history record.
@@ -43,6 +44,8 @@
 	// StoredBundles lists the digests of the bundles in the store: those of the latest approved versions, oldest first,
 	// and then the staged ones.
 	StoredBundles []bundle.Digest
+	// Rollouts lists the latest rollout of a release of each service.
+	Rollouts []release.Rollout
 	// Index is the log index of the last applied command.
 	Index uint64
 }
@@ -88,6 +91,8 @@
 	approvals map[uint64]*HistoryRecord
 	stops     map[uint64]*HistoryRecord
 	results   resultCache
+	// rollouts holds the latest rollout of a release of each service.
+	rollouts map[string]release.Rollout
 }
 
 // New returns an empty registry that verifies signatures with a keyring.
@@ -99,12 +104,13 @@
 		approvals: make(map[uint64]*HistoryRecord),
 		stops:     make(map[uint64]*HistoryRecord),
 		results:   newResultCache(),
+		rollouts:  make(map[string]release.Rollout),
 	}
 }
 
 // State returns the part of the state that members distribute to nodes.
 func (r *Registry) State() State {
-	state := State{Stopped: r.stopped, Index: r.index, StoredBundles: r.storedDigests()}
+	state := State{Stopped: r.stopped, Index: r.index, StoredBundles: r.storedDigests(), Rollouts: r.Rollouts()}
 	if r.latest != nil {
 		approval := *r.latest.Approval
 		state.Latest = &approval
--- a/state/registry/result.go
+++ b/state/registry/result.go
@@ -31,6 +31,14 @@
 	CodeUnauthorized
 	// CodeMalformed means that the command cannot be decoded or lacks a field.
 	CodeMalformed
+	// CodeRolloutRunning means that another rollout of the service is in progress.
+	CodeRolloutRunning
+	// CodeRolloutChanged means that the rollout has ended or changed since the command was made.
+	CodeRolloutChanged
+	// CodeUnknownService means that the latest approved bundle does not declare the service.
+	CodeUnknownService
+	// CodeUnknownRollout means that the service has no rollout of the release.
+	CodeUnknownRollout
 )
 
 // Errors that Result.Err returns. Callers test for them with errors.Is.
@@ -44,16 +52,23 @@
 	ErrInvalid        = errors.New("registry: bundle does not validate")
 	ErrUnauthorized   = errors.New("registry: operator is unknown or the signature does not verify")
 	ErrMalformed      = errors.New("registry: malformed command")
+	ErrRolloutRunning = errors.New("registry: another rollout of the service is in progress")
+	ErrRolloutChanged = errors.New("registry: rollout has ended or changed")
+	ErrUnknownService = errors.New("registry: service is not in the latest approved bundle")
+	ErrUnknownRollout = errors.New("registry: service has no rollout of the release")
 )
 
 // Effect tells what a successful command did.
 type Effect string
 
 const (
-	EffectStaged    Effect = "staged"
-	EffectApproved  Effect = "approved"
-	EffectWithdrawn Effect = "withdrawn"
-	EffectStopped   Effect = "stopped"
+	EffectStaged          Effect = "staged"
+	EffectApproved        Effect = "approved"
+	EffectWithdrawn       Effect = "withdrawn"
+	EffectStopped         Effect = "stopped"
+	EffectRolloutStarted  Effect = "rollout-started"
+	EffectRolloutAdvanced Effect = "rollout-advanced"
+	EffectRolloutCanceled Effect = "rollout-canceled"
 )
 
 // Result is the result of a command.
@@ -84,6 +99,10 @@
 	CodeInvalid:        ErrInvalid,
 	CodeUnauthorized:   ErrUnauthorized,
 	CodeMalformed:      ErrMalformed,
+	CodeRolloutRunning: ErrRolloutRunning,
+	CodeRolloutChanged: ErrRolloutChanged,
+	CodeUnknownService: ErrUnknownService,
+	CodeUnknownRollout: ErrUnknownRollout,
 }
 
 // Err returns nil for CodeOK, and otherwise an error that wraps the error of the code.
--- a/state/registry/snapshot.go
+++ b/state/registry/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // snapshotFormat is the version of the snapshot encoding.
@@ -15,17 +16,18 @@
 // snapshot is the content of a snapshot. Each bundle is stored as an update relative to the one before it, so that
 // parts in common are stored once.
 type snapshot struct {
-	Format         uint64           `cbor:"1,keyasint"`
-	Index          uint64           `cbor:"2,keyasint"`
-	Latest         *HistoryRecord   `cbor:"3,keyasint,omitempty"`
-	Stopped        bool             `cbor:"4,keyasint,omitempty"`
-	RecentApproved []bundle.Digest  `cbor:"5,keyasint,omitempty"`
-	Staged         []Staged         `cbor:"6,keyasint,omitempty"`
-	Withdrawn      []withdrawal     `cbor:"7,keyasint,omitempty"`
-	WithdrawnUpTo  uint64           `cbor:"8,keyasint,omitempty"`
-	History        []*HistoryRecord `cbor:"9,keyasint,omitempty"`
-	Results        []cachedResult   `cbor:"10,keyasint,omitempty"`
-	Updates        []bundle.Update  `cbor:"11,keyasint,omitempty"`
+	Format         uint64            `cbor:"1,keyasint"`
+	Index          uint64            `cbor:"2,keyasint"`
+	Latest         *HistoryRecord    `cbor:"3,keyasint,omitempty"`
+	Stopped        bool              `cbor:"4,keyasint,omitempty"`
+	RecentApproved []bundle.Digest   `cbor:"5,keyasint,omitempty"`
+	Staged         []Staged          `cbor:"6,keyasint,omitempty"`
+	Withdrawn      []withdrawal      `cbor:"7,keyasint,omitempty"`
+	WithdrawnUpTo  uint64            `cbor:"8,keyasint,omitempty"`
+	History        []*HistoryRecord  `cbor:"9,keyasint,omitempty"`
+	Results        []cachedResult    `cbor:"10,keyasint,omitempty"`
+	Updates        []bundle.Update   `cbor:"11,keyasint,omitempty"`
+	Rollouts       []release.Rollout `cbor:"12,keyasint,omitempty"`
 }
 
 type withdrawal struct {
@@ -38,6 +40,7 @@
 	s := snapshot{
 		Format: snapshotFormat, Index: r.index, Latest: r.latest, Stopped: r.stopped, RecentApproved: r.recentApproved,
 		Staged: r.staged, WithdrawnUpTo: r.withdrawnUpTo, History: r.history, Results: r.results.list(),
+		Rollouts: r.Rollouts(),
 	}
 	for _, version := range sortedVersions(r.withdrawn) {
 		s.Withdrawn = append(s.Withdrawn, withdrawal{Version: version, Index: r.withdrawn[version]})
@@ -83,6 +86,9 @@
 	for _, entry := range s.Results {
 		r.results.put(entry.Key, entry.Result)
 	}
+	for _, rollout := range s.Rollouts {
+		r.rollouts[rollout.Service] = rollout
+	}
 	for _, update := range s.Updates {
 		if err := r.store.Add(update); err != nil {
 			return nil, errors.Wrapf(ErrMalformed, "snapshot: %v", err)
