balance: divide the calls of a service between its releases

Cause: upstreams of a new release take part like all others from their first heartbeat on. Change: a rule for a service gives a release a share of the calls, none or all. A call that is not assigned to the release never falls to it because others are busy; further attempts of a call go to the other releases. While the share is small, it goes to so few upstreams that each has about the load of the others, which shows faults under load, and the choice rotates. Endpoints of other services, and those without a rule, are picked as before.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -77,6 +77,8 @@
 	EjectMax time.Duration
 	// SlowStart is the slow start time of services that set none; negative switches slow start off.
 	SlowStart time.Duration
+
+	releaseRules map[string]ReleaseRule
 }
 
 // Defaults of Config.
@@ -225,7 +227,7 @@
 		r.Rand = (*counterSource)(&b.randomState)
 	}
 	p := picker{config: &b.config, service: service, request: &r, now: now.Sub(s.epoch)}
-	chosen := p.pick()
+	chosen := p.pickByRelease()
 	if chosen == nil {
 		return Target{}, ErrNoUpstream
 	}
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -132,7 +132,7 @@
 // sameTarget reports whether the counters of e remain valid for a new record of the endpoint.
 func (e *endpoint) sameTarget(other Endpoint) bool {
 	return e.Incarnation == other.Incarnation && e.Service == other.Service &&
-		e.Zone == other.Zone && e.Address == other.Address
+		e.Zone == other.Zone && e.Address == other.Address && e.Release == other.Release
 }
 
 func (e *endpoint) suspended(at time.Duration) bool { return int64(at) < e.suspendedUntil.Load() }
--- a/coordination/balance/snapshot.go
+++ b/coordination/balance/snapshot.go
@@ -34,6 +34,8 @@
 	remote []*group
 	// remoteWeights holds the cumulative weights of remote. A zone weighs more with more endpoints and with less delay.
 	remoteWeights []float64
+	// split is set while a release of the service is rolled out or was rolled back.
+	split *releaseSplit
 }
 
 // group is a list of endpoints from which a policy selects one.
@@ -82,6 +84,9 @@
 	}
 	for name, service := range added {
 		service.groupByZone(c)
+		if rule, ok := c.releaseRules[name]; ok {
+			service.splitByRelease(c, rule)
+		}
 		s.services[name] = service
 	}
 }
