relay, node: distribute rollouts, report results, and follow them

Cause: nodes knew no rollout, and nobody compared the results of two releases. Change: members send changed rollouts down the tree, and all of them to a node that joins; nodes keep the greatest revision. A node without a recent confirmation gives a running release no calls, and the executor beside one that was rolled back refuses calls as not run.

--- a/coordination/relay/bundles.go
+++ b/coordination/relay/bundles.go
@@ -145,6 +145,7 @@
 		p.setApproved(Approved{Approval: *source.Latest, Stopped: source.Stopped})
 	}
 	p.offerToChildren()
+	p.mergeRollouts(source.Rollouts)
 }
 
 func (s *bundleState) setRegistryBundles(digests []bundle.Digest) {
--- a/coordination/relay/config.go
+++ b/coordination/relay/config.go
@@ -16,6 +16,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // Verifier checks an approval's signature. bundle.Keyring implements it.
@@ -145,6 +146,8 @@
 	Stopped bool
 	// Bundles lists the bundles that are staged or approved. The store holds all of them.
 	Bundles []bundle.Digest
+	// Rollouts lists the latest rollout of a release of each service.
+	Rollouts []release.Rollout
 }
 
 // CrashReport describes a crash of an upstream. Upstream, Incarnation and Sequence together identify it.
--- a/coordination/relay/join.go
+++ b/coordination/relay/join.go
@@ -192,7 +192,7 @@
 	p.counts.changed = true
 	p.send(l, Message{Accept: &Accept{
 		Freshness: p.currentFreshness(), Approved: p.bundles.approved, Members: p.members,
-		Leaving: p.leavingUpstream(l.remote),
+		Leaving: p.leavingUpstream(l.remote), Rollouts: p.Rollouts(),
 	}})
 }
 
--- a/coordination/relay/link.go
+++ b/coordination/relay/link.go
@@ -180,6 +180,8 @@
 		p.receiveParts(*m.Parts)
 	case m.Members != nil:
 		p.learnMembers(m.Members.Members)
+	case m.Rollouts != nil:
+		p.mergeRollouts(m.Rollouts.Rollouts)
 	case m.Redirect != nil:
 		p.handleEviction(l, m.Redirect.Addresses)
 	default:
@@ -196,6 +198,8 @@
 		// Only members get here: among them the reply only shows that the other side is alive.
 	case m.Aggregate != nil:
 		p.setCounts(l, *m.Aggregate)
+	case m.Results != nil:
+		p.receiveResults(l, m.Results.Reports)
 	case m.Fetch != nil && l.role == roleChild:
 		p.handleFetch(l, *m.Fetch)
 	case m.Leave != nil && l.role == roleChild:
--- a/coordination/relay/message.go
+++ b/coordination/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // Hello identifies a peer. Both sides send it once, when the transport opens a link.
@@ -34,6 +35,8 @@
 	Crashes    *Crashes    `cbor:"13,keyasint,omitempty"`
 	Members    *Members    `cbor:"14,keyasint,omitempty"`
 	Leave      *Leave      `cbor:"15,keyasint,omitempty"`
+	Rollouts   *Rollouts   `cbor:"16,keyasint,omitempty"`
+	Results    *Results    `cbor:"17,keyasint,omitempty"`
 }
 
 // Join asks the receiver to become the sender's parent.
@@ -56,6 +59,8 @@
 	Members []MemberInfo `cbor:"3,keyasint,omitempty"`
 	// Leaving is the upstream that said to an earlier process of the receiver that it is about to stop; nil if none did.
 	Leaving *endpoints.UpstreamProcess `cbor:"4,keyasint,omitempty"`
+	// Rollouts lists the latest rollout of a release of each service.
+	Rollouts []release.Rollout `cbor:"5,keyasint,omitempty"`
 }
 
 // Redirect lists peers that the receiver should try to join instead. On the link to a child it ends the link.
@@ -160,6 +165,16 @@
 	Reports []CrashReport `cbor:"1,keyasint"`
 }
 
+// Rollouts carries the rollouts that have changed from the members down the tree.
+type Rollouts struct {
+	Rollouts []release.Rollout `cbor:"1,keyasint"`
+}
+
+// Results carries the results of calls during rollouts from the nodes up the tree, and among the members.
+type Results struct {
+	Reports []release.Results `cbor:"1,keyasint"`
+}
+
 // Members carries the list of control members from the members down the tree.
 type Members struct {
 	Members []MemberInfo `cbor:"1,keyasint"`
--- a/coordination/relay/output.go
+++ b/coordination/relay/output.go
@@ -5,6 +5,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // LinkID identifies one link of this peer. The peer chooses the IDs of the links that it dials, with OutboundLink set;
@@ -73,6 +74,16 @@
 	Reports []CrashReport
 }
 
+// RolloutsChanged reports the rollouts that were started or have changed.
+type RolloutsChanged struct {
+	Rollouts []release.Rollout
+}
+
+// ResultsReceived reports results of calls during rollouts to a member.
+type ResultsReceived struct {
+	Reports []release.Results
+}
+
 func (Send) output()             {}
 func (Dial) output()             {}
 func (Close) output()            {}
@@ -82,3 +93,5 @@
 func (ParentChanged) output()    {}
 func (UpstreamLeaving) output()  {}
 func (CrashesReceived) output()  {}
+func (RolloutsChanged) output()  {}
+func (ResultsReceived) output()  {}
--- a/coordination/relay/parent_search.go
+++ b/coordination/relay/parent_search.go
@@ -464,6 +464,7 @@
 	p.suppressCounts(l.remote.ID)
 	p.resetSearch()
 	p.learnMembers(accept.Members)
+	p.mergeRollouts(accept.Rollouts)
 	if accept.Leaving != nil {
 		p.emit(UpstreamLeaving{Upstream: *accept.Leaving})
 	}
--- a/coordination/relay/peer.go
+++ b/coordination/relay/peer.go
@@ -6,6 +6,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // Peer is the state machine that distributes configuration in one node or control member.
@@ -32,6 +33,7 @@
 	bundles     bundleState
 	counts      countReport
 	propagation propagation
+	rollouts    map[string]release.Rollout // by service
 }
 
 // New returns the peer of a process that has just started.
@@ -48,6 +50,7 @@
 		joinLimiter:   newTokenBucket(now, c.JoinsPerSecond, c.JoinBurst),
 		bundles:       newBundleState(),
 		propagation:   newPropagation(now, c),
+		rollouts:      make(map[string]release.Rollout),
 	}
 	p.search = newParentSearch(now.Add(p.random(p.config.JoinJitter)))
 	p.search.probeInterval = p.minProbeInterval()
--- a/node/control.go
+++ b/node/control.go
@@ -87,6 +87,8 @@
 		n.logParent(output)
 	case relay.UpstreamLeaving:
 		n.executor.recallLeaving(output.Upstream)
+	case relay.RolloutsChanged:
+		n.observeRollouts(output.Rollouts)
 	case relay.CrashesReceived:
 		n.observeCrashReports(now, output.Reports)
 	}
--- a/node/executor.go
+++ b/node/executor.go
@@ -15,6 +15,7 @@
 	"sapphiregate.example/sapphiregate/invariant"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // executor runs calls on the upstream beside this node. It is safe for concurrent use.
@@ -39,6 +40,9 @@
 	downloads   *downloads
 	// longBodyBytes is the total that maxLongBodyBytes bounds.
 	longBodyBytes atomic.Int64
+	// rollouts holds the rollouts of releases by service; nil before the first one.
+	rollouts atomic.Pointer[map[string]release.Rollout]
+	results  resultCounter
 	// background runs work that outlives the call that started it: recording responses and probing.
 	background taskGroup
 	ctx        context.Context
@@ -71,6 +75,8 @@
 	stopping bool
 	// drainStarted is the time at which the current drain began.
 	drainStarted time.Time
+	// warmAt is the time from which on the upstream expects to be no longer slow after its start.
+	warmAt time.Time
 }
 
 // activeCall is a call that waits for a slot or holds one; started is zero while it waits.
@@ -142,6 +148,9 @@
 		return protocol.ReasonDraining
 	case e.state != upstreamServing, e.upstream.announcement.Service != meta.Service:
 		return protocol.ReasonNoUpstream
+	case e.isRolledBack(&e.upstream.announcement):
+		// Another node may not know it yet.
+		return protocol.ReasonNoUpstream
 	case meta.Incarnation != 0 && meta.Incarnation != e.incarnation:
 		return protocol.ReasonNoUpstream
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"sapphiregate.example/sapphiregate/mesh"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 	"sapphiregate.example/sapphiregate/transport/rpc"
 	"sapphiregate.example/sapphiregate/transport/web"
 )
@@ -90,6 +91,8 @@
 	// HealthInterval is the time between two probes of a serving upstream, which detect a crash while there are no
 	// calls. A negative value disables them, for upstreams that send heartbeats.
 	HealthInterval time.Duration
+	// RollbackWithin is the time within which a release that is rolled back must receive no new call.
+	RollbackWithin time.Duration
 }
 
 // The defaults of Limits.
@@ -98,6 +101,7 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultHealthInterval = time.Second
 	defaultDrainWithin    = 3 * time.Second
+	defaultRollbackWithin = 5 * time.Second
 )
 
 func (l Limits) withDefaults() Limits {
@@ -106,6 +110,7 @@
 	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaultMaxBodyBytes)
 	l.HealthInterval = cmp.Or(l.HealthInterval, defaultHealthInterval)
 	l.DrainWithin = cmp.Or(l.DrainWithin, defaultDrainWithin)
+	l.RollbackWithin = cmp.Or(l.RollbackWithin, defaultRollbackWithin)
 	return l
 }
 
@@ -173,6 +178,7 @@
 	// balancer has not been told yet.
 	changedIDs     map[string]bool
 	refreshAll     bool
+	rollouts       rolloutState
 	knownEndpoints map[string]knownEndpoint
 }
 
@@ -195,6 +201,7 @@
 		metrics:        newMetrics(),
 		changedIDs:     make(map[string]bool),
 		knownEndpoints: make(map[string]knownEndpoint),
+		rollouts:       rolloutState{byService: make(map[string]release.Rollout)},
 	}
 	n.requestLog = newRequestLog(n.logger, n.metrics.linesDropped)
 	n.metrics.observeState(n)
@@ -213,7 +220,7 @@
 	n.peer = relay.New(clock.Now(), n.relayConfig())
 	n.control = mesh.NewHost(mesh.Options{
 		Peer: n.peer, Pool: n.controlPool, Logger: logging.Part(options.Logger, "control"),
-		Output: n.handleOutput, AfterBatch: n.refreshEndpoints,
+		Output: n.handleOutput, AfterBatch: func(now time.Time) { n.applyRollouts(now); n.refreshEndpoints(now) },
 	})
 	n.mesh.ServeNode(n)
 	n.callerListener = web.NewDrainListener(options.Callers)
--- a/node/reply.go
+++ b/node/reply.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"sapphiregate.example/sapphiregate/protocol"
 )
@@ -39,6 +40,8 @@
 	stream  replyStream
 	// download is set for the response to a call of class download.
 	download *download
+	// abandonedAfter is for how long the upstream ran a call that was given up; 0 if it was not.
+	abandonedAfter time.Duration
 	// onFinish is called once the reply has been written or discarded.
 	onFinish func()
 }
--- a/node/run.go
+++ b/node/run.go
@@ -40,6 +40,7 @@
 	case reply.metadata.UpstreamTime > 0:
 		e.metrics.upstreamTime.Observe(reply.metadata.UpstreamTime.Seconds())
 	}
+	e.results.observe(e, meta, reply)
 	e.requestLog.callEnded(meta, reply, time.Since(receivedAt)-reply.metadata.UpstreamTime)
 	return reply
 }
@@ -88,12 +89,12 @@
 	response, err := slot.upstream.client.Do(ctx, request)
 	if err != nil {
 		defer e.releaseSlot(slot, 0)
-		return e.failedReply(ctx, slot, err)
+		return e.failedReply(ctx, slot, started, err)
 	}
 	if !e.dialect.ValidResponse(request.Header, response.HTTP.Header, response.HTTP.StatusCode) {
 		response.Discard()
 		defer e.releaseSlot(slot, 0)
-		return e.failedReply(ctx, slot, errors.Wrap(web.ErrTruncated, "the response does not belong to the request"))
+		return e.failedReply(ctx, slot, started, errors.Wrap(web.ErrTruncated, "the response does not belong to the request"))
 	}
 	e.observeNotices(slot.upstream, response.HTTP)
 	if e.dialect.Refused(response.HTTP.StatusCode, response.HTTP.Header) {
@@ -123,7 +124,7 @@
 	if err != nil {
 		response.HTTP.Body.Close()
 		defer e.releaseSlot(slot, 0)
-		return e.failedReply(ctx, slot, errors.Wrapf(web.ErrTruncated, "%v", err))
+		return e.failedReply(ctx, slot, started, errors.Wrapf(web.ErrTruncated, "%v", err))
 	}
 	reply := &callReply{metadata: responseMetadata(meta.Method, response), body: prefix}
 	if complete {
@@ -198,13 +199,15 @@
 }
 
 // failedReply returns the reply after a failed exchange with the upstream. It checks whether the upstream has crashed.
-func (e *executor) failedReply(ctx context.Context, slot *grantedSlot, err error) *callReply {
+func (e *executor) failedReply(ctx context.Context, slot *grantedSlot, started time.Time, err error) *callReply {
 	if errors.Is(err, web.ErrNotWritten) {
 		e.startCrashCheck(slot)
 		return notRunReply(protocol.ReasonUnreachable)
 	}
 	if ctx.Err() != nil {
-		return unknownReply(abandonReason(ctx))
+		abandoned := unknownReply(abandonReason(ctx))
+		abandoned.abandonedAfter = time.Since(started)
+		return abandoned
 	}
 	crashed := e.awaitCrashCheck(ctx, slot)
 	reason := protocol.ReasonUpstreamFailed
