control, platform: order, judge and show rollouts of a release

Cause: the operator's order was answered 404. Change: the leader judges each running rollout five times a second and commits its decisions; the others judge too, so that they can go on at once. Reads answer once a quorum has confirmed them, like those of configurations. The operator API has start, cancel and list; decisions are logged with their evidence and counted.

--- a/control/latestbundle.go
+++ b/control/latestbundle.go
@@ -50,29 +50,39 @@
 // Latest returns the latest approved version and its bundle; they are 0 and nil if none is approved. It waits until a
 // quorum has confirmed this member's state, and fails with operator.ErrNoQuorum if the context ends first.
 func (m *Member) Latest(ctx context.Context) (uint64, *bundle.Bundle, error) {
-	b := operatorBackend{member: m}
+	var version uint64
+	var latest *bundle.Bundle
+	var readErr error
+	err := m.readConfirmed(ctx, func(time.Time) {
+		if approval := m.registryState.registry.State().Latest; approval != nil {
+			version = approval.Version
+			latest, readErr = m.registryState.registry.Store().Bundle(approval.Digest)
+		}
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	return version, latest, errors.Wrap(readErr, "control: read the latest bundle")
+}
+
+// readConfirmed runs a read of the registry on the control goroutine once a quorum has confirmed this member's state. It
+// fails with operator.ErrNoQuorum if the context ends first.
+func (m *Member) readConfirmed(ctx context.Context, read func(now time.Time)) error {
 	started := time.Now()
 	for {
-		var version uint64
-		var latest *bundle.Bundle
-		var readErr error
 		fresh := false
-		err := b.query(ctx, func(now time.Time) {
+		err := operatorBackend{member: m}.query(ctx, func(now time.Time) {
 			age, confirmed := m.replicas[registryGroup].raft.ConfirmedAge(now)
-			if fresh = confirmed && age < m.maxConfirmationAge(); !fresh {
-				return
-			}
-			if approval := m.registryState.registry.State().Latest; approval != nil {
-				version = approval.Version
-				latest, readErr = m.registryState.registry.Store().Bundle(approval.Digest)
+			if fresh = confirmed && age < m.maxConfirmationAge(); fresh {
+				read(now)
 			}
 		})
 		switch {
 		case err != nil || ctx.Err() != nil:
-			return 0, nil, &operator.Error{Kind: operator.ErrNoQuorum, Message: "the state is not confirmed by a quorum"}
+			return &operator.Error{Kind: operator.ErrNoQuorum, Message: "the state is not confirmed by a quorum"}
 		case fresh:
 			m.metrics.readTime.Observe(time.Since(started).Seconds())
-			return version, latest, errors.Wrap(readErr, "control: read the latest bundle")
+			return nil
 		}
 		sleep(ctx, readRetryDelay)
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -20,6 +20,7 @@
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/coordination/rollout"
 	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/logging"
 	"sapphiregate.example/sapphiregate/mesh"
@@ -75,6 +76,8 @@
 	// RepairWithin is the time within which a process that takes the place of a member counts as its full replacement; 0
 	// means 4 s.
 	RepairWithin time.Duration
+	// Rollout holds the objectives for rollouts of releases; zero fields take the defaults.
+	Rollout rollout.Config
 	// Relay overrides the limits of the distribution tree; zero fields take the defaults.
 	Relay relay.Config
 }
@@ -132,6 +135,7 @@
 	ledgerStates  []*ledgerStateMachine
 	// candidates lists the processes that ask to join. Only the control goroutine uses it.
 	candidates membership.Candidates
+	rollouts   rollouts
 	// removed is closed once this member has learned that the group removed its identity.
 	removed chan struct{}
 }
@@ -153,6 +157,7 @@
 	m := &Member{
 		options: options, logger: logging.Part(options.Logger, "control"), ready: make(chan struct{}),
 		formedGroups: make(map[uint32]bool), initialMemberships: make(map[uint32]raft.Membership), removed: make(chan struct{}),
+		rollouts: newRollouts(options.Rollout),
 	}
 	m.metrics = newMetrics(m)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
@@ -323,6 +328,7 @@
 		r.transport.replaceSilent(now)
 	}
 	m.proposeMembershipChange(now)
+	m.decideRollouts(now)
 	if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 		m.peer.SetConfirmed(now, age)
 	}
@@ -338,8 +344,9 @@
 // publishSource passes the registry's state to the distribution tree.
 func (m *Member) publishSource(now time.Time) {
 	state := m.registryState.registry.State()
-	source := relay.Source{Latest: state.Latest, Stopped: state.Stopped, Bundles: state.StoredBundles}
+	source := relay.Source{Latest: state.Latest, Stopped: state.Stopped, Bundles: state.StoredBundles, Rollouts: state.Rollouts}
 	m.peer.SetSource(now, source, m.registryState.registry.Store())
+	m.rollouts.track(now, state.Rollouts)
 }
 
 // publishMembers passes the membership of the registry's group to the distribution tree.
@@ -352,8 +359,13 @@
 }
 
 func (m *Member) handleOutput(now time.Time, output relay.Output) {
-	if received, ok := output.(relay.CrashesReceived); ok {
+	switch received := output.(type) {
+	case relay.CrashesReceived:
 		m.observeReports(now, received.Reports)
+	case relay.ResultsReceived:
+		for _, results := range received.Reports {
+			m.rollouts.judge.Observe(now, results)
+		}
 	}
 }
 
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -17,9 +17,10 @@
 
 // metrics are the counters and histograms of one member; docs/observability.md describes each.
 type metrics struct {
-	registry     *telemetry.Registry
-	proposalTime *prometheus.HistogramVec
-	readTime     prometheus.Histogram
+	registry         *telemetry.Registry
+	proposalTime     *prometheus.HistogramVec
+	readTime         prometheus.Histogram
+	rolloutDecisions *prometheus.CounterVec
 }
 
 // proposalResults are the values of the label "result".
@@ -36,7 +37,9 @@
 		registry: r,
 		proposalTime: r.Latencies("proposal_seconds",
 			"Time from a proposal at the leader to its result, by result.", "result"),
-		readTime: r.Latency("read_seconds", "Time of a confirmed read of the latest bundle."),
+		readTime: r.Latency("read_seconds", "Time of a confirmed read of the latest bundle or of a rollout."),
+		rolloutDecisions: r.Counters("rollout_decisions_total",
+			"Decisions about rollouts of releases that this member proposed, by the state that follows.", "state"),
 	}
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -13,6 +13,7 @@
 
 	"sapphiregate.example/sapphiregate/control"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/coordination/rollout"
 	"sapphiregate.example/sapphiregate/platform"
 	"sapphiregate.example/sapphiregate/settings"
 	"sapphiregate.example/sapphiregate/state/disk"
@@ -144,7 +145,10 @@
 		SnapshotEntries:   uint64(loaded.Limits.SnapshotEntries),
 		ApplyWithin:       loaded.Objectives.ApplyWithin.Std(),
 		RepairWithin:      loaded.Objectives.RepairWithin.Std(),
-		Ledger:            ledger.Config{MaxTotalResponseBytes: loaded.Limits.MaxLedgerBytes},
+		Rollout: rollout.Config{
+			CanaryShare: loaded.Objectives.CanaryShare, CanaryAllowance: loaded.Objectives.CanaryAllowance,
+		},
+		Ledger: ledger.Config{MaxTotalResponseBytes: loaded.Limits.MaxLedgerBytes},
 		Relay: relay.Config{
 			ZoneFollowers: loaded.Limits.DirectFollowers, JoinsPerSecond: float64(loaded.Limits.JoinsPerSecond),
 		},
--- a/protocol/operator/backend.go
+++ b/protocol/operator/backend.go
@@ -29,6 +29,9 @@
 	Quarantine(ctx context.Context) (QuarantineResponse, error)
 	ClearQuarantine(ctx context.Context, r ClearQuarantineRequest) (ClearQuarantineResponse, error)
 	Dump(ctx context.Context) (DumpResponse, error)
+	StartRollout(ctx context.Context, r StartRolloutRequest) (Decision, error)
+	CancelRollout(ctx context.Context, r CancelRolloutRequest) (Decision, error)
+	Rollouts(ctx context.Context) (RolloutsResponse, error)
 }
 
 // NewHandler returns the HTTP handler of the API. It checks that requests are well-formed, and passes them to the
@@ -43,6 +46,9 @@
 	mux.Handle("POST "+PathMemberRemove, post(maxSmallRequestBytes, b.RemoveMember, checkRemoveMember))
 	mux.Handle("POST "+PathMemberReplace, post(maxSmallRequestBytes, b.ReplaceMember, checkReplaceMember))
 	mux.Handle("POST "+PathQuarantineClear, post(maxSmallRequestBytes, b.ClearQuarantine, checkClearQuarantine))
+	mux.Handle("POST "+PathRolloutStart, post(maxSmallRequestBytes, b.StartRollout, checkStartRollout))
+	mux.Handle("POST "+PathRolloutCancel, post(maxSmallRequestBytes, b.CancelRollout, checkCancelRollout))
+	mux.Handle("GET "+PathRollouts, get(b.Rollouts))
 	mux.Handle("GET "+PathStatus, get(b.Status))
 	mux.Handle("GET "+PathMembers, get(b.Members))
 	mux.Handle("GET "+PathQuarantine, get(b.Quarantine))
@@ -194,6 +200,17 @@
 	return require(r.RequestID, "old", r.Old, "new", r.New, "address", r.Address, "zone", r.Zone)
 }
 
+func checkStartRollout(r StartRolloutRequest) error {
+	if r.DurationMs <= 0 {
+		return badRequest("duration_ms: allowed: a positive number")
+	}
+	return require(r.RequestID, "operator", r.Operator, "service", r.Service, "release", r.Release)
+}
+
+func checkCancelRollout(r CancelRolloutRequest) error {
+	return require(r.RequestID, "operator", r.Operator, "service", r.Service, "release", r.Release)
+}
+
 func checkClearQuarantine(r ClearQuarantineRequest) error {
 	return require(r.RequestID, "operator", r.Operator)
 }
--- a/protocol/operator/client.go
+++ b/protocol/operator/client.go
@@ -229,3 +229,20 @@
 func (c *Client) Dump(ctx context.Context) (DumpResponse, error) {
 	return sendRead[DumpResponse](ctx, c, PathDump)
 }
+
+// StartRollout implements Backend.
+func (c *Client) StartRollout(ctx context.Context, r StartRolloutRequest) (Decision, error) {
+	r.RequestID = requestIDOrNew(r.RequestID)
+	return sendChange[Decision](ctx, c, PathRolloutStart, r, c.config.AttemptTimeout)
+}
+
+// CancelRollout implements Backend.
+func (c *Client) CancelRollout(ctx context.Context, r CancelRolloutRequest) (Decision, error) {
+	r.RequestID = requestIDOrNew(r.RequestID)
+	return sendChange[Decision](ctx, c, PathRolloutCancel, r, c.config.AttemptTimeout)
+}
+
+// Rollouts implements Backend.
+func (c *Client) Rollouts(ctx context.Context) (RolloutsResponse, error) {
+	return sendRead[RolloutsResponse](ctx, c, PathRollouts)
+}
--- a/protocol/operator/errors.go
+++ b/protocol/operator/errors.go
@@ -27,7 +27,13 @@
 	ErrUnauthorized = errors.New("operator: operator is unknown or the signature does not verify")
 	// ErrBadRequest reports a request that cannot be decoded or lacks a field.
 	ErrBadRequest = errors.New("operator: malformed request")
-	// ErrNotFound reports a member or fingerprint that does not exist.
+	// ErrRolloutBusy reports an order for a service whose rollout of another release is in progress.
+	ErrRolloutBusy = errors.New("operator: another rollout of the service is in progress")
+	// ErrRolloutEnded reports a change of a rollout that has ended or changed meanwhile.
+	ErrRolloutEnded = errors.New("operator: rollout has ended")
+	// ErrUnknownService reports a service that the latest bundle does not declare.
+	ErrUnknownService = errors.New("operator: service is not in the latest bundle")
+	// ErrNotFound reports a member, fingerprint or rollout that does not exist.
 	ErrNotFound = errors.New("operator: not found")
 	// ErrMembershipBusy reports that another membership change is in progress.
 	ErrMembershipBusy = errors.New("operator: another membership change is in progress")
@@ -78,6 +84,10 @@
 	registry.CodeInvalid:        ErrInvalidBundle,
 	registry.CodeUnauthorized:   ErrUnauthorized,
 	registry.CodeMalformed:      ErrBadRequest,
+	registry.CodeRolloutRunning: ErrRolloutBusy,
+	registry.CodeRolloutChanged: ErrRolloutEnded,
+	registry.CodeUnknownService: ErrUnknownService,
+	registry.CodeUnknownRollout: ErrNotFound,
 }
 
 // DecisionFromResult converts a result of the registry to the result of a Backend method.
--- a/protocol/operator/types.go
+++ b/protocol/operator/types.go
@@ -7,6 +7,7 @@
 
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/registry"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // Paths of the API.
@@ -24,6 +25,9 @@
 	PathQuarantine      = "/v1/quarantine"
 	PathQuarantineClear = "/v1/quarantine/clear"
 	PathDump            = "/v1/dump"
+	PathRollouts        = "/v1/rollouts"
+	PathRolloutStart    = "/v1/rollouts/start"
+	PathRolloutCancel   = "/v1/rollouts/cancel"
 )
 
 // StageRequest stores a bundle in the registry.
@@ -55,7 +59,7 @@
 	Stop      registry.Stop `json:"stop"`
 }
 
-// Decision is the response to a stage, approve, replace or stop request.
+// Decision is the response to a stage, approve, replace or stop request, and to an order about a rollout of a release.
 type Decision struct {
 	Effect registry.Effect `json:"effect"`
 	// Index is the log index of the command.
@@ -214,6 +218,36 @@
 	Cleared int `json:"cleared"`
 }
 
+// StartRolloutRequest orders the rollout of a release of a service.
+type StartRolloutRequest struct {
+	RequestID string `json:"request_id"`
+	Operator  string `json:"operator"`
+	Service   string `json:"service"`
+	Release   string `json:"release"`
+	// DurationMs is the time within which the rollout has to end, in milliseconds.
+	DurationMs int64 `json:"duration_ms"`
+}
+
+// CancelRolloutRequest rolls a running rollout back.
+type CancelRolloutRequest struct {
+	RequestID string `json:"request_id"`
+	Operator  string `json:"operator"`
+	Service   string `json:"service"`
+	Release   string `json:"release"`
+}
+
+// ReleaseRollout is the rollout of a release with the evidence that the responding member has.
+type ReleaseRollout struct {
+	release.Rollout
+	// Evidence summarizes the results of a running rollout.
+	Evidence string `json:"evidence,omitempty"`
+}
+
+// RolloutsResponse lists the latest rollout of a release of each service.
+type RolloutsResponse struct {
+	Rollouts []ReleaseRollout `json:"rollouts"`
+}
+
 // DumpResponse is the state dump of the member that sent the response.
 type DumpResponse struct {
 	Member string          `json:"member"`
