--- a/coordination/relay/sim_test.go
+++ b/coordination/relay/sim_test.go
@@ -21,6 +21,7 @@
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/invariant"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 func TestRelay(t *testing.T) {
@@ -103,6 +104,7 @@
 	acceptedJoins    []time.Duration          // times at which it accepted a join
 	leaving          []endpoints.UpstreamProcess
 	parentChanges    []relay.ParentChanged
+	results          []string // the nodes whose results it received
 }
 
 // conn is one direction of a link. Its messages arrive in order unless the link ends.
@@ -135,6 +137,7 @@
 	blocked       func(a, b *host) bool
 	history       []relay.Approved
 	staged        []bundle.Update
+	rollouts      []release.Rollout
 	withoutQuorum map[string]bool // members without a quorum
 	bytes         map[string]int  // by message kind, with the prefix "zone:" for messages between zones
 	members       []relay.MemberInfo
@@ -247,11 +250,11 @@
 			Expect(h.store.Add(update)).To(Succeed())
 			digests = append(digests, update.Target)
 		}
-		source := relay.Source{Bundles: digests}
+		source := relay.Source{Bundles: digests, Rollouts: s.rollouts}
 		if n := len(s.history); n > 0 {
 			source.Latest, source.Stopped = &s.history[n-1].Approval, s.history[n-1].Stopped
 		}
-		if key := len(s.history)<<20 + len(s.staged); key != h.appliedSource {
+		if key := len(s.history)<<20 + len(s.rollouts)<<10 + len(s.staged); key != h.appliedSource {
 			h.appliedSource = key
 			h.peer.SetSource(s.localTime(h), source, h.store)
 		}
@@ -345,6 +348,10 @@
 			if s.onCrash != nil {
 				s.onCrash(h, o.Reports)
 			}
+		case relay.ResultsReceived:
+			for _, results := range o.Reports {
+				h.results = append(h.results, results.Node)
+			}
 		}
 	}
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -118,6 +118,24 @@
 	return operator.ClearQuarantineResponse{Cleared: len(r.Fingerprints)}, nil
 }
 
+func (m *fakeMember) StartRollout(_ context.Context, r operator.StartRolloutRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Rollout: &registry.RolloutChange{Start: &registry.StartRollout{
+		Service: r.Service, Release: r.Release, DurationMs: r.DurationMs, Operator: r.Operator}}})
+}
+
+func (m *fakeMember) CancelRollout(_ context.Context, r operator.CancelRolloutRequest) (operator.Decision, error) {
+	return m.apply(registry.Command{RequestID: r.RequestID, Rollout: &registry.RolloutChange{Cancel: &registry.CancelRollout{
+		Service: r.Service, Release: r.Release, Operator: r.Operator}}})
+}
+
+func (m *fakeMember) Rollouts(context.Context) (operator.RolloutsResponse, error) {
+	var response operator.RolloutsResponse
+	for _, r := range m.registry.Rollouts() {
+		response.Rollouts = append(response.Rollouts, operator.ReleaseRollout{Rollout: r, Evidence: "3 of 9 calls\x1b"})
+	}
+	return response, nil
+}
+
 func (m *fakeMember) Dump(context.Context) (operator.DumpResponse, error) {
 	return operator.DumpResponse{Member: "m1", State: json.RawMessage(`{"term":3}`)}, nil
 }
@@ -287,6 +305,28 @@
 		Expect(code).To(Equal(ctl.ExitRefused))
 	})
 
+	It("starts, lists and cancels the rollout of a release", func() {
+		h.mustRun("approve", kalasagBundle, "--version", "1")
+		start := []string{"release", "start", "rank-lookup", "v2", "--duration", "10m"}
+		first := h.mustRun(start...)
+		Expect(first).To(ContainSubstring("release v2 of service rank-lookup: rollout-started"))
+		Expect(h.mustRun(start...)).To(Equal(first))
+		_, stderr, code := h.run("ben", "release", "start", "rank-lookup", "v3", "--duration", "10m")
+		Expect(code).To(Equal(ctl.ExitRefused))
+		Expect(stderr).To(And(ContainSubstring(`release "v2"`), ContainSubstring("next: wait until")))
+		_, _, code = h.run("ben", "release", "start", "nobody", "v3", "--duration", "10m")
+		Expect(code).To(Equal(ctl.ExitRefused))
+		for _, duration := range []string{"0s", "-1m", "100000h"} {
+			_, _, code = h.run("ben", "release", "start", "rank-lookup", "v2", "--duration", duration)
+			Expect(code).To(Equal(ctl.ExitUsage))
+		}
+		Expect(h.mustRun("release", "list")).To(MatchRegexp(`rank-lookup +v2 +running +0.0% +10m0s +ana +waits for .* 3 of 9 calls\?`))
+		Expect(h.mustRun("release", "cancel", "rank-lookup", "v2")).To(ContainSubstring("rollout-canceled"))
+		Expect(h.mustRun("release", "list", "-o", "json")).To(ContainSubstring(`"state": "rolled-back"`))
+		_, _, code = h.run("ben", "release", "cancel", "rank-lookup", "v9")
+		Expect(code).To(Equal(ctl.ExitRefused))
+	})
+
 	It("shows the quarantine without control characters, clears it, and prints the state dump", func() {
 		Expect(h.mustRun("quarantine", "list")).To(And(ContainSubstring("ab?[2J"), Not(ContainSubstring("\x1b"))))
 		Expect(h.mustRun("quarantine", "clear", "ab")).To(Equal("1 cleared\n"))
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -7,6 +7,7 @@
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 // PutInForce activates a bundle that does not come from the distribution tree.
@@ -37,6 +38,16 @@
 	})
 }
 
+// SetRollout passes a rollout on as one from the distribution tree.
+func (n *Node) SetRollout(r release.Rollout) error {
+	return n.control.Query(context.Background(), func(now time.Time) {
+		n.handleOutput(now, relay.RolloutsChanged{Rollouts: []release.Rollout{r}})
+	})
+}
+
+// Results returns the next report of the upstream's results; false if it has none.
+func (n *Node) Results() (release.Results, bool) { return n.executor.results.report(n.executor) }
+
 // RecallLeaving passes on what the parent knows of the upstream of a former process.
 func (n *Node) RecallLeaving(leaving endpoints.UpstreamProcess) error {
 	return n.control.Query(context.Background(), func(now time.Time) {
