rollout: end earlier, and send no call to the former release once the other gets all

Judging ends at half of the duration, all calls move by 0.7, and 0.88 is the last moment. A node without a recent confirmation leaves all calls to a release that had them. Nodes log changes of the share at level debug only. Evidence: tests of balance (calls with targets that cannot be met), rollout, node; three members with a leader that is killed after the order (control).

--- /dev/null
+++ b/control/rollouts_test.go
@@ -0,0 +1,52 @@
+package control_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/release"
+)
+
+var _ = Describe("rollouts of a release", func() {
+	// Guards against an acknowledged order that is lost with the leader, or that a copy starts once more, and against a
+	// rollout without upstreams that the next leader forgets to end.
+	It("outlive the leader, and are rolled back in time without evidence", func() {
+		g := formGroup("a", "b", "c")
+		leader, followers := g.leader()
+		g.approve(leader, 1, config("desk"))
+		order := operator.StartRolloutRequest{
+			RequestID: operator.NewRequestID(), Operator: "ana", Service: "desk", Release: "v2", DurationMs: 8000,
+		}
+		first, err := g.client(followers[0], maxClientRounds).StartRollout(context.Background(), order)
+		Expect(err).NotTo(HaveOccurred())
+		g.kill(leader)
+		Eventually(func() (operator.Decision, error) {
+			return g.client(followers[1], 1).StartRollout(context.Background(), order)
+		}, eventuallyTimeout).Should(Equal(first))
+		other := order
+		other.RequestID, other.Release = operator.NewRequestID(), "v3"
+		_, err = g.client(followers[1], maxClientRounds).StartRollout(context.Background(), other)
+		Expect(err).To(MatchError(operator.ErrRolloutBusy))
+		rollout := func() (found release.Rollout) {
+			response, err := g.client(followers[0], 1).Rollouts(context.Background())
+			if err == nil && len(response.Rollouts) == 1 {
+				found = response.Rollouts[0].Rollout
+			}
+			return found
+		}
+		Expect(rollout().State).To(Equal(release.Running))
+		Eventually(rollout, eventuallyTimeout).Should(HaveField("State", release.RolledBack))
+		Expect(rollout().Reason).To(ContainSubstring("not enough evidence"))
+		other.RequestID = operator.NewRequestID() // A copy of the refused order is refused again.
+		_, err = g.client(followers[1], maxClientRounds).StartRollout(context.Background(), other)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = g.client(followers[0], maxClientRounds).CancelRollout(context.Background(), operator.CancelRolloutRequest{
+			Operator: "ben", Service: "desk", Release: "v3",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(rollout, eventuallyTimeout).Should(HaveField("Reason", "canceled by ben"))
+	})
+})
--- a/coordination/balance/release.go
+++ b/coordination/balance/release.go
@@ -8,8 +8,8 @@
 // ReleaseRule divides the calls of a service between a release that is being rolled out and the other releases.
 type ReleaseRule struct {
 	Release string
-	// Share is the share of calls that the release gets. At 1, the other releases get calls only while the release has no
-	// upstream that may receive them.
+	// Share is the share of calls that the release gets. At 1, the other releases get calls only while no upstream of the
+	// release can receive them at all.
 	Share float64
 	// Focus rotates the choice of the release's upstreams that get its calls while Share is below 1.
 	Focus int
@@ -87,6 +87,9 @@
 	switch rule := split.rule; {
 	case rule.Forbidden:
 		sides = []*service{split.older}
+	case rule.Share >= 1 && p.request.MeetTargetOnly:
+		// That the release's upstreams are busy is no reason to use one that may stop at any moment.
+		sides = []*service{split.newer}
 	case rule.Share >= 1:
 		sides = []*service{split.newer, split.older}
 	case split.older.isEmpty():
--- a/coordination/balance/release_test.go
+++ b/coordination/balance/release_test.go
@@ -90,6 +90,20 @@
 		}
 	})
 
+	// Guards against calls on upstreams that stop as soon as the rollout is completed.
+	It("sends no call to the others once the release gets all, however busy it is", func() {
+		table := releaseTable(4, 4)
+		b := newBalancer(table, balance.ReleaseRule{Share: 1})
+		for i := range 2000 {
+			t, err := b.Pick(now, balance.Request{
+				Service: "desk", TargetRemaining: time.Millisecond, MeetTargetOnly: i%2 == 1, Exclude: []string{"n4", "n5"},
+			})
+			if err == nil {
+				Expect(isNewer(t, table)).To(BeTrue())
+			}
+		}
+	})
+
 	// Guards against every path of the search, such as suspect or suspended endpoints, that could reach the release.
 	It("never selects a release that was rolled back", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -32,14 +32,15 @@
 // Shares of the duration of a rollout.
 const (
 	// judgedShare is the time for which the release keeps its first share: a fault may show only after some time.
-	judgedShare = 0.55
+	judgedShare = 0.5
 	// fullShare is the time at which the release should have all calls, so that those that run on the other releases can
 	// end before the duration is over.
-	fullShare = 0.75
+	fullShare = 0.7
 	// stepShare is the longest time that one step takes from then on.
 	stepShare = 0.08
-	// lastShare is the time at which the rollout ends whatever is known.
-	lastShare = 0.92
+	// lastShare is the time at which the rollout ends whatever is known. The rest is for an election and for the operator,
+	// who asks for the state now and then.
+	lastShare = 0.88
 )
 
 const (
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -45,6 +45,9 @@
 	})
 }
 
+// ReleaseRule is the balancer's rule for a rollout.
+var ReleaseRule = releaseRule
+
 // Results returns the next report of the upstream's results; false if it has none.
 func (n *Node) Results() (release.Results, bool) { return n.executor.results.report(n.executor) }
 
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/release"
@@ -33,8 +35,12 @@
 func (n *Node) observeRollouts(changed []release.Rollout) {
 	s := &n.rollouts
 	for _, r := range changed {
+		level := zerolog.InfoLevel
+		if former, ok := s.byService[r.Service]; ok && former.Started == r.Started && former.State == r.State {
+			level = zerolog.DebugLevel
+		}
 		s.byService[r.Service] = r
-		n.logger.Info().Str("service", r.Service).Str("release", r.Release).Str("state", string(r.State)).
+		n.logger.WithLevel(level).Str("service", r.Service).Str("release", r.Release).Str("state", string(r.State)).
 			Int("share_permille", r.Share).Uint64("revision", r.Revision).Msg("rollout of a release")
 	}
 	published := maps.Clone(s.byService)
@@ -68,13 +74,14 @@
 }
 
 // releaseRule returns the balancer's rule for a rollout. A release that was rolled back while this node was cut off must
-// get no calls, so that a node without a recent confirmation gives a running one none.
+// get no calls, so that a node without a recent confirmation gives a running one none. A release that had all calls keeps
+// them: more likely it was completed, and the others have stopped.
 func releaseRule(r release.Rollout, stale bool) balance.ReleaseRule {
 	rule := balance.ReleaseRule{Release: r.Release, Focus: r.Focus}
 	switch {
 	case r.State == release.Completed:
 		rule.Share, rule.Focus = 1, 0
-	case r.State == release.RolledBack, stale:
+	case r.State == release.RolledBack, stale && r.Share < release.FullShare:
 		rule.Forbidden, rule.Focus = true, 0
 	default:
 		rule.Share = float64(r.Share) / release.FullShare
--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/state/release"
 )
@@ -76,6 +77,19 @@
 	})
 })
 
+var _ = DescribeTable("a node's rule for a release", func(state release.State, share int, stale bool, expected balance.ReleaseRule) {
+	expected.Release = "v2"
+	rule := node.ReleaseRule(release.Rollout{Release: "v2", State: state, Share: share, Focus: 3}, stale)
+	Expect(rule).To(Equal(expected))
+},
+	Entry("running", release.Running, 50, false, balance.ReleaseRule{Share: 0.05, Focus: 3}),
+	Entry("running, without a recent confirmation", release.Running, 50, true, balance.ReleaseRule{Forbidden: true}),
+	Entry("running with all calls, without a recent confirmation", release.Running, 1000, true, balance.ReleaseRule{Share: 1, Focus: 3}),
+	Entry("completed, without a recent confirmation", release.Completed, 1000, true, balance.ReleaseRule{Share: 1}),
+	Entry("rolled back", release.RolledBack, 0, false, balance.ReleaseRule{Forbidden: true}),
+	Entry("rolled back from all calls", release.RolledBack, 1000, true, balance.ReleaseRule{Forbidden: true}),
+)
+
 // announceRelease replaces the upstream's announcement by one with a release.
 func (f *fixture) announceRelease(name string) {
 	Expect(f.executor.AcceptUpstream(node.Announcement{
