node, control: requests of a team with a quota spend tokens that the registry's leader lends

Cause: teams have a quota on the wire, and nothing held it: a team that sends several times its usual takes the room of others.

Change: the ingress takes a token before it forwards a request of a team with a limit. Over the quota they get 429 with the time in which the refill covers what was refused. A request that was not run gives its token back, a repeated run is charged. The leader lends while a quorum has confirmed it recently, no lease lasts beyond that, and a new one waits for as long. Dumps of nodes and members show what is lent to whom; the leader logs when a team is limited.

Not run: the share of refusals below the limit. Seen once: three specs of ./node failed in a run beside other work (load of 30 on 7 cores): endless_caller_test.go:59, liveness_test.go:181 and :204; they pass alone, here and on.

--- a/control/admin.go
+++ b/control/admin.go
@@ -45,6 +45,7 @@
 	Relay          relay.Status             `json:"relay"`
 	Endpoints      []endpoints.Record       `json:"endpoints,omitempty"`
 	Quarantine     []quarantine.Entry       `json:"quarantine,omitempty"`
+	Quotas         QuotaDump                `json:"quotas,omitzero"`
 	Violations     map[invariant.Name]int64 `json:"violations"`
 }
 
@@ -85,6 +86,7 @@
 		dump.Relay = m.peer.Status()
 		dump.Endpoints = m.peer.Table().All()
 		dump.Quarantine = m.quarantine.Entries(now)
+		dump.Quotas = m.quotas.dump(now)
 	})
 	return dump, err
 }
--- a/control/member.go
+++ b/control/member.go
@@ -18,6 +18,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/membership"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/internal/clock"
@@ -72,6 +73,8 @@
 	Ledger          ledger.Config
 	// ApplyWithin is the time after its acknowledgement within which a version is in force on every node; 0 means 2 s.
 	ApplyWithin time.Duration
+	// QuotaBounds says by how much all nodes together may exceed a team's quota.
+	QuotaBounds quota.Bounds
 	// RepairWithin is the time within which a process that takes the place of a member counts as its full replacement; 0
 	// means 4 s.
 	RepairWithin time.Duration
@@ -111,6 +114,7 @@
 	meshServer  *rpc.Server
 	adminServer *http.Server
 	quarantine  *quarantine.List
+	quotas      *quotaOwner
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -155,6 +159,7 @@
 		formedGroups: make(map[uint32]bool), initialMemberships: make(map[uint32]raft.Membership), removed: make(chan struct{}),
 	}
 	m.metrics = newMetrics(m)
+	m.quotas = newQuotaOwner(&m.options, m.logger)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.connect()
 	recovered, err := m.openReplicas()
@@ -164,6 +169,7 @@
 	}
 	m.adminServer = &http.Server{Handler: m.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	m.meshServer.ServeMember(m)
+	m.meshServer.ServeQuotas(m)
 	m.tasks.Go(func() { m.run(recovered) })
 	return m, nil
 }
@@ -323,6 +329,7 @@
 		r.transport.replaceSilent(now)
 	}
 	m.proposeMembershipChange(now)
+	m.updateQuotaOwner(now)
 	if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
 		m.peer.SetConfirmed(now, age)
 	}
--- /dev/null
+++ b/control/quota.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sapphiregate.example/sapphiregate/coordination/quota"
+	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/internal/clock"
+)
+
+const (
+	// confirmationRounds is the number of heartbeat intervals for which the owner goes on to lend after a quorum has
+	// confirmed its leadership, and confirmationMargin the time for the replies and for the control goroutine.
+	confirmationRounds = 2
+	confirmationMargin = 150 * time.Millisecond
+	// ownerDriftPercent is added to the wait of a new owner, because the clocks of two members may differ in rate.
+	ownerDriftPercent = 2
+	// defaultQuotaHeartbeat is the interval of heartbeats if the options set none.
+	defaultQuotaHeartbeat = 150 * time.Millisecond
+)
+
+// quotaOwner holds the accounts of the teams' quotas. The leader of the registry's group is the owner while a quorum has
+// confirmed its leadership recently. It is safe for concurrent use: nodes are answered without the control goroutine.
+type quotaOwner struct {
+	logger zerolog.Logger
+	// confirmed is the time for which a confirmation by a quorum allows to lend.
+	confirmed time.Duration
+
+	mu   sync.Mutex
+	book *quota.Book
+	// term is that in which the accounts were opened; 0 if this member is not the leader.
+	term uint64
+	// until is the time until which this member may lend, and at which all that it has lent has expired.
+	until  time.Time
+	leader string
+	// version is that of the limits.
+	version uint64
+	asks    int64
+}
+
+func newQuotaOwner(options *Options, logger zerolog.Logger) *quotaOwner {
+	heartbeat := options.HeartbeatInterval
+	if heartbeat == 0 {
+		heartbeat = defaultQuotaHeartbeat
+	}
+	return &quotaOwner{
+		logger: logger, book: quota.NewBook(options.QuotaBounds),
+		confirmed: confirmationRounds*heartbeat + confirmationMargin,
+	}
+}
+
+// Lend answers a node that asks for tokens.
+func (m *Member) Lend(_ context.Context, request *quota.Request) (*quota.Reply, error) {
+	return m.quotas.lend(clock.Now(), request), nil
+}
+
+func (o *quotaOwner) lend(now time.Time, request *quota.Request) *quota.Reply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == 0 || !now.Before(o.until) {
+		return &quota.Reply{Owner: o.leader}
+	}
+	o.asks++
+	var begins []string
+	for _, ask := range request.Asks {
+		if !o.book.IsLimited(ask.Team) {
+			begins = append(begins, ask.Team)
+		}
+	}
+	reply := &quota.Reply{IsOwner: true, Grants: o.book.Lend(now, o.until, request)}
+	for _, team := range begins {
+		if o.book.IsLimited(team) {
+			o.logger.Info().Str("team", team).Msg("team is over its quota")
+		}
+	}
+	return reply
+}
+
+// updateQuotaOwner opens the accounts after this member has become the leader, and extends the time for which it may
+// lend.
+func (m *Member) updateQuotaOwner(now time.Time) {
+	r := m.replicas[registryGroup]
+	status := r.raft.Status()
+	age, confirmed := r.raft.ConfirmedAge(now)
+	o := m.quotas
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leader = r.leaderAddress()
+	// The former leader lends, and its leases last, until the last confirmation is this old. No quorum confirmed it after
+	// it had elected this member.
+	wait := o.confirmed + o.confirmed*ownerDriftPercent/100
+	if status.Role != raft.RoleLeader || status.LeaderFor < wait || !confirmed {
+		o.term = 0
+		return
+	}
+	m.updateQuotaLimits(now)
+	if o.term != status.Term {
+		o.term = status.Term
+		o.book.Open(now)
+		o.logger.Info().Uint64("term", o.term).Int("teams", o.book.Teams()).Msg("lends the quotas of teams")
+	}
+	o.until = now.Add(o.confirmed - age)
+	for _, ended := range o.book.EndedLimitations(now) {
+		o.logger.Info().Str("team", ended.Team).Float64("rate", ended.Limit.Rate).Float64("burst", ended.Limit.Burst).
+			Int64("lasted_ms", ended.Lasted.Milliseconds()).Int64("asked", ended.Counts.Asked).
+			Int64("lent", ended.Counts.Lent).Int64("refused", ended.Counts.Refused).
+			Int64("refused_below_limit", ended.Counts.RefusedBelow).Msg("team is within its quota again")
+	}
+}
+
+// updateQuotaLimits takes the limits of the latest bundle. The caller holds the owner's lock.
+func (m *Member) updateQuotaLimits(now time.Time) {
+	latest := m.registryState.registry.State().Latest
+	if latest == nil || latest.Version == m.quotas.version {
+		return
+	}
+	current, err := m.registryState.registry.Store().Bundle(latest.Digest)
+	if err != nil {
+		m.logger.Error().Err(err).Uint64("version", latest.Version).Msg("cannot read the quotas of a bundle")
+		return
+	}
+	m.quotas.version = latest.Version
+	m.quotas.book.SetLimits(now, quota.LimitsOf(current.Teams))
+}
+
+// QuotaDump is the state of the quotas' owner; the accounts are empty on other members.
+type QuotaDump struct {
+	IsOwner  bool                  `json:"is_owner"`
+	Owner    string                `json:"owner,omitempty"`
+	Asks     int64                 `json:"asks"`
+	Accounts []quota.AccountStatus `json:"accounts,omitempty"`
+}
+
+func (o *quotaOwner) dump(now time.Time) QuotaDump {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	dump := QuotaDump{IsOwner: o.term > 0 && now.Before(o.until), Owner: o.leader, Asks: o.asks}
+	if dump.IsOwner {
+		dump.Accounts = o.book.Status(now)
+	}
+	return dump
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -144,6 +144,7 @@
 		SnapshotEntries:   uint64(loaded.Limits.SnapshotEntries),
 		ApplyWithin:       loaded.Objectives.ApplyWithin.Std(),
 		RepairWithin:      loaded.Objectives.RepairWithin.Std(),
+		QuotaBounds:       quotaBounds(loaded.Objectives),
 		Ledger:            ledger.Config{MaxTotalResponseBytes: loaded.Limits.MaxLedgerBytes},
 		Relay: relay.Config{
 			ZoneFollowers: loaded.Limits.DirectFollowers, JoinsPerSecond: float64(loaded.Limits.JoinsPerSecond),
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/retry"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/platform"
@@ -77,6 +78,7 @@
 		ID: loaded.Instance, Zone: loaded.Zone, Callers: listeners[0], Mesh: listeners[1], Admin: listeners[2],
 		Advertise: loaded.Advertise, Members: loaded.Join, Keys: keys, Identity: identity,
 		ZoneDelay: zoneDelays(loaded), Logger: logger, Limits: nodeLimits(loaded), RetryLimits: retryLimits(loaded.Objectives),
+		QuotaBounds: quotaBounds(loaded.Objectives),
 	}
 	if loaded.Platform != nil {
 		platform.ConfigureNode(&options, loaded)
@@ -133,6 +135,10 @@
 	return retry.Limits{Share: o.RetryShare, Window: o.RetryWindow.Std(), Allowance: o.RetryAllowance}
 }
 
+func quotaBounds(o settings.Objectives) quota.Bounds {
+	return quota.Bounds{Window: o.QuotaWindow.Std(), Overshoot: o.QuotaOvershoot, Allowance: o.QuotaAllowance}
+}
+
 // loadKeyring reads the public keys of the operators. The trusted operators are accepted without a signature; if there
 // are any, the file name may be empty.
 func loadKeyring(file string, trusted []string) (*bundle.Keyring, error) {
--- a/node/admin.go
+++ b/node/admin.go
@@ -11,6 +11,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/invariant"
 	"sapphiregate.example/sapphiregate/protocol"
@@ -110,6 +111,7 @@
 	Endpoints  []endpoints.Record       `json:"endpoints"`
 	Upstream   UpstreamDump             `json:"upstream"`
 	Quarantine []quarantine.Entry       `json:"quarantine,omitempty"`
+	Quotas     []quota.HoldingStatus    `json:"quotas,omitempty"`
 	Added      addedQuantiles           `json:"added_latency"`
 	Violations map[invariant.Name]int64 `json:"violations"`
 }
@@ -127,7 +129,7 @@
 	dump := Dump{
 		ID: n.id, Zone: n.options.Zone, Incarnation: n.incarnation, Version: n.Version(),
 		Quarantine: n.quarantine.Entries(time.Now()), Added: n.metrics.quantiles(), Violations: invariant.Counts(),
-		Upstream: n.executor.dump(r),
+		Upstream: n.executor.dump(r), Quotas: n.quotas.status(),
 	}
 	if current := n.snapshot.Load(); current != nil {
 		dump.Digest = current.digest.String()
--- a/node/control.go
+++ b/node/control.go
@@ -122,6 +122,7 @@
 	}
 	n.snapshot.Store(next)
 	n.refreshAll = true
+	n.quotas.setTeams(output.Bundle.Teams)
 	n.executor.reconfigure()
 	n.peer.Activated(now, next.version)
 	n.metrics.activations.Inc()
@@ -158,7 +159,7 @@
 	if n.refreshAll || len(services) > maxPartialServices {
 		n.refreshAll = false
 		n.balancer.Update(now, n.balancerEndpoints(now, n.peer.Table().All()), current.services)
-		n.fleet.SetNodes(len(n.knownEndpoints))
+		n.setNodes(len(n.knownEndpoints))
 		return
 	}
 	var records []endpoints.Record
@@ -166,7 +167,13 @@
 		records = append(records, n.peer.Table().OfService(service)...)
 	}
 	n.balancer.UpdateServices(now, services, n.balancerEndpoints(now, records), current.services)
-	n.fleet.SetNodes(len(n.knownEndpoints))
+	n.setNodes(len(n.knownEndpoints))
+}
+
+// setNodes tells the parts that divide something among the nodes how many there are.
+func (n *Node) setNodes(count int) {
+	n.fleet.SetNodes(count)
+	n.quotas.setNodes(count)
 }
 
 // changedServices lists the services to which changed records belong or belonged before. It deletes records that are no
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -17,6 +17,7 @@
 	}
 	return n.control.Query(context.Background(), func(time.Time) {
 		n.snapshot.Store(next)
+		n.quotas.setTeams(b.Teams)
 		n.executor.reconfigure()
 	})
 }
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -55,6 +55,10 @@
 	exclusive bool
 	// tried lists the IDs of the instances to which the call was sent, in order.
 	tried []string
+	// runs counts the attempts that an upstream may have run.
+	runs atomic.Int32
+	// quotaRetryAfter is when the caller may return if its team has used up its quota.
+	quotaRetryAfter time.Duration
 	// externalTime is the part of the last attempt that was not spent in sapphiregate's processes: the upstream's
 	// time and the delay of the links between zones.
 	externalTime time.Duration
@@ -82,7 +86,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	reply := call.confirmNotRun(ctx, call.forward(ctx))
+	reply := call.confirmNotRun(ctx, call.forwardWithinQuota(ctx))
 	defer reply.finish()
 	n.metrics.observeRequest(call.route.Class, reply.metadata.Outcome, time.Since(started))
 	n.requestLog.requestEnded(call, reply)
@@ -328,6 +332,7 @@
 	meta.Exclusive = c.exclusive
 	meta.Retry = c.metadata.Retry || isRetry
 	reply := c.node.send(ctx, target, &meta, &c.body, onAcknowledged)
+	c.chargeRepeatedRun(reply)
 	if c.limitedBody != nil && c.limitedBody.exceeded.Load() && reply.metadata.Outcome != protocol.OutcomeDone {
 		reply.metadata.Reason = protocol.ReasonTooLarge
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,6 +30,9 @@
 	truncatedResponses prometheus.Counter
 	waitTime           prometheus.Histogram
 	lateStarts         prometheus.Counter
+	quotaRequests      *prometheus.CounterVec
+	quotaAsks          *prometheus.CounterVec
+	quotaWaitTime      prometheus.Histogram
 	refusedCalls       *prometheus.CounterVec
 	upstreamTime       prometheus.Histogram
 	upstreamCrashes    prometheus.Counter
@@ -54,9 +57,12 @@
 		hedges:          r.Counter("hedges_total", "Attempts beside a first one that showed no sign of life."),
 		truncatedResponses: r.Counter("cut_answers_total",
 			"Streamed answers that an upstream cut; the caller's connection was aborted."),
-		waitTime:     r.Latency("upstream_wait_seconds", "Time for which a call waited for a slot of the upstream beside the node."),
-		lateStarts:   r.Counter("upstream_late_starts_total", "Calls that got a slot after the time of their target."),
-		refusedCalls: r.Counters("upstream_refusals_total", "Calls that got no slot of the upstream beside the node.", "reason"),
+		waitTime:      r.Latency("upstream_wait_seconds", "Time for which a call waited for a slot of the upstream beside the node."),
+		lateStarts:    r.Counter("upstream_late_starts_total", "Calls that got a slot after the time of their target."),
+		quotaRequests: r.Counters("quota_requests_total", "Requests of teams with a quota, by the decision.", "decision"),
+		quotaAsks:     r.Counters("quota_asks_total", "Requests for tokens to control members, by their result.", "result"),
+		quotaWaitTime: r.Latency("quota_wait_seconds", "Time for which a request waited for a token of its team's quota."),
+		refusedCalls:  r.Counters("upstream_refusals_total", "Calls that got no slot of the upstream beside the node.", "reason"),
 		upstreamTime: r.Latency("upstream_seconds",
 			"Time from a request written to the upstream beside the node to its answer."),
 		upstreamCrashes: r.Counter("upstream_crashes_total", "Crashes of the upstream beside the node."),
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/coordination/retry"
 	"sapphiregate.example/sapphiregate/coordination/shutdown"
@@ -68,6 +69,8 @@
 	OnApplied func(approval bundle.Approval, b *bundle.Bundle, at time.Time)
 	// RetryLimits bounds the retries of all nodes together; zero fields mean the defaults.
 	RetryLimits retry.Limits
+	// QuotaBounds says by how much all nodes together may exceed a team's quota.
+	QuotaBounds quota.Bounds
 	// Relay overrides the limits of the distribution tree; zero fields mean the defaults.
 	Relay relay.Config
 }
@@ -139,6 +142,7 @@
 	delays     *zonedelay.Estimator
 	// fleet holds this node's share of the retries.
 	fleet      *retry.Fleet
+	quotas     *quotas
 	requests   requestTracker
 	requestLog *requestLog
 	// closeConnections makes responses ask callers to close their connections.
@@ -151,6 +155,7 @@
 
 	controlPool *rpc.Pool
 	ledgerPool  *rpc.Pool
+	quotaPool   *rpc.Pool
 	calls       *rpc.Pool
 	// probes holds the connections for probes of failed instances.
 	probes   *rpc.Pool
@@ -204,6 +209,7 @@
 	n.delays = zonedelay.New(options.ZoneDelay)
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: n.zoneDelay})
 	n.fleet = retry.NewFleet(options.RetryLimits)
+	n.quotas = newQuotas(n)
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
 	n.executor = n.newExecutor()
 	n.liveness = &liveness{
@@ -235,6 +241,7 @@
 	}
 	n.controlPool = rpc.NewPool(n.options.ControlDialer, transport)
 	n.ledgerPool = rpc.NewPool(n.options.LedgerDialer, transport)
+	n.quotaPool = rpc.NewPool(n.options.ControlDialer, transport)
 	n.calls = rpc.NewPool(n.options.CallDialer, transport)
 	n.probes = rpc.NewPool(n.options.CallDialer, transport)
 	n.mesh = rpc.NewServer(n.options.Mesh, transport)
@@ -289,6 +296,7 @@
 // SetJoinAddresses replaces the addresses by which the node joins the mesh.
 func (n *Node) SetJoinAddresses(addresses []string) {
 	n.control.Post(func(time.Time) { n.peer.SetJoinAddresses(addresses) })
+	n.quotas.setMembers(addresses)
 }
 
 // Follow serves a child of this node in the distribution tree.
--- a/node/response.go
+++ b/node/response.go
@@ -21,6 +21,8 @@
 // "key" is its idempotency key.
 const PathOutcome = "/.sapphire/outcome"
 
+const headerRetryAfter = "Retry-After"
+
 // callerWriteTimeout bounds how long a caller may take to read a response that the node holds completely.
 const callerWriteTimeout = 10 * time.Second
 
@@ -50,6 +52,7 @@
 	protocol.ReasonNoRoute:           "no route of the configuration in force matches this request",
 	protocol.ReasonUnknownKey:        "no team has this key in the configuration in force",
 	protocol.ReasonQuota:             "the team has used up its quota; try again later",
+	protocol.ReasonQuotaUnknown:      "the control members cannot be reached, which hold the team's quota; try again later",
 	protocol.ReasonNotReady:          "this node has no configuration yet; try another node",
 	protocol.ReasonNoUpstream:        "no upstream of the service takes calls; try again later",
 	protocol.ReasonShed:              "the upstreams are full; try again later",
@@ -177,9 +180,9 @@
 		header.Set(protocol.HeaderReason, string(reason))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests {
+	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests && header.Get(headerRetryAfter) == "" {
 		after := retry.After(retryCauses[reason], balanceLoad(load), rand.Float64())
-		header.Set("Retry-After", n.formatRetryAfter(after))
+		header.Set(headerRetryAfter, n.formatRetryAfter(after))
 	}
 	w.WriteHeader(status)
 	text := reasonTexts[reason]
@@ -196,6 +199,7 @@
 	protocol.ReasonUnreachable:     retry.CauseTransient,
 	protocol.ReasonNodeFailed:      retry.CauseTransient,
 	protocol.ReasonNoUpstream:      retry.CauseUnavailable,
+	protocol.ReasonQuotaUnknown:    retry.CauseUnavailable,
 	protocol.ReasonNotReady:        retry.CauseUnavailable,
 	protocol.ReasonDraining:        retry.CauseUnavailable,
 }
@@ -224,6 +228,9 @@
 	case protocol.OutcomeDone:
 		c.writeResponse(w, reply)
 	case protocol.OutcomeNotRun:
+		if c.quotaRetryAfter > 0 {
+			header.Set(headerRetryAfter, c.node.formatRetryAfter(c.quotaRetryAfter))
+		}
 		c.node.writeOutcome(w, protocol.OutcomeNotRun, reply.metadata.Reason, refusalStatusCode(reply.metadata.Reason),
 			reply.metadata.Load)
 	default:
--- a/node/stop.go
+++ b/node/stop.go
@@ -133,6 +133,7 @@
 	_ = n.admin.Close()
 	n.controlPool.Close()
 	n.ledgerPool.Close()
+	n.quotaPool.Close()
 	n.liveness.stop()
 	n.calls.Close()
 	n.probes.Close()
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -78,4 +78,6 @@
 	ReasonUnknownKey Reason = "unknown-key"
 	// ReasonQuota means that the caller's team has used up its quota.
 	ReasonQuota Reason = "quota"
+	// ReasonQuotaUnknown means that the node cannot learn whether the caller's team has used up its quota.
+	ReasonQuotaUnknown Reason = "quota-unknown"
 )
--- a/transport/rpc/client.go
+++ b/transport/rpc/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -236,6 +237,11 @@
 	return invokeMember[protocol.IdentifyReply](ctx, p, address, methodIdentify, request)
 }
 
+// Lend asks a control member for tokens of the teams' quotas.
+func (p *Pool) Lend(ctx context.Context, address string, request *quota.Request) (*quota.Reply, error) {
+	return invoke[quota.Reply](ctx, p, address, methodLend, request)
+}
+
 // invokeMember makes a unary call to a control member. If that does not reply in time, further calls use another
 // connection: this one may have gone silent.
 func invokeMember[Reply any](ctx context.Context, p *Pool, address, method string, request any) (*Reply, error) {
--- a/transport/rpc/service.go
+++ b/transport/rpc/service.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/grpc"
 
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -55,6 +56,11 @@
 	Step(address string, frame *protocol.StepFrame)
 }
 
+// QuotaLender lends tokens of the teams' quotas to nodes.
+type QuotaLender interface {
+	Lend(ctx context.Context, request *quota.Request) (*quota.Reply, error)
+}
+
 const (
 	methodFollow   = "/sapphiregate.Mesh/Follow"
 	methodCall     = "/sapphiregate.Mesh/Call"
@@ -62,6 +68,7 @@
 	methodPropose  = "/sapphiregate.Control/Propose"
 	methodIdentify = "/sapphiregate.Control/Identify"
 	methodStep     = "/sapphiregate.Raft/Step"
+	methodLend     = "/sapphiregate.Quota/Lend"
 )
 
 var followServiceDesc = grpc.ServiceDesc{
@@ -105,6 +112,12 @@
 	},
 }
 
+var quotaServiceDesc = grpc.ServiceDesc{
+	ServiceName: "sapphiregate.Quota",
+	HandlerType: (*QuotaLender)(nil),
+	Methods:     []grpc.MethodDesc{{MethodName: "Lend", Handler: unary(methodLend, QuotaLender.Lend)}},
+}
+
 // unary adapts a typed method to the handler signature of grpc-go.
 func unary[Server, Request, Reply any](
 	method string, call func(Server, context.Context, *Request) (*Reply, error),
