quota: a new owner opens its accounts with a credit, and a shortage at its beginning refuses nobody

Nodes asked the frozen member again as long as the others named it.

Change: three eighths of what may exceed the quota are the credit of an opening, given at most once in a window; half is for tokens that are lent, an eighth for the reserve of the nodes. For a second after the opening a shortage lets requests wait instead of refusing them. A member that did not reply is not asked for a second. Requests that no owner answers are told to come back after about an election.

--- a/control/quota.go
+++ b/control/quota.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -19,8 +20,12 @@
 	confirmationMargin = 150 * time.Millisecond
 	// ownerDriftPercent is added to the wait of a new owner, because the clocks of two members may differ in rate.
 	ownerDriftPercent = 2
+	// maxOpeningDelay is the time after a new owner may lend in which it opens its accounts with credit, if it does.
+	maxOpeningDelay = time.Second
 	// defaultQuotaHeartbeat is the interval of heartbeats if the options set none.
 	defaultQuotaHeartbeat = 150 * time.Millisecond
+	// defaultQuotaElection is the election timeout if the options set none.
+	defaultQuotaElection = time.Second
 )
 
 // quotaOwner holds the accounts of the teams' quotas. The leader of the registry's group is the owner while a quorum has
@@ -29,6 +34,9 @@
 	logger zerolog.Logger
 	// confirmed is the time for which a confirmation by a quorum allows to lend.
 	confirmed time.Duration
+	// creditInterval is how long the term before that of an owner must have lasted if the owner opens its accounts with
+	// credit: the owner of that term then opened its own more than a window ago.
+	creditInterval time.Duration
 
 	mu   sync.Mutex
 	book *quota.Book
@@ -37,20 +45,42 @@
 	// until is the time until which this member may lend, and at which all that it has lent has expired.
 	until  time.Time
 	leader string
+	// seenTerm is the present term and seenTermAt when this process saw it first; formerTermAt is the same of the term
+	// before it, or of this one if a term between them was missed.
+	seenTerm                 uint64
+	seenTermAt, formerTermAt time.Time
 	// version is that of the limits.
 	version uint64
 	asks    int64
 }
 
 func newQuotaOwner(options *Options, logger zerolog.Logger) *quotaOwner {
-	heartbeat := options.HeartbeatInterval
-	if heartbeat == 0 {
-		heartbeat = defaultQuotaHeartbeat
-	}
+	heartbeat := cmp.Or(options.HeartbeatInterval, defaultQuotaHeartbeat)
+	election := cmp.Or(options.ElectionTimeout, defaultQuotaElection)
+	confirmed := confirmationRounds*heartbeat + confirmationMargin
 	return &quotaOwner{
-		logger: logger, book: quota.NewBook(options.QuotaBounds),
-		confirmed: confirmationRounds*heartbeat + confirmationMargin,
+		logger: logger, book: quota.NewBook(options.QuotaBounds), confirmed: confirmed,
+		// A process may see a term from its first vote on, up to one and a half timeouts before the leader is elected.
+		creditInterval: options.QuotaBounds.Window + election*3/2 + openingWait(confirmed) + maxOpeningDelay,
+	}
+}
+
+// openingWait returns how long after its election a new owner waits: the former one lends, and its leases last, until the
+// last confirmation of its leadership is too old. No quorum confirmed it after it had elected another leader.
+func openingWait(confirmed time.Duration) time.Duration {
+	return confirmed + confirmed*ownerDriftPercent/100
+}
+
+// observeTerm notes when terms began. The caller holds the lock.
+func (o *quotaOwner) observeTerm(now time.Time, term uint64) {
+	if term == o.seenTerm {
+		return
+	}
+	o.formerTermAt = o.seenTermAt
+	if term != o.seenTerm+1 || o.seenTermAt.IsZero() {
+		o.formerTermAt = now
 	}
+	o.seenTerm, o.seenTermAt = term, now
 }
 
 // Lend answers a node that asks for tokens.
@@ -90,9 +120,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.leader = r.leaderAddress()
-	// The former leader lends, and its leases last, until the last confirmation is this old. No quorum confirmed it after
-	// it had elected this member.
-	wait := o.confirmed + o.confirmed*ownerDriftPercent/100
+	o.observeTerm(now, status.Term)
+	wait := openingWait(o.confirmed)
 	if status.Role != raft.RoleLeader || status.LeaderFor < wait || !confirmed {
 		o.term = 0
 		return
@@ -100,8 +129,10 @@
 	m.updateQuotaLimits(now)
 	if o.term != status.Term {
 		o.term = status.Term
-		o.book.Open(now)
-		o.logger.Info().Uint64("term", o.term).Int("teams", o.book.Teams()).Msg("lends the quotas of teams")
+		credit := status.LeaderFor < wait+maxOpeningDelay && now.Sub(o.formerTermAt) > o.creditInterval
+		o.book.Open(now, credit)
+		o.logger.Info().Uint64("term", o.term).Int("teams", o.book.Teams()).Bool("credit", credit).
+			Msg("lends the quotas of teams")
 	}
 	o.until = now.Add(o.confirmed - age)
 	for _, ended := range o.book.EndedLimitations(now) {
--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -21,6 +21,9 @@
 	askerMemory = time.Second
 	// minWait is the shortest time after which callers are told to come back.
 	minWait = 50 * time.Millisecond
+	// openingTime is the time after which an account that was opened nearly empty shows whether its team exceeds its limit.
+	// Before that, a shortage says nothing about the team.
+	openingTime = time.Second
 	// demandSlots is the number of parts of a window in which demand is counted.
 	demandSlots = 10
 )
@@ -46,10 +49,11 @@
 
 // account is a token bucket of one team. Its level and the tokens that are lent never exceed its capacity together.
 type account struct {
-	bounds Bounds
-	limit  Limit
-	shares shares
-	level  float64
+	bounds   Bounds
+	limit    Limit
+	shares   shares
+	level    float64
+	openedAt time.Time
 	// updated is the time up to which the level was refilled.
 	updated time.Time
 	// leases is in the order of expiry, which is also that of their IDs.
@@ -69,10 +73,11 @@
 	before Counts
 }
 
-// newAccount opens an account that was empty at a time.
-func newAccount(bounds Bounds, limit Limit, emptyAt time.Time) *account {
+// newAccount opens an account that is empty at a time.
+func newAccount(bounds Bounds, limit Limit, openedAt time.Time) *account {
 	return &account{
-		bounds: bounds, limit: limit, shares: bounds.divide(limit), updated: emptyAt, askers: make(map[string]time.Time),
+		bounds: bounds, limit: limit, shares: bounds.divide(limit), openedAt: openedAt, updated: openedAt,
+		askers: make(map[string]time.Time),
 		demand: demand{slot: bounds.Window / demandSlots},
 	}
 }
@@ -126,10 +131,12 @@
 		spare := a.level - float64(grant.Tokens) - spareShare*a.shares.capacity
 		grant.Tokens += min(max(ask.Want, 0), max(0, wholeTokens(spare/spareDivisor)))
 	}
-	a.observeRefusals(now, ask.Refused+max(0, ask.Need-grant.Tokens))
-	if grant.Tokens < ask.Need {
+	short := max(0, ask.Need-grant.Tokens)
+	if short > 0 && now.Sub(a.openedAt) >= openingTime {
+		a.observeRefusals(now, short)
 		grant.RetryAfter, grant.Pause = a.retryAfter(), a.pause()
 	}
+	a.observeRefusals(now, ask.Refused)
 	if grant.Tokens == 0 {
 		return grant
 	}
--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -10,8 +10,10 @@
 type Book struct {
 	bounds   Bounds
 	openedAt time.Time
-	limits   map[string]Limit
-	accounts map[string]*account
+	// hasCredit is set if the accounts were opened with their credit.
+	hasCredit bool
+	limits    map[string]Limit
+	accounts  map[string]*account
 }
 
 // NewBook returns a book without teams.
@@ -20,9 +22,10 @@
 }
 
 // Open empties all accounts, when this member has become the owner and no lease of a former owner can be spent any more.
-// The accounts refill from now on: what all nodes spend stays within the limits whatever the former owner lent.
-func (b *Book) Open(now time.Time) {
-	b.openedAt = now
+// The accounts refill from now on: what all nodes spend stays within the limits whatever the former owner lent. With
+// credit, they begin with their opening credit; no other owner may have opened with credit within the last window.
+func (b *Book) Open(now time.Time, credit bool) {
+	b.openedAt, b.hasCredit = now, credit
 	clear(b.accounts)
 }
 
@@ -68,6 +71,9 @@
 	a := b.accounts[team]
 	if a == nil {
 		a = newAccount(b.bounds, limit, b.openedAt)
+		if b.hasCredit {
+			a.level = a.shares.opening
+		}
 		b.accounts[team] = a
 	}
 	return a
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -220,17 +220,13 @@
 }
 
 // Receive takes the grants of the reply to a request that was sent at a time.
-func (h *Holder) Receive(now, sent time.Time, request *Request, grants []Grant) {
-	needs := make(map[string]int, len(request.Asks))
-	for _, ask := range request.Asks {
-		needs[ask.Team] = ask.Need
-	}
+func (h *Holder) Receive(now, sent time.Time, grants []Grant) {
 	for _, grant := range grants {
 		held := h.teams[grant.Team]
 		if held == nil {
 			continue
 		}
-		if grant.Tokens < needs[grant.Team] {
+		if grant.RetryAfter > 0 {
 			held.pausedUntil, held.retryAt = now.Add(grant.Pause), now.Add(grant.RetryAfter)
 		}
 		held.counts.Lent += int64(grant.Tokens)
--- a/coordination/quota/limits.go
+++ b/coordination/quota/limits.go
@@ -44,9 +44,12 @@
 }
 
 const (
-	// reserveShare is the part of what may exceed the quota that nodes may spend without the owner. The rest is needed for
-	// tokens that are lent but not spent.
-	reserveShare = 0.25
+	// ownedShare, openingShare and reserveShare divide what may exceed the quota: among tokens that are lent but not spent,
+	// the first tokens of a new owner, and what nodes may spend without an owner. The last of these is the least: a small
+	// team's part of it is less than one token for each node.
+	ownedShare   = 0.5
+	openingShare = 0.375
+	reserveShare = 0.125
 	// minLifetime is the shortest lifetime of a lease. It exceeds the time of a reply between zones.
 	minLifetime = 50 * time.Millisecond
 	// maxLifetime bounds for how long tokens are lost that a node holds while it stops or is cut off.
@@ -55,13 +58,15 @@
 
 // shares divides what a team may spend. In any window, all nodes together spend at most
 //
-//	rate*window + capacity + reserve <= (rate*window + burst)*(1 + overshoot) + allowance
+//	rate*window + capacity + opening + reserve <= (rate*window + burst)*(1 + overshoot) + allowance
 //
-// since the level of the account and all tokens that are lent never exceed the capacity together, and each token of the
-// reserve is spent at most once in a window.
+// since the level of the account and all tokens that are lent never exceed the capacity together, accounts are opened
+// with a credit at most once in a window, and each token of the reserve is spent at most once in it.
 type shares struct {
 	// capacity bounds the level of the account and the tokens that are lent, together.
 	capacity float64
+	// opening is the credit with which a new owner may open the account.
+	opening float64
 	// reserve is what all nodes together may spend in a window without the owner.
 	reserve float64
 	// lifetime is that of a lease. Tokens that are spent count as lent until it ends, which takes rate*lifetime of the
@@ -71,7 +76,7 @@
 
 func (b Bounds) divide(limit Limit) shares {
 	slack := b.Overshoot*(limit.Rate*b.Window.Seconds()+limit.Burst) + b.Allowance
-	owned := (1 - reserveShare) * slack
+	owned := ownedShare * slack
 	lifetime := maxLifetime
 	if limit.Rate > 0 {
 		lifetime = time.Duration(min(maxLifetime.Seconds(), owned/limit.Rate) * float64(time.Second))
@@ -79,6 +84,7 @@
 	return shares{
 		// An account of less than one token could lend nothing.
 		capacity: max(1, limit.Burst+owned),
+		opening:  openingShare * slack,
 		reserve:  reserveShare * slack,
 		lifetime: max(minLifetime, lifetime),
 	}
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -45,8 +45,8 @@
 	Tokens int    `cbor:"3,keyasint,omitempty"`
 	// Lifetime is the time for which the tokens may be spent, counted from the time at which the node sent its request.
 	Lifetime time.Duration `cbor:"4,keyasint,omitempty"`
-	// If there are fewer tokens than the node needs, RetryAfter is when callers may expect to be let in, and Pause is the
-	// time for which the node does not ask again.
+	// If the team has used up its quota, RetryAfter is when callers may expect to be let in, and Pause is the time for
+	// which the node does not ask again. Both are 0 if there are fewer tokens than needed for another reason.
 	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
 	Pause      time.Duration `cbor:"6,keyasint,omitempty"`
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -25,8 +25,9 @@
 const (
 	step = 5 * time.Millisecond
 	// maxWait is how long a request waits for the owner, and askTimeout how long a node does.
-	maxWait    = 200 * time.Millisecond
-	askTimeout = 400 * time.Millisecond
+	maxWait     = 200 * time.Millisecond
+	askTimeout  = 300 * time.Millisecond
+	askInterval = 20 * time.Millisecond
 	// confirmation is how long an owner that has lost contact with the other members goes on to lend, and election the
 	// time until there is another leader.
 	confirmation = 750 * time.Millisecond
@@ -70,9 +71,11 @@
 	// owner lends; former still does for a while after another member was elected.
 	owner, former         *quota.Book
 	ownerFrom, formerTill time.Duration
-	asked, allowed        map[string]int
-	runs                  map[string][]time.Duration
-	asks                  int
+	// credited is when an owner last opened its accounts with credit.
+	credited       time.Duration
+	asked, allowed map[string]int
+	runs           map[string][]time.Duration
+	asks           int
 }
 
 func newSimulation(seed int64, nodes int, teams map[string]*team) *simulation {
@@ -86,7 +89,7 @@
 	}
 	s.owner = s.newOwner()
 	// Idle since long before the load begins: as full as they get.
-	s.owner.Open(begin.Add(-time.Minute))
+	s.owner.Open(begin.Add(-time.Minute), false)
 	return s
 }
 
@@ -103,7 +106,10 @@
 func (s *simulation) newOwner() *quota.Book {
 	book := quota.NewBook(bounds)
 	book.SetLimits(s.time(), s.limits())
-	book.Open(s.time())
+	book.Open(s.time(), s.now-s.credited >= bounds.Window)
+	if s.now-s.credited >= bounds.Window {
+		s.credited = s.now
+	}
 	return book
 }
 
@@ -175,7 +181,7 @@
 // exchange delivers a reply, settles the requests that wait and sends the next request.
 func (s *simulation) exchange(n *simulatedNode) {
 	if n.request != nil && n.grants != nil && s.now >= n.replyAt && s.now >= n.cut {
-		n.holder.Receive(s.time(), begin.Add(n.sent), n.request, n.grants)
+		n.holder.Receive(s.time(), begin.Add(n.sent), n.grants)
 		n.request = nil
 	}
 	if n.request != nil && s.now-n.sent > askTimeout {
@@ -196,7 +202,7 @@
 			counts[name] = len(n.waiting[name])
 		}
 	}
-	if n.request != nil || len(counts) == 0 {
+	if n.request != nil || len(counts) == 0 || s.now-n.sent < askInterval {
 		return
 	}
 	request, _ := n.holder.Request(s.time(), counts)
--- a/node/quota.go
+++ b/node/quota.go
@@ -22,15 +22,22 @@
 	// short beside the times in which callers expect a response.
 	quotaMaxWait = 200 * time.Millisecond
 	// quotaAskTimeout bounds one request to a control member. Tokens of a later reply would mostly have expired.
-	quotaAskTimeout = 400 * time.Millisecond
+	quotaAskTimeout = 300 * time.Millisecond
 	// quotaAskInterval is the least time between two requests to the owner, so that requests that arrive meanwhile share
 	// the next one.
 	quotaAskInterval = 20 * time.Millisecond
+	// quotaShortInterval takes its place while an owner that has just begun is short of tokens.
+	quotaShortInterval = 50 * time.Millisecond
 	// quotaRetryDelay and quotaMaxRetryDelay bound the growing pause after a request that got no grants.
 	quotaRetryDelay    = 25 * time.Millisecond
 	quotaMaxRetryDelay = 200 * time.Millisecond
 	// quotaLostAfter is the time without an owner after which requests no longer wait for one.
 	quotaLostAfter = 500 * time.Millisecond
+	// quotaAvoidTime is the time for which a member that did not reply is not asked again, unless no other is known: the
+	// other members name it as the owner until they have elected another.
+	quotaAvoidTime = time.Second
+	// quotaLostRetryAfter is about the time in which the members elect another leader.
+	quotaLostRetryAfter = time.Second
 	// quotaRetrySpread is the largest random share by which callers that were refused return later.
 	quotaRetrySpread = 0.25
 )
@@ -71,6 +78,11 @@
 	lostSince  time.Time
 	retryDelay time.Duration
 	lastAsk    time.Time
+	// short is set if requests still waited after the last reply.
+	short bool
+	// avoided did not reply and is not asked until avoidedUntil.
+	avoided      string
+	avoidedUntil time.Time
 }
 
 func newQuotas(n *Node) *quotas {
@@ -170,13 +182,13 @@
 			return quota.Token{}, abandonReason(ctx)
 		}
 	}
-	return q.withoutOwner(team)
+	return q.withoutOwner(c)
 }
 
 // conclude turns a decision into the reason of a refusal, if it is one.
 func (q *quotas) conclude(c *ingressCall, decision quota.Decision) (quota.Token, protocol.Reason) {
 	if decision.Verdict == quota.OverQuota {
-		c.quotaRetryAfter = time.Duration(float64(decision.RetryAfter) * (1 + quotaRetrySpread*rand.Float64()))
+		c.quotaRetryAfter = spread(decision.RetryAfter)
 		q.node.metrics.quotaRequests.WithLabelValues(quotaRefused).Inc()
 		return quota.Token{}, protocol.ReasonQuota
 	}
@@ -209,15 +221,21 @@
 	return quota.Decision{}, false
 }
 
-// withoutOwner decides about a request for which the owner cannot be reached.
-func (q *quotas) withoutOwner(team string) (quota.Token, protocol.Reason) {
+// spread lengthens a time by a random share, so that callers that are refused together do not return together.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + quotaRetrySpread*rand.Float64()))
+}
+
+// withoutOwner decides about a request that got no answer from an owner.
+func (q *quotas) withoutOwner(c *ingressCall) (quota.Token, protocol.Reason) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.holder.TakeReserve(clock.Now(), team) {
+	if q.holder.TakeReserve(clock.Now(), c.team.Name) {
 		q.node.metrics.quotaRequests.WithLabelValues(quotaReserved).Inc()
 		return quota.Token{}, protocol.ReasonNone
 	}
 	q.node.metrics.quotaRequests.WithLabelValues(quotaUnknown).Inc()
+	c.quotaRetryAfter = spread(quotaLostRetryAfter)
 	return quota.Token{}, protocol.ReasonQuotaUnknown
 }
 
@@ -265,7 +283,7 @@
 			// The connection may have gone silent.
 			q.node.quotaPool.Forget(address)
 		}
-		if !q.receive(sent, address, request, reply, err) {
+		if !q.receive(sent, address, reply, err) {
 			return
 		}
 	}
@@ -274,7 +292,11 @@
 func (q *quotas) untilNextAsk() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return max(q.retryDelay, quotaAskInterval-clock.Now().Sub(q.lastAsk))
+	interval := quotaAskInterval
+	if len(q.waiting) > 0 && q.short {
+		interval = quotaShortInterval
+	}
+	return max(q.retryDelay, interval-clock.Now().Sub(q.lastAsk))
 }
 
 // nextRequest returns the next request and the member to which it is sent; nil if there is nothing to ask for.
@@ -288,11 +310,7 @@
 		needs[team] = len(waiters)
 	}
 	request, ok := q.holder.Request(now, needs)
-	address := q.owner
-	if address == "" && len(q.members) > 0 {
-		address = q.members[q.nextMember%len(q.members)]
-		q.nextMember++
-	}
+	address := q.chooseMember(now)
 	// While there is no owner, an empty request finds out whether there is one again.
 	if q.node.ctx.Err() != nil || address == "" || !ok && q.lostSince.IsZero() {
 		q.asking = false
@@ -302,8 +320,27 @@
 	return request, address
 }
 
+// chooseMember returns the owner or, if it is not known or does not reply, the members in turn. The caller holds the lock.
+func (q *quotas) chooseMember(now time.Time) string {
+	avoided := ""
+	if now.Before(q.avoidedUntil) {
+		avoided = q.avoided
+	}
+	if q.owner != "" && q.owner != avoided {
+		return q.owner
+	}
+	for range q.members {
+		address := q.members[q.nextMember%len(q.members)]
+		q.nextMember++
+		if address != avoided || len(q.members) == 1 {
+			return address
+		}
+	}
+	return ""
+}
+
 // receive takes the reply to a request. It reports whether there is more to ask for.
-func (q *quotas) receive(sent time.Time, address string, request *quota.Request, reply *quota.Reply, err error) bool {
+func (q *quotas) receive(sent time.Time, address string, reply *quota.Reply, err error) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := clock.Now()
@@ -311,13 +348,14 @@
 	case err != nil:
 		q.node.metrics.quotaAsks.WithLabelValues("failed").Inc()
 		q.owner = ""
+		q.avoided, q.avoidedUntil = address, now.Add(quotaAvoidTime)
 	case !reply.IsOwner:
 		q.node.metrics.quotaAsks.WithLabelValues("not-owner").Inc()
 		q.owner = reply.Owner
 	default:
 		q.node.metrics.quotaAsks.WithLabelValues("granted").Inc()
 		q.owner = address
-		q.holder.Receive(now, sent, request, reply.Grants)
+		q.holder.Receive(now, sent, reply.Grants)
 	}
 	redirected := err == nil && !reply.IsOwner && reply.Owner != "" && reply.Owner != address
 	switch {
@@ -333,6 +371,7 @@
 		}
 	}
 	q.settle(now)
+	q.short = len(q.waiting) > 0
 	q.asking = len(q.waiting) > 0 && q.node.ctx.Err() == nil
 	return q.asking
 }
