raft, quota: votes tell how long leaders have been silent, and a new owner waits only for the rest

Change: a vote carries the time since the voter last replied to a leader, was one, or started. A quorum that confirmed the former leader shares a member with the quorum that voted, so the last confirmation is at least as old as the shortest of these times. A forced election after a transfer reports a short silence and gains nothing; members without the field report 0.

--- a/control/quota.go
+++ b/control/quota.go
@@ -51,7 +51,8 @@
 	seenTermAt, formerTermAt time.Time
 	// version is that of the limits.
 	version uint64
-	asks    int64
+	// requests counts those that were answered as the owner.
+	requests int64
 }
 
 func newQuotaOwner(options *Options, logger zerolog.Logger) *quotaOwner {
@@ -65,8 +66,8 @@
 	}
 }
 
-// openingWait returns how long after its election a new owner waits: the former one lends, and its leases last, until the
-// last confirmation of its leadership is too old. No quorum confirmed it after it had elected another leader.
+// openingWait returns how long a new owner waits, counted from the last message of a former leader to which a quorum
+// replied: the former owner lends, and its leases last, until the last confirmation of its leadership is too old.
 func openingWait(confirmed time.Duration) time.Duration {
 	return confirmed + confirmed*ownerDriftPercent/100
 }
@@ -94,7 +95,7 @@
 	if o.term == 0 || !now.Before(o.until) {
 		return &quota.Reply{Owner: o.leader}
 	}
-	o.asks++
+	o.requests++
 	var begins []string
 	for _, ask := range request.Asks {
 		if !o.book.IsLimited(ask.Team) {
@@ -122,7 +123,7 @@
 	o.leader = r.leaderAddress()
 	o.observeTerm(now, status.Term)
 	wait := openingWait(o.confirmed)
-	if status.Role != raft.RoleLeader || status.LeaderFor < wait || !confirmed {
+	if status.Role != raft.RoleLeader || status.LeaderFor+status.FormerSilence < wait || !confirmed {
 		o.term = 0
 		return
 	}
@@ -158,20 +159,12 @@
 	m.quotas.book.SetLimits(now, quota.LimitsOf(current.Teams))
 }
 
-// QuotaDump is the state of the quotas' owner; the accounts are empty on other members.
-type QuotaDump struct {
-	IsOwner  bool                  `json:"is_owner"`
-	Owner    string                `json:"owner,omitempty"`
-	Asks     int64                 `json:"asks"`
-	Accounts []quota.AccountStatus `json:"accounts,omitempty"`
-}
-
-func (o *quotaOwner) dump(now time.Time) QuotaDump {
+func (o *quotaOwner) status(now time.Time) quota.OwnerStatus {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	dump := QuotaDump{IsOwner: o.term > 0 && now.Before(o.until), Owner: o.leader, Asks: o.asks}
-	if dump.IsOwner {
-		dump.Accounts = o.book.Status(now)
+	status := quota.OwnerStatus{IsOwner: o.term > 0 && now.Before(o.until), Owner: o.leader, Requests: o.requests}
+	if status.IsOwner {
+		status.Accounts = o.book.Status(now)
 	}
-	return dump
+	return status
 }
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -31,6 +31,18 @@
 	return n.leader != "" && n.now.Sub(n.leaderContact) < n.config.ElectionTimeout
 }
 
+// leaderSilence returns the time since this member last replied to a leader, or was one. A restarted member may have
+// replied until its restart.
+func (n *Node) leaderSilence() time.Duration {
+	last := n.startedAt
+	for _, at := range []time.Time{n.leaderContact, n.lastLed} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return n.now.Sub(last)
+}
+
 func (n *Node) becomeFollower(term uint64, leader MemberID) {
 	n.check(term >= n.term, "term would decrease", map[string]any{"new": term})
 	if term > n.term {
@@ -74,6 +86,7 @@
 	n.becomeFollower(n.term+1, "")
 	n.role, n.vote = RoleCandidate, n.config.ID
 	n.votes = map[MemberID]bool{n.config.ID: true}
+	n.votersSilence = n.leaderSilence()
 	if n.hasVotes(true) {
 		n.becomeLeader()
 		return
@@ -130,7 +143,7 @@
 		n.vote = m.From
 		n.resetElectionDeadline()
 	}
-	n.send(Message{To: m.From, Type: MessageVoteReply, Reject: !granted})
+	n.send(Message{To: m.From, Type: MessageVoteReply, Reject: !granted, Age: n.leaderSilence()})
 }
 
 func (n *Node) handleVoteReply(m Message) {
@@ -138,6 +151,9 @@
 		return
 	}
 	n.votes[m.From] = !m.Reject
+	if !m.Reject {
+		n.votersSilence = min(n.votersSilence, m.Age)
+	}
 	if n.hasVotes(true) {
 		n.becomeLeader()
 	} else if n.hasVotes(false) {
@@ -153,7 +169,7 @@
 	n.freshness.openPolls = nil
 	n.leaderState = leaderState{
 		progress: make(map[MemberID]*progress), deferredPolls: make(map[MemberID]uint64), termStart: n.log.last() + 1,
-		electedAt: n.now,
+		electedAt: n.now, formerSilence: n.votersSilence,
 	}
 	for _, entry := range n.log.entries[n.commit-n.log.offset:] {
 		n.leaderState.uncommittedBytes += entry.size()
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -48,6 +48,11 @@
 	electionDeadline time.Time
 	votes            map[MemberID]bool
 	quorumLost       bool
+	startedAt        time.Time
+	// lastLed is the last time at which this member was the leader.
+	lastLed time.Time
+	// votersSilence is the shortest silence of leaders that a member reported with its vote in the present election.
+	votersSilence time.Duration
 
 	leaderState leaderState
 	freshness   freshness
@@ -62,6 +67,7 @@
 type leaderState struct {
 	progress         map[MemberID]*progress
 	electedAt        time.Time
+	formerSilence    time.Duration
 	termStart        uint64 // index of the first entry of this term
 	uncommittedBytes int
 	nextHeartbeat    time.Time
@@ -119,7 +125,7 @@
 		return nil, err
 	}
 	n := &Node{
-		config: c, rng: c.Rand, now: now,
+		config: c, rng: c.Rand, now: now, startedAt: now,
 		term: r.HardState.Term, vote: r.HardState.Vote,
 		commit:   max(r.HardState.Commit, r.Snapshot.Index),
 		applied:  r.Snapshot.Index,
@@ -166,6 +172,9 @@
 	if now.After(n.now) {
 		n.now = now
 	}
+	if n.role == RoleLeader {
+		n.lastLed = n.now
+	}
 }
 
 // Tick advances the member's time and runs its timers. It must be called about every 20 ms.
@@ -393,6 +402,7 @@
 		return s
 	}
 	s.LeaderFor = n.now.Sub(n.leaderState.electedAt)
+	s.FormerSilence = n.leaderState.formerSilence
 	s.Progress = make(map[MemberID]MemberProgress)
 	for id, p := range n.leaderState.progress {
 		s.Progress[id] = p.status(n.now)
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -328,6 +328,9 @@
 	QuorumLost bool
 	// LeaderFor is the time since this member became the leader. It is set on leaders only.
 	LeaderFor time.Duration
+	// FormerSilence is a lower bound of the time from the last message of any former leader that a member of a quorum
+	// replied to until this member was elected. It is set on leaders only.
+	FormerSilence time.Duration
 	// Transferring is the target of a leadership transfer in progress.
 	Transferring MemberID
 	// Progress is set on leaders only.
