--- a/control/admin.go
+++ b/control/admin.go
@@ -8,6 +8,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
+	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/invariant"
@@ -45,7 +46,7 @@
 	Relay          relay.Status             `json:"relay"`
 	Endpoints      []endpoints.Record       `json:"endpoints,omitempty"`
 	Quarantine     []quarantine.Entry       `json:"quarantine,omitempty"`
-	Quotas         QuotaDump                `json:"quotas,omitzero"`
+	Quotas         quota.OwnerStatus        `json:"quotas,omitzero"`
 	Violations     map[invariant.Name]int64 `json:"violations"`
 }
 
@@ -86,7 +87,7 @@
 		dump.Relay = m.peer.Status()
 		dump.Endpoints = m.peer.Table().All()
 		dump.Quarantine = m.quarantine.Entries(now)
-		dump.Quotas = m.quotas.dump(now)
+		dump.Quotas = m.quotas.status(now)
 	})
 	return dump, err
 }
--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -131,12 +131,12 @@
 		spare := a.level - float64(grant.Tokens) - spareShare*a.shares.capacity
 		grant.Tokens += min(max(ask.Want, 0), max(0, wholeTokens(spare/spareDivisor)))
 	}
-	short := max(0, ask.Need-grant.Tokens)
-	if short > 0 && now.Sub(a.openedAt) >= openingTime {
-		a.observeRefusals(now, short)
-		grant.RetryAfter, grant.Pause = a.retryAfter(), a.pause()
-	}
 	a.observeRefusals(now, ask.Refused)
+	if short := ask.Need - grant.Tokens; short > 0 && now.Sub(a.openedAt) >= openingTime {
+		// The node counts what it refuses now with its next ask.
+		a.noteShortage(now)
+		grant.RetryAfter, grant.Pause = a.retryAfter(short), a.pause()
+	}
 	if grant.Tokens == 0 {
 		return grant
 	}
@@ -187,10 +187,7 @@
 	if refused <= 0 {
 		return
 	}
-	if a.shortSince.IsZero() {
-		a.shortSince, a.before = now, a.counts
-	}
-	a.lastShort = now
+	a.noteShortage(now)
 	a.counts.Refused += int64(refused)
 	if float64(a.demand.total(now)) <= a.limit.Rate*a.bounds.Window.Seconds()+a.limit.Burst {
 		a.counts.RefusedBelow += int64(refused)
@@ -198,9 +195,17 @@
 	a.backlog = min(a.backlog+float64(refused), a.limit.Rate*a.bounds.Window.Seconds())
 }
 
-// retryAfter returns the time in which the refill covers the requests that were refused.
-func (a *account) retryAfter() time.Duration {
-	wait := time.Duration((a.backlog + 1) / a.limit.Rate * float64(time.Second))
+// noteShortage begins or extends a limitation.
+func (a *account) noteShortage(now time.Time) {
+	if a.shortSince.IsZero() {
+		a.shortSince, a.before = now, a.counts
+	}
+	a.lastShort = now
+}
+
+// retryAfter returns the time in which the refill covers the requests that were refused and those that are now.
+func (a *account) retryAfter(short int) time.Duration {
+	wait := time.Duration((a.backlog + float64(short)) / a.limit.Rate * float64(time.Second))
 	return min(max(wait, minWait), a.bounds.Window)
 }
 
--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -114,6 +114,16 @@
 	return a != nil && !a.shortSince.IsZero()
 }
 
+// OwnerStatus describes a control member as the owner of the accounts. Accounts is empty unless it is the owner.
+type OwnerStatus struct {
+	IsOwner bool `json:"is_owner"`
+	// Owner is the mesh address of the leader that the member knows.
+	Owner string `json:"owner,omitempty"`
+	// Requests counts the requests of nodes that were answered since the start.
+	Requests int64           `json:"requests"`
+	Accounts []AccountStatus `json:"accounts,omitempty"`
+}
+
 // AccountStatus describes the account of one team.
 type AccountStatus struct {
 	Team     string  `json:"team"`
--- a/ctl/root.go
+++ b/ctl/root.go
@@ -68,7 +68,7 @@
 	root.AddCommand(
 		a.bundleCommand(), a.keysCommand(), a.approveCommand(), a.replaceCommand(), a.stopCommand(),
 		a.watchCommand(), a.statusCommand(), a.historyCommand(), a.membersCommand(), a.quarantineCommand(),
-		a.dumpCommand(), a.traceCommand(),
+		a.dumpCommand(), a.quotasCommand(), a.traceCommand(),
 	)
 	return root
 }
