--- a/daemon/control.go
+++ b/daemon/control.go
@@ -148,7 +148,8 @@
 		Rollout: rollout.Config{
 			CanaryShare: loaded.Objectives.CanaryShare, CanaryAllowance: loaded.Objectives.CanaryAllowance,
 		},
-		Ledger: ledger.Config{MaxTotalResponseBytes: loaded.Limits.MaxLedgerBytes},
+		QuotaBounds: quotaBounds(loaded.Objectives),
+		Ledger:      ledger.Config{MaxTotalResponseBytes: loaded.Limits.MaxLedgerBytes},
 		Relay: relay.Config{
 			ZoneFollowers: loaded.Limits.DirectFollowers, JoinsPerSecond: float64(loaded.Limits.JoinsPerSecond),
 		},
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -80,4 +80,6 @@
 	ReasonUnconfirmed Reason = "unconfirmed"
 	// ReasonQuota means that the caller's team has used up its quota.
 	ReasonQuota Reason = "quota"
+	// ReasonQuotaUnknown means that the node cannot learn whether the caller's team has used up its quota.
+	ReasonQuotaUnknown Reason = "quota-unknown"
 )
