--- a/transport/rpc/server.go
+++ b/transport/rpc/server.go
@@ -65,7 +65,9 @@
 }
 
 // ServeQuotas registers the handler of a control member that lends tokens of quotas.
-func (s *Server) ServeQuotas(handler QuotaLender) { s.server.RegisterService(&quotaServiceDesc, handler) }
+func (s *Server) ServeQuotas(handler QuotaLender) {
+	s.server.RegisterService(&quotaServiceDesc, handler)
+}
 
 // ServeMember registers the handlers of a control member.
 func (s *Server) ServeMember(handler interface {
