rollout: judge the share of long calls, not the mean alone

Cause: a trial play of a release of which half of the calls are slow (x 8) was completed: 2,494 of 8,276 requests reached it. The mean of its calls was only twice that of the others (232 and 123 ms). Change: reports carry a histogram of times, two buckets for each doubling. A release is slow also if clearly more of its calls (15 points) are longer than nine tenths of the others' by a factor of 1.4, which leaves room for the load of the few upstreams that it uses at first.

--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -147,16 +148,18 @@
 		}
 		return
 	}
-	route.Timed++
 	base := map[string]float64{"lookup": 80_000, "entry": 20_000}[c.route]
-	route.TimeMicros += uint64(base * factor * (0.5 + r.random.Float64()))
+	route.AddTime(time.Duration(base*factor*(0.5+r.random.Float64())) * time.Microsecond)
 }
 
 func (r *replay) report(at time.Duration, i int, newer bool) {
 	results := r.results(i, newer)
 	results.Sequence++
 	sent := *results
-	sent.Routes = append([]release.RouteResults(nil), results.Routes...)
+	sent.Routes = slices.Clone(results.Routes)
+	for i := range sent.Routes {
+		sent.Routes[i].Times = slices.Clone(sent.Routes[i].Times)
+	}
 	for _, judge := range r.judges {
 		judge.Observe(r.started.Add(at), sent)
 	}
@@ -214,6 +217,12 @@
 			}
 			return false, 1
 		}),
+		Entry("that is three times slower for half of its calls", func(c call, random *rand.Rand) (bool, float64) {
+			if c.newer && random.Float64() < 0.5 {
+				return false, 3
+			}
+			return false, 1
+		}),
 		Entry("that fails on one route only", func(c call, random *rand.Rand) (bool, float64) {
 			return c.newer && c.route == "entry" && random.Float64() < 0.4, 1
 		}),
@@ -252,6 +261,12 @@
 		Entry("with an upstream that fails half of its calls", func(c call, random *rand.Rand) (bool, float64) {
 			return c.newer && c.upstream == 1 && random.Float64() < 0.5, 1
 		}, nil),
+		Entry("that takes a third longer while it has its first share", func(c call, _ *rand.Rand) (bool, float64) {
+			if c.newer && c.at < 9*time.Second {
+				return false, 1.35
+			}
+			return false, 1
+		}, nil),
 		Entry("with few calls", sound, func(time.Duration) float64 { return 0.05 }),
 	)
 
--- a/coordination/rollout/trial.go
+++ b/coordination/rollout/trial.go
@@ -30,6 +30,13 @@
 	confidence = 1.64
 	// slowness is the ratio of the mean times of a slow release and the others. Less may come from the upstreams' load.
 	slowness = 3
+	// tailShare is the share of the slowest calls of the other releases with which those of a release are compared, and
+	// tailExcess how far the release's share of such calls must exceed theirs.
+	tailShare  = 0.1
+	tailExcess = 0.15
+	// tailShift is the number of buckets by which the load of the few upstreams that a release uses at first may slow all of
+	// its calls: a factor of 1.4.
+	tailShift = 1
 	// minSlowness is the difference below which a release does not count as slow.
 	minSlowness = 10 * time.Millisecond
 )
@@ -37,18 +44,30 @@
 // counts are results of calls.
 type counts struct {
 	calls, failures, timed, micros float64
+	times                          [release.TimeBuckets]float64
 }
 
 func countsOf(r release.RouteResults) counts {
-	return counts{calls: float64(r.Calls), failures: float64(r.Failures), timed: float64(r.Timed), micros: float64(r.TimeMicros)}
+	c := counts{calls: float64(r.Calls), failures: float64(r.Failures), timed: float64(r.Timed), micros: float64(r.TimeMicros)}
+	for bucket, count := range r.Times[:min(len(r.Times), release.TimeBuckets)] {
+		c.times[bucket] = float64(count)
+	}
+	return c
 }
 
-func (c counts) plus(d counts) counts {
-	return counts{calls: c.calls + d.calls, failures: c.failures + d.failures, timed: c.timed + d.timed, micros: c.micros + d.micros}
-}
+func (c counts) plus(d counts) counts { return c.plusTimes(d, 1) }
 
-func (c counts) minus(d counts) counts {
-	return counts{calls: c.calls - d.calls, failures: c.failures - d.failures, timed: c.timed - d.timed, micros: c.micros - d.micros}
+func (c counts) minus(d counts) counts { return c.plusTimes(d, -1) }
+
+func (c counts) plusTimes(d counts, factor float64) counts {
+	c.calls += factor * d.calls
+	c.failures += factor * d.failures
+	c.timed += factor * d.timed
+	c.micros += factor * d.micros
+	for bucket, count := range d.times {
+		c.times[bucket] += factor * count
+	}
+	return c
 }
 
 func (c counts) mean() time.Duration {
@@ -57,20 +76,42 @@
 
 // isFailing reports whether the failure rate exceeds that of the other releases beyond doubt.
 func (c counts) isFailing(others counts) bool {
-	if c.failures < minFailures {
-		return false
-	}
-	rate, othersRate := c.failures/c.calls, others.failures/max(others.calls, 1)
-	lowest := rate - confidence*math.Sqrt(rate*(1-rate)/c.calls)
+	return c.failures >= minFailures && exceeds(c.failures, c.calls, others.failures, others.calls, failureExcess)
+}
+
+// exceeds reports whether the share of events among calls exceeds that among other calls beyond doubt and by more than an
+// excess.
+func exceeds(events, calls, otherEvents, otherCalls, excess float64) bool {
+	rate, otherRate := events/calls, otherEvents/max(otherCalls, 1)
+	lowest := rate - confidence*math.Sqrt(rate*(1-rate)/calls)
 	// A rate of 0 over few calls is not known to be 0.
-	highest := othersRate + confidence*math.Sqrt(max(othersRate*(1-othersRate), 0.01)/max(others.calls, 1))
-	return lowest > highest+failureExcess
+	highest := otherRate + confidence*math.Sqrt(max(otherRate*(1-otherRate), 0.01)/max(otherCalls, 1))
+	return lowest > highest+excess
 }
 
-// isSlow reports whether the calls take much longer than on the other releases.
+// isSlow reports whether all calls take much longer than on the other releases, or clearly more of them take longer than
+// nearly all calls there: a part of the calls may be slow while the mean says little.
 func (c counts) isSlow(others counts) bool {
-	return c.timed >= minTimed && others.timed >= minTimed &&
-		c.mean() > slowness*others.mean() && c.mean()-others.mean() >= minSlowness
+	if c.timed < minTimed || others.timed < minTimed || c.mean()-others.mean() < minSlowness {
+		return false
+	}
+	late, othersLate := c.tail(others)
+	return c.mean() > slowness*others.mean() ||
+		late >= minTimed && exceeds(late, c.timed, othersLate, others.timed, tailExcess)
+}
+
+// tail counts the calls that take longer than nearly all of the others' calls by more than the load may explain, and the
+// others' slowest calls.
+func (c counts) tail(others counts) (own, reference float64) {
+	first := release.TimeBuckets
+	for first > 0 && reference+others.times[first-1] <= tailShare*others.timed {
+		first--
+		reference += others.times[first]
+	}
+	for bucket := min(first+tailShift, release.TimeBuckets-1); bucket < release.TimeBuckets; bucket++ {
+		own += c.times[bucket]
+	}
+	return own, reference
 }
 
 // report is one report of an upstream's results.
@@ -169,6 +210,9 @@
 		if reference.timed > 0 {
 			expected.timed += c.timed
 			expected.micros += c.timed * reference.micros / reference.timed
+			for bucket, count := range reference.times {
+				expected.times[bucket] += c.timed * count / reference.timed
+			}
 		}
 	}
 	if both.calls == 0 {
@@ -177,6 +221,9 @@
 	result := counts{calls: both.calls, failures: both.calls * expected.failures / own.calls, timed: both.timed}
 	if expected.timed > 0 {
 		result.micros = both.timed * expected.micros / expected.timed
+		for bucket, count := range expected.times {
+			result.times[bucket] = both.timed * count / expected.timed
+		}
 	}
 	return result
 }
@@ -315,8 +362,10 @@
 			fault = fmt.Sprintf("on route %q, %s, of the other releases' %s", route, formatRate(c.failures, c.calls),
 				formatRate(reference.failures, reference.calls))
 		case c.isSlow(reference):
-			fault = fmt.Sprintf("on route %q, %.0f calls took %s on average, %.0f of the other releases %s", route, c.timed,
-				c.mean().Round(time.Millisecond), reference.timed, reference.mean().Round(time.Millisecond))
+			late, othersLate := c.tail(reference)
+			fault = fmt.Sprintf("on route %q, %.0f calls took %s on average and %.0f of them long, %.0f of the other releases %s and %.0f",
+				route, c.timed, c.mean().Round(time.Millisecond), late, reference.timed,
+				reference.mean().Round(time.Millisecond), othersLate)
 		}
 	}
 	allExpected.failures = allExpected.calls * expectedFailures / max(all.calls, 1)
@@ -372,7 +421,8 @@
 		own.add(u.recent(now))
 	}
 	ownTotal := own.total()
-	return fmt.Sprintf("%.0f of %.0f calls on %d upstreams; lately %s in %s, of the others %s in %s", newer, all, judged,
-		formatRate(ownTotal.failures, ownTotal.calls), ownTotal.mean().Round(time.Millisecond),
-		formatRate(others.failures, others.calls), others.mean().Round(time.Millisecond))
+	late, othersLate := ownTotal.tail(others)
+	return fmt.Sprintf("%.0f of %.0f calls on %d upstreams; lately %s in %s, %.0f long, of the others %s in %s, %.0f long",
+		newer, all, judged, formatRate(ownTotal.failures, ownTotal.calls), ownTotal.mean().Round(time.Millisecond), late,
+		formatRate(others.failures, others.calls), others.mean().Round(time.Millisecond), othersLate)
 }
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -148,8 +149,7 @@
 		counted.Failures++
 	}
 	if elapsed := max(reply.metadata.UpstreamTime, reply.abandonedAfter); warm && !failed && elapsed > 0 {
-		counted.Timed++
-		counted.TimeMicros += uint64(elapsed.Microseconds())
+		counted.AddTime(elapsed)
 	}
 }
 
@@ -176,7 +176,9 @@
 		InFlight: e.callsInFlight(),
 	}
 	for _, counted := range c.routes {
-		results.Routes = append(results.Routes, *counted)
+		route := *counted
+		route.Times = slices.Clone(counted.Times)
+		results.Routes = append(results.Routes, route)
 	}
 	return results, true
 }
--- a/state/release/release.go
+++ b/state/release/release.go
@@ -2,7 +2,10 @@
 // upstreams run beside those of the former one.
 package release
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // State is the state of a rollout.
 type State string
@@ -74,4 +77,28 @@
 	// up are lower bounds.
 	Timed      uint64 `cbor:"4,keyasint,omitempty"`
 	TimeMicros uint64 `cbor:"5,keyasint,omitempty"`
+	// Times counts these calls by their time; TimeBucket gives the index. It ends with the last count that is not 0.
+	Times []uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// TimeBuckets is the number of buckets of RouteResults.Times, two for each doubling from 1 ms to about 90 s.
+const TimeBuckets = 34
+
+// TimeBucket returns the index of the bucket for a time.
+func TimeBucket(d time.Duration) int {
+	if d <= time.Millisecond {
+		return 0
+	}
+	return min(int(2*math.Log2(float64(d)/float64(time.Millisecond)))+1, TimeBuckets-1)
+}
+
+// AddTime counts the time of a call.
+func (r *RouteResults) AddTime(d time.Duration) {
+	r.Timed++
+	r.TimeMicros += uint64(d.Microseconds())
+	bucket := TimeBucket(d)
+	for len(r.Times) <= bucket {
+		r.Times = append(r.Times, 0)
+	}
+	r.Times[bucket]++
 }
