--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"math/rand"
@@ -11,12 +12,16 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"sapphiregate.example/sapphiregate/coordination/rollout"
 	"sapphiregate.example/sapphiregate/state/release"
 )
 
 func TestRollout(t *testing.T) {
+	// A fixed seed makes every run generate the same cases.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "rollout")
 }
@@ -46,7 +51,7 @@
 	perSecond float64
 	rate      func(at time.Duration) float64 // factor of perSecond; nil means 1
 	behave    func(c call, random *rand.Rand) (failed bool, factor float64)
-	// restarts are the times at which another member becomes the leader; lostReports those between which no report arrives.
+	// leaderChanges are the times at which another member becomes the leader; silent reports whether no report arrives.
 	leaderChanges []time.Duration
 	silent        func(at time.Duration) bool
 	noUpstreams   bool
@@ -286,6 +291,30 @@
 		}
 	})
 
+	// Guards against a member that ends because of one node's report.
+	It("survives reports that make no sense", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			judge, now := rollout.New(rollout.Config{}), time.Unix(1000, 0)
+			state := release.Rollout{Service: "desk", Release: "v2", State: release.Running, Started: 1, DurationMs: 16000}
+			judge.Retain(now, []release.Rollout{state})
+			for range 30 {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "passed")) * time.Millisecond)
+				judge.Observe(now, release.Results{
+					Node: rapid.SampledFrom([]string{"", "n1", "n2"}).Draw(t, "node"), Service: "desk",
+					Incarnation: rapid.Uint64Range(0, 2).Draw(t, "incarnation"), Sequence: rapid.Uint64().Draw(t, "sequence"),
+					Release: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "release"), InFlight: rapid.Int().Draw(t, "in flight"),
+					Routes: []release.RouteResults{{
+						Calls: rapid.Uint64().Draw(t, "calls"), Failures: rapid.Uint64().Draw(t, "failures"),
+						Timed: rapid.Uint64().Draw(t, "timed"), Times: rapid.SliceOfN(rapid.Uint64(), 0, 50).Draw(t, "times"),
+					}},
+				})
+				state.Share = rapid.IntRange(0, release.FullShare).Draw(t, "share")
+				judge.Decide(now, rollout.Situation{Rollout: state, Elapsed: 9 * time.Second, Newer: 2, Older: 2})
+				judge.Evidence(now, "desk")
+			}
+		})
+	})
+
 	DescribeTable("never completes a release without evidence", func(r *replay) {
 		r.upstreams, r.behave = 4, sound
 		r.run(1)
