--- a/node/metrics.go
+++ b/node/metrics.go
@@ -78,6 +78,8 @@
 		load(func(l protocol.LoadReport) int { return l.InFlight }))
 	m.registry.Gauge("upstream_limit", "Requests per second that the upstream beside the node has named as its limit; 0 if none.",
 		func() float64 { return n.executor.upstreamLimit() })
+	m.registry.Gauge("upload_buffer_bytes", "Memory that is reserved for the bodies of uploads.",
+		func() float64 { return float64(n.uploads.reserved.Load()) })
 	m.registry.Gauge("upstream_waiting", "Calls that wait for a slot of the upstream beside the node.",
 		load(func(l protocol.LoadReport) int { return l.Queued }))
 }
--- a/node/request_log.go
+++ b/node/request_log.go
@@ -108,6 +108,9 @@
 	if failed {
 		message = logging.RequestFailed
 	}
+	if c.team != nil {
+		event.Str("team", c.team.Name)
+	}
 	now := time.Now()
 	event.Str("route", c.route.Name).Str("service", c.metadata.Service).
 		Str("outcome", string(meta.Outcome)).Str("reason", string(meta.Reason)).Int("upstream_status", meta.Status).
--- a/node/team_test.go
+++ b/node/team_test.go
@@ -176,9 +176,10 @@
 			Expect(f.post("/none", "", header...).status).To(Equal(http.StatusNotFound))
 			Expect(f.post("/lookup", "", "Authorization", "Bearer secret").status).To(Equal(http.StatusUnauthorized))
 		}
+		f.upstream.CloseClientConnections()
 		f.upstream.Close()
 		_ = f.post("/promote", "", "Authorization", bearer, protocol.HeaderIdempotencyKey, "k2")
-		Expect(logs.String()).To(And(ContainSubstring("unknown-key"), Not(ContainSubstring("secret"))))
+		Expect(logs.String()).To(And(ContainSubstring("unknown-key"), ContainSubstring(`"team":"alpha"`), Not(ContainSubstring("secret"))))
 		response, err := http.Get("http://" + f.admin + node.PathDump)
 		Expect(err).NotTo(HaveOccurred())
 		defer response.Body.Close()
