control: the owner takes lower limits when a version is applied, not at its next tick

Cause: the test of a lost owner got 848,100 tokens in the first second after a version brought the limit: until the next tick, up to 50 ms, the owner did not know the team and granted each ask.

Change: limits are taken when a version is applied.

--- a/control/member.go
+++ b/control/member.go
@@ -354,6 +354,7 @@
 	source := relay.Source{Latest: state.Latest, Stopped: state.Stopped, Bundles: state.StoredBundles, Rollouts: state.Rollouts}
 	m.peer.SetSource(now, source, m.registryState.registry.Store())
 	m.rollouts.track(now, state.Rollouts)
+	m.refreshQuotaLimits(now)
 }
 
 // publishMembers passes the membership of the registry's group to the distribution tree.
--- a/control/quota.go
+++ b/control/quota.go
@@ -144,6 +144,15 @@
 	}
 }
 
+// refreshQuotaLimits puts the limits of a version into force at the owner as soon as it is applied.
+func (m *Member) refreshQuotaLimits(now time.Time) {
+	m.quotas.mu.Lock()
+	defer m.quotas.mu.Unlock()
+	if m.quotas.term > 0 {
+		m.updateQuotaLimits(now)
+	}
+}
+
 // updateQuotaLimits takes the limits of the latest bundle. The caller holds the owner's lock.
 func (m *Member) updateQuotaLimits(now time.Time) {
 	latest := m.registryState.registry.State().Latest
