--- a/control/quota.go
+++ b/control/quota.go
@@ -131,7 +131,8 @@
 	if o.term != status.Term {
 		o.term = status.Term
 		credit := status.LeaderFor < wait+maxOpeningDelay && now.Sub(o.formerTermAt) > o.creditInterval
-		o.book.Open(now, credit)
+		// The former owner has lent nothing since the wait was over, so the accounts refill from then on.
+		o.book.Open(now.Add(wait-status.LeaderFor-status.FormerSilence), credit)
 		o.logger.Info().Uint64("term", o.term).Int("teams", o.book.Teams()).Bool("credit", credit).
 			Msg("lends the quotas of teams")
 	}
--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -23,7 +23,7 @@
 	minWait = 50 * time.Millisecond
 	// openingTime is the time after which an account that was opened nearly empty shows whether its team exceeds its limit.
 	// Before that, a shortage says nothing about the team.
-	openingTime = time.Second
+	openingTime = 1500 * time.Millisecond
 	// demandSlots is the number of parts of a window in which demand is counted.
 	demandSlots = 10
 )
--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -21,11 +21,12 @@
 	return &Book{bounds: bounds, limits: make(map[string]Limit), accounts: make(map[string]*account)}
 }
 
-// Open empties all accounts, when this member has become the owner and no lease of a former owner can be spent any more.
-// The accounts refill from now on: what all nodes spend stays within the limits whatever the former owner lent. With
-// credit, they begin with their opening credit; no other owner may have opened with credit within the last window.
-func (b *Book) Open(now time.Time, credit bool) {
-	b.openedAt, b.hasCredit = now, credit
+// Open opens all accounts anew, when this member has become the owner, as if they had been empty at emptyAt: a time since
+// which no lease of a former owner can be spent any more. What all nodes spend then stays within the limits whatever the
+// former owner lent. With credit, they begin with their opening credit; no other owner may have opened with credit within
+// the last window.
+func (b *Book) Open(emptyAt time.Time, credit bool) {
+	b.openedAt, b.hasCredit = emptyAt, credit
 	clear(b.accounts)
 }
 
