--- a/control/quota.go
+++ b/control/quota.go
@@ -131,7 +131,8 @@
 	if o.term != status.Term {
 		o.term = status.Term
 		credit := status.LeaderFor < wait+maxOpeningDelay && now.Sub(o.formerTermAt) > o.creditInterval
-		o.book.Open(now, credit)
+		// The former owner has lent nothing since the wait was over, so the accounts refill from then on.
+		o.book.Open(now.Add(wait-status.LeaderFor-status.FormerSilence), credit)
 		o.logger.Info().Uint64("term", o.term).Int("teams", o.book.Teams()).Bool("credit", credit).
 			Msg("lends the quotas of teams")
 	}
@@ -144,6 +145,15 @@
 	}
 }
 
+// refreshQuotaLimits puts the limits of a version into force at the owner as soon as it is applied.
+func (m *Member) refreshQuotaLimits(now time.Time) {
+	m.quotas.mu.Lock()
+	defer m.quotas.mu.Unlock()
+	if m.quotas.term > 0 {
+		m.updateQuotaLimits(now)
+	}
+}
+
 // updateQuotaLimits takes the limits of the latest bundle. The caller holds the owner's lock.
 func (m *Member) updateQuotaLimits(now time.Time) {
 	latest := m.registryState.registry.State().Latest
