retry, admission, node: recognise callers who come back, and serve late ones from spare slots

Cause: a node took each request for a new one. A returning caller names a shorter deadline than a new one. retry.Returns learns the longest of a route and derives the time since the first attempt; where callers differ in their patience it tells nothing.

Retry-After of a late caller is up to a third of its patience, spread, so that it returns when the load may have changed.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -163,6 +163,8 @@
 		return q.shed(c, ReasonDraining)
 	case c.remaining(now) <= q.expectedService(c, now):
 		return q.shed(c, ReasonDeadline)
+	case q.isLate(c, now) && !q.hasSpareSlots(c, now):
+		return q.shed(c, ReasonTarget)
 	case q.mayStart(c, now):
 		q.start(c, now)
 		return verdictRun
--- a/coordination/admission/rank.go
+++ b/coordination/admission/rank.go
@@ -73,7 +73,7 @@
 
 // observeArrival adds a call to the work that is offered, and to the mean of the time that calls can wait.
 func (q *rankQueue) observeArrival(c *call, now time.Time) {
-	if c.target.IsZero() {
+	if c.target.IsZero() || !c.target.After(now.Add(lateMargin)) {
 		return
 	}
 	slack := max(c.target.Sub(now)-c.service, 1)
--- a/coordination/admission/wait.go
+++ b/coordination/admission/wait.go
@@ -19,6 +19,10 @@
 	shortWaitShare = 0.8
 	// shortFactor is the ratio of the mean service time of the running calls to that of a short call.
 	shortFactor = 4
+	// lateMargin is the time until its target from which on a call counts as late.
+	lateMargin = 2 * time.Millisecond
+	// spareShare is the share of the slots that timely calls may fill before late ones are refused.
+	spareShare = 0.9
 	// maxOvertakingShare bounds the share of the slots that overtaking calls take or that are kept for them.
 	maxOvertakingShare = 0.8
 )
@@ -134,3 +138,18 @@
 	}
 	return min(int(load), int(maxOvertakingShare*float64(q.config.Slots)))
 }
+
+// isLate reports whether a call had missed its target before it arrived, as that of a caller who comes back.
+func (q *Queue) isLate(c *call, now time.Time) bool {
+	return !c.target.IsZero() && !c.target.After(now.Add(lateMargin))
+}
+
+// hasSpareSlots reports whether the calls that can still meet their target leave slots to a call that cannot: those of
+// its rank and the more urgent ones.
+func (q *Queue) hasSpareSlots(c *call, now time.Time) bool {
+	load := 0.0
+	for i := range c.rank + 1 {
+		load += q.ranks[i].offered.perSecond(now)
+	}
+	return load < spareShare*float64(q.config.Slots)
+}
--- a/coordination/overload/simulation_test.go
+++ b/coordination/overload/simulation_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -30,6 +31,10 @@
 	work             time.Duration
 	target, deadline time.Duration
 	worth, lateWorth float64
+	// timeout bounds each attempt of a caller; 0 leaves it the rest of the deadline.
+	timeout time.Duration
+	// spread is the standard deviation of the logarithm of the work; 0 takes serviceSpread.
+	spread float64
 	// calls is the number of calls that a share of the runs makes, all at once if together is set.
 	calls    int
 	callee   string
@@ -46,9 +51,13 @@
 	slots     int
 	zoneDelay time.Duration
 	routes    []route
+	// hopDelay is the one-way delay between nodes of a zone, most of it the time of busy processors.
+	hopDelay time.Duration
 	// callerDelay is the one-way delay to callers, who open a new connection for each retry, and retries the number of those.
 	callerDelay time.Duration
 	retries     int
+	// speeds lists the factors on the work of the upstreams, which each draws one of; nil draws from 0.7, 1 and 1.3.
+	speeds []float64
 	// zoneShares is the share of callers in each zone; nil spreads them evenly.
 	zoneShares []float64
 }
@@ -65,20 +74,23 @@
 // tally counts what became of the requests of a span.
 type tally struct {
 	asked, inTarget, late, refused, failed int
-	earned, owed                           float64
-	crossed                                float64
+	// tries counts the requests with those that came back.
+	tries        int
+	earned, owed float64
+	crossed      float64
 }
 
 func (t tally) String() string {
-	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f",
+	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f tries/asked %.2f",
 		t.asked, t.part(t.inTarget), t.part(t.late), t.part(t.refused), t.part(t.failed), t.earned/t.owed,
-		t.crossed/float64(max(1, t.asked)))
+		t.crossed/float64(max(1, t.asked)), t.part(t.tries))
 }
 
 func (t tally) part(count int) float64 { return float64(count) / float64(max(1, t.asked)) }
 
 func (t *tally) add(other *tally) {
 	t.asked += other.asked
+	t.tries += other.tries
 	t.inTarget += other.inTarget
 	t.late += other.late
 	t.refused += other.refused
@@ -122,6 +134,7 @@
 	queue             *admission.Queue
 	waiting           map[uint64]func(admission.Verdict)
 	budgets           map[string]*retry.Budget
+	returns           map[string]*retry.Returns
 	expiry            time.Time
 }
 
@@ -166,7 +179,7 @@
 	slices.SortFunc(s.machines, func(a, b *machine) int { return strings.Compare(a.id, b.id) })
 	fleet.SetNodes(len(s.machines))
 	for _, m := range s.machines {
-		m.speed = []float64{0.7, 1, 1.3}[s.random.IntN(3)]
+		m.speed = s.drawSpeed()
 		m.budgets = map[string]*retry.Budget{}
 		for name := range s.routes {
 			m.budgets[name] = retry.NewBudget(retry.Config{MaxAttempts: 2, Fleet: fleet})
@@ -180,6 +193,24 @@
 	return s
 }
 
+func (s *simulation) drawSpeed() float64 {
+	speeds := s.deployment.speeds
+	if speeds == nil {
+		speeds = []float64{0.7, 1, 1.3}
+	}
+	return speeds[s.random.IntN(len(speeds))]
+}
+
+func (m *machine) returnsOf(route string) *retry.Returns {
+	if m.returns == nil {
+		m.returns = map[string]*retry.Returns{}
+	}
+	if m.returns[route] == nil {
+		m.returns[route] = &retry.Returns{}
+	}
+	return m.returns[route]
+}
+
 func (s *simulation) resetQueue(m *machine) {
 	m.queue = admission.New(admission.Config{Slots: s.deployment.slots, QueueLimit: 2 * s.deployment.slots, TargetQueueLimit: admission.DefaultQueueLimit})
 	m.waiting = map[uint64]func(admission.Verdict){}
@@ -187,9 +218,9 @@
 
 func (s *simulation) delay(from, to string) time.Duration {
 	if from == to {
-		return 0
+		return s.deployment.hopDelay
 	}
-	return s.deployment.zoneDelay
+	return s.deployment.zoneDelay + s.deployment.hopDelay
 }
 
 func (s *simulation) updateTables() {
@@ -301,9 +332,15 @@
 	zone := s.callerZone()
 	var try func(retries int)
 	try = func(retries int) {
-		left := r.deadline - s.now.Sub(first)
+		t.tries++
+		sent, left := s.now, r.deadline-s.now.Sub(first)
 		m := s.ingressIn(zone)
-		s.forward(m, r, s.now.Add(left), func(result outcome) {
+		if r.timeout > 0 {
+			left = min(left, r.timeout)
+		}
+		returns := m.returnsOf(r.name)
+		elapsed := returns.Elapsed(s.now, r.deadline-s.now.Sub(first))
+		s.forward(m, r, elapsed, s.now.Add(left), func(result outcome) {
 			took := s.now.Sub(first) + s.deployment.callerDelay
 			switch {
 			case result.ok && took <= r.target:
@@ -313,7 +350,8 @@
 				t.late++
 				t.earned += r.lateWorth
 			case result.notRun && retries > 0 && took < r.deadline:
-				wait := min(retry.After(retry.CauseOverload, result.load, s.random.Float64()), (r.deadline-took)/3)
+				refusal := retry.Refusal{Load: result.load, UntilTarget: r.target - elapsed - s.now.Sub(sent), Patience: r.deadline - took}
+				wait := min(retry.After(refusal, s.random.Float64()), (r.deadline-took)/3)
 				// The refusal, the two first packets of the connection and the request.
 				s.after(wait+4*s.deployment.callerDelay, func() { try(retries - 1) })
 			case result.notRun:
@@ -354,8 +392,8 @@
 }
 
 // forward sends a request from its ingress to upstreams, as node/forwarding.go does.
-func (s *simulation) forward(m *machine, r *route, deadline time.Time, done func(outcome)) {
-	started := s.now
+func (s *simulation) forward(m *machine, r *route, elapsed time.Duration, deadline time.Time, done func(outcome)) {
+	started := s.now.Add(-elapsed)
 	budget := m.budgets[r.name]
 	budget.CountCall(s.now)
 	plan := forward.New(forward.Config{Class: r.class, Budget: budget, Deadline: deadline, Resendable: true})
@@ -376,7 +414,7 @@
 		sent := s.now
 		executor := s.byID[target.ID]
 		delay := s.delay(m.zone, executor.zone)
-		if delay > 0 {
+		if m.zone != executor.zone {
 			t := s.tallyOf(s.now, r.name)
 			t.crossed++
 		}
@@ -477,7 +515,7 @@
 	m *machine, queue *admission.Queue, id uint64, r *route, deadline time.Time, done func(reply),
 ) {
 	started := s.now
-	work := time.Duration(float64(r.work) * m.speed * s.lognormal(serviceSpread))
+	work := time.Duration(float64(r.work) * m.speed * s.lognormal(cmp.Or(r.spread, serviceSpread)))
 	ended := false
 	finish := func(ok bool) {
 		if ended {
@@ -520,7 +558,7 @@
 		deadline = limit
 	}
 	call := func(done func(bool)) {
-		s.forward(m, callee, deadline, func(result outcome) { done(result.ok) })
+		s.forward(m, callee, 0, deadline, func(result outcome) { done(result.ok) })
 	}
 	if !r.together {
 		call(func(ok bool) {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -54,6 +54,10 @@
 	// releaseBody gives back the memory that is reserved for the body; nil if none is.
 	releaseBody func()
 	deadline    time.Time
+	// callerDeadline is when the caller stops waiting, which may be after deadline.
+	callerDeadline time.Time
+	// elapsed is the time between the caller's first attempt and this one.
+	elapsed time.Duration
 	// exclusive is set if the quarantine requires that the call runs with no other call in flight on its upstream.
 	exclusive bool
 	// tried lists the IDs of the instances to which the call was sent, in order.
@@ -74,7 +78,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if reason := n.requests.admit(); reason != protocol.ReasonNone {
-		n.refuse(w, r, reason)
+		n.refuse(w, r, reason, nil)
 		return
 	}
 	defer n.requests.done()
@@ -87,12 +91,15 @@
 		defer call.releaseBody()
 	}
 	if reason != protocol.ReasonNone {
-		n.refuse(w, r, reason)
+		n.refuse(w, r, reason, call)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	reply := call.confirmNotRun(ctx, call.forwardWithinQuota(ctx))
+	if reply.metadata.Reason == protocol.ReasonShed && call.isLate() {
+		call.policy.returns.LateRefused(time.Now())
+	}
 	defer reply.finish()
 	n.metrics.observeRequest(call.route.Class, reply.metadata.Outcome, time.Since(started))
 	n.requestLog.requestEnded(call, reply)
@@ -106,7 +113,7 @@
 }
 
 // prepare matches the request to a route, applies the route's call limit, reads the request's header and body, and
-// checks the quarantine. On refusal it returns the reason.
+// checks the quarantine. On refusal it returns the reason, and the call if a later attempt may succeed.
 func (n *Node) prepare(started time.Time, w http.ResponseWriter, r *http.Request) (*ingressCall, protocol.Reason) {
 	current := n.snapshot.Load()
 	if current == nil {
@@ -135,6 +142,9 @@
 	if call.endsTooLate() {
 		return nil, protocol.ReasonDraining
 	}
+	if call.isLate() && !call.policy.returns.MayHaveSpare(started) {
+		return call, protocol.ReasonShed
+	}
 	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
 		return call, reason
 	}
@@ -149,12 +159,16 @@
 		return protocol.ReasonTooDeep
 	}
 	remaining := time.Duration(c.route.DeadlineMs) * time.Millisecond
+	c.callerDeadline = c.started.Add(remaining)
 	if text := r.Header.Get(dialect.Deadline); text != "" {
 		milliseconds, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || milliseconds <= 0 {
 			return protocol.ReasonDeadline
 		}
-		remaining = min(remaining, time.Duration(milliseconds)*time.Millisecond)
+		given := time.Duration(milliseconds) * time.Millisecond
+		c.elapsed = c.policy.returns.Elapsed(c.started, given)
+		c.callerDeadline = c.started.Add(given)
+		remaining = min(remaining, given)
 	}
 	c.deadline = c.started.Add(remaining)
 	header := web.CopyHeader(r.Header)
@@ -375,15 +389,22 @@
 	}
 }
 
-// timeUntilTarget returns the time left until the route's latency target, at least 1 ms; 0 if the route sets none.
+// timeUntilTarget returns the time left until the route's latency target, which counts from the caller's first attempt. It
+// is at least 1 ms, and 0 if the route sets none.
 func (c *ingressCall) timeUntilTarget() time.Duration {
 	if c.route.TargetMs == 0 {
 		return 0
 	}
-	target := time.Duration(c.route.TargetMs) * time.Millisecond
-	return max(target-time.Since(c.started), time.Millisecond)
+	return max(time.Until(c.target()), time.Millisecond)
 }
 
+func (c *ingressCall) target() time.Time {
+	return c.started.Add(time.Duration(c.route.TargetMs)*time.Millisecond - c.elapsed)
+}
+
+// isLate reports whether the caller's earlier attempts have used up the time until the target.
+func (c *ingressCall) isLate() bool { return c.route.TargetMs > 0 && c.target().Before(c.started) }
+
 // balancerReport describes the result of an attempt to the balancer.
 func (c *ingressCall) balancerReport(ctx context.Context, reply *callReply, elapsed time.Duration) balance.Report {
 	report := balance.Report{
--- a/node/response.go
+++ b/node/response.go
@@ -70,8 +70,8 @@
 }
 
 // refuse responds to a request that this node did not admit. A request with an idempotency key may have run at an
-// earlier attempt, so the ledger is queried before the caller is told that it was not run.
-func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason protocol.Reason) {
+// earlier attempt, so the ledger is queried before the caller is told that it was not run. call may be nil.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, reason protocol.Reason, call *ingressCall) {
 	n.metrics.refusedRequests.WithLabelValues(string(reason)).Inc()
 	n.requestLog.requestRefused(r, n, reason)
 	key := r.Header.Get(protocol.HeaderIdempotencyKey)
@@ -79,12 +79,12 @@
 	if key != "" && (reason == protocol.ReasonUnknownKey || reason == protocol.ReasonUnconfirmed) {
 		// What the ledger holds is not for a caller without a team.
 		limitUnreadBody(w, r)
-		n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), retry.Refusal{})
 		return
 	}
 	if key == "" || len(key) > maxKeyBytes {
 		limitUnreadBody(w, r)
-		n.writeOutcome(w, protocol.OutcomeNotRun, reason, refusalStatusCode(reason), protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeNotRun, reason, refusalStatusCode(reason), call.refusal(protocol.LoadReport{}))
 		return
 	}
 	reply := n.lookUpOutcome(r.Context(), ledger.Query{Key: key}, reason)
@@ -96,7 +96,7 @@
 		writeRecordedResponse(w, reply)
 		return
 	}
-	n.writeOutcome(w, reply.metadata.Outcome, reply.metadata.Reason, refusalStatusCode(reason), protocol.LoadReport{})
+	n.writeOutcome(w, reply.metadata.Outcome, reply.metadata.Reason, refusalStatusCode(reason), call.refusal(protocol.LoadReport{}))
 }
 
 // limitUnreadBody lets the refusal of a request be sent before its body has been read, and bounds the time for which
@@ -179,7 +179,7 @@
 
 // writeOutcome writes a response without an upstream's body: the outcome, its reason and, if a retry can help, when.
 func (n *Node) writeOutcome(
-	w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int, load protocol.LoadReport,
+	w http.ResponseWriter, outcome protocol.Outcome, reason protocol.Reason, status int, refusal retry.Refusal,
 ) {
 	header := w.Header()
 	if n.options.Dialect.OutcomeHeaders {
@@ -191,7 +191,8 @@
 		header.Set("WWW-Authenticate", keyScheme)
 	}
 	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests && header.Get(headerRetryAfter) == "" {
-		after := retry.After(retryCauses[reason], balanceLoad(load), rand.Float64())
+		refusal.Cause = retryCauses[reason]
+		after := retry.After(refusal, rand.Float64())
 		header.Set(headerRetryAfter, n.formatRetryAfter(after))
 	}
 	w.WriteHeader(status)
@@ -215,6 +216,20 @@
 	protocol.ReasonDraining:        retry.CauseUnavailable,
 }
 
+// refusal describes a refused call for Retry-After. The call may be nil.
+func (c *ingressCall) refusal(load protocol.LoadReport) retry.Refusal {
+	refusal := retry.Refusal{Load: balanceLoad(load)}
+	if c == nil {
+		return refusal
+	}
+	now := time.Now()
+	refusal.Patience = c.callerDeadline.Sub(now)
+	if c.route.TargetMs > 0 {
+		refusal.UntilTarget = c.target().Sub(now)
+	}
+	return refusal
+}
+
 func balanceLoad(load protocol.LoadReport) balance.Load {
 	return balance.Load{
 		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
@@ -243,7 +258,7 @@
 			header.Set(headerRetryAfter, c.node.formatRetryAfter(c.quotaRetryAfter))
 		}
 		c.node.writeOutcome(w, protocol.OutcomeNotRun, reply.metadata.Reason, refusalStatusCode(reply.metadata.Reason),
-			reply.metadata.Load)
+			c.refusal(reply.metadata.Load))
 	default:
 		c.writeUnknown(w, reply)
 	}
@@ -254,7 +269,7 @@
 		w.Header().Set(protocol.HeaderOutcomeURL, outcomeURL(c.metadata.Key))
 	}
 	c.node.writeOutcome(w, protocol.OutcomeUnknown, reply.metadata.Reason, unknownStatusCode(reply.metadata.Reason),
-		reply.metadata.Load)
+		retry.Refusal{})
 }
 
 func unknownStatusCode(reason protocol.Reason) int {
@@ -375,13 +390,13 @@
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	if current := n.snapshot.Load(); current != nil {
 		if _, reason := n.identifyTeam(current, r.Header, false); reason != protocol.ReasonNone {
-			n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), protocol.LoadReport{})
+			n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), retry.Refusal{})
 			return
 		}
 	}
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
-		n.writeOutcome(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalStatusCode(protocol.ReasonKeyMissing), protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeNotRun, protocol.ReasonKeyMissing, refusalStatusCode(protocol.ReasonKeyMissing), retry.Refusal{})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), outcomeTimeout)
@@ -389,14 +404,14 @@
 	result, err := n.executor.ledger.commit(ctx, key, ledger.Command{Query: &ledger.Query{Key: key}})
 	switch {
 	case err != nil:
-		n.writeOutcome(w, protocol.OutcomeUnknown, protocol.ReasonLedgerUnavailable, http.StatusServiceUnavailable, protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeUnknown, protocol.ReasonLedgerUnavailable, http.StatusServiceUnavailable, retry.Refusal{})
 	case result.Status == ledger.Done:
 		writeRecordedResponse(w, recordedReply(result.Response))
 	case result.Status == ledger.Released:
-		n.writeOutcome(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict, protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeNotRun, protocol.ReasonNone, http.StatusConflict, retry.Refusal{})
 	default:
 		// The request of an absent key may still be in transit to its executor.
-		n.writeOutcome(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted, protocol.LoadReport{})
+		n.writeOutcome(w, protocol.OutcomeUnknown, protocol.ReasonInProgress, http.StatusAccepted, retry.Refusal{})
 	}
 }
 
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -32,12 +32,13 @@
 // processes do not all send their first calls to the same service.
 const maxSplitOffset = 100
 
-// routePolicy holds the retry budget, header fields, call limit and traffic split of a route.
+// routePolicy holds the retry budget, header fields, call limit, traffic split and returning callers of a route.
 type routePolicy struct {
 	budget  *retry.Budget
 	headers map[string]string
 	limiter *rate.Limiter
 	split   *routing.Splitter
+	returns *retry.Returns
 }
 
 // newSnapshot builds the snapshot of a bundle. It keeps budgets and limiters of unchanged routes from the previous
@@ -78,7 +79,7 @@
 // newRoutePolicy builds the policy of a route. It keeps the budget of the previous snapshot if the route's retry
 // settings are unchanged.
 func newRoutePolicy(route *routing.Route, previous *snapshot, fleet *retry.Fleet) *routePolicy {
-	policy := &routePolicy{}
+	policy := &routePolicy{returns: new(retry.Returns)}
 	if len(route.Split) > 0 {
 		policy.split = routing.NewSplitter(route.Split, rand.IntN(maxSplitOffset))
 	} else {
@@ -88,6 +89,7 @@
 	if previous != nil {
 		if old, ok := previous.routes.ByName(route.Name); ok {
 			previousPolicy = previous.policies[route.Name]
+			policy.returns = previousPolicy.returns
 			if old.Retry == route.Retry {
 				policy.budget = previousPolicy.budget
 			}
