--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -36,6 +36,8 @@
 	ReasonQueueFull
 	// ReasonDraining means that the upstream is leaving.
 	ReasonDraining
+	// ReasonShare means that the call's team has been given more than its share; see teams.
+	ReasonShare
 	// ReasonTarget means that the call would wait too long for slots to meet its target; see Ticket.TargetTime.
 	ReasonTarget
 
@@ -64,6 +66,8 @@
 	// Route is the name of the call's route. The service time is estimated for each route, since calls of one route
 	// take about equally long.
 	Route string
+	// Team is the caller's team; empty if it has none. A team that sends many times its usual is refused before others.
+	Team string
 	// Deadline is the time by which the call must finish; zero if there is none.
 	Deadline time.Time
 	// TargetTime is the time until which a response has its full value for the caller; zero if there is none. A call
@@ -128,6 +132,7 @@
 	lastInput         time.Time // time of the last Offer, Cancel, Finish or Expire
 	lastEmpty         time.Time // time of the last Offer before which no call waited
 	limit             rateLimit
+	teams             teams
 	reservation
 }
 
@@ -158,16 +163,19 @@
 	c := newCall(t, now)
 	c.service = q.expectedService(c, now)
 	q.rankQueue(c).observeArrival(c, now)
+	ratio := q.teams.observeArrival(c, now)
 	switch {
 	case q.draining:
 		return q.shed(c, ReasonDraining)
 	case c.remaining(now) <= q.expectedService(c, now):
 		return q.shed(c, ReasonDeadline)
-	case q.isLate(c, now) && !q.hasSpareSlots(c, now):
-		return q.shed(c, ReasonTarget)
+	case ratio > excessRatio && q.isNearlyFull():
+		return q.shed(c, ReasonShare)
 	case q.mayStart(c, now):
 		q.start(c, now)
 		return verdictRun
+	case q.isLate(c, now) && !q.hasSpareSlots(c, now):
+		return q.shed(c, ReasonTarget)
 	case c.remaining(now) < q.expectedService(c, now)+q.expectedWait(c, now):
 		return q.shed(c, ReasonDeadline)
 	case q.waitMissesTarget(c, now):
@@ -346,6 +354,12 @@
 	return free > max(0, headroom)
 }
 
+// isNearlyFull reports whether only the slots are free that a team with more than its share leaves to others.
+func (q *Queue) isNearlyFull() bool {
+	free := q.config.Slots - len(q.running)
+	return len(q.running) > 0 && free <= int(math.Ceil(excessHeadroomShare*float64(q.config.Slots)))
+}
+
 // makeQueueRoom reports whether the queue of the call's rank has room for it. Under overload it evicts the oldest
 // ordinary call of a full queue. Exclusive calls get only their share of the queue: they are served slowly and would
 // otherwise fill it.
@@ -399,6 +413,7 @@
 func (q *Queue) start(c *call, now time.Time) {
 	q.running[c.id] = c
 	q.limit.take(now)
+	q.teams.observeStart(c, now)
 	q.rankQueue(c).started++
 	if c.exclusive && q.reservedFor == nil {
 		q.reservedFor, q.reservedAt = c, now
--- a/coordination/admission/rank.go
+++ b/coordination/admission/rank.go
@@ -32,6 +32,7 @@
 	id        uint64
 	rank      int
 	route     string
+	team      string
 	exclusive bool
 	arrived   time.Time
 	deadline  time.Time
@@ -45,7 +46,7 @@
 const noDeadline = 24 * time.Hour
 
 func newCall(t Ticket, now time.Time) *call {
-	c := &call{id: t.ID, rank: rankOf(t), route: t.Route, exclusive: t.Exclusive, arrived: now, deadline: t.Deadline,
+	c := &call{id: t.ID, rank: rankOf(t), route: t.Route, team: t.Team, exclusive: t.Exclusive, arrived: now, deadline: t.Deadline,
 		target: t.TargetTime}
 	if c.deadline.IsZero() {
 		c.deadline = now.Add(noDeadline)
@@ -65,7 +66,7 @@
 	exclusive   list.List // ordered in the same way
 	byDeadline  deadlineHeap
 	serviceTime estimate
-	offered     offeredWork
+	offered     decayingWork        // of the calls that arrive, whether they are admitted or not
 	slack       time.Duration       // mean time that a call with a target can wait on arrival; 0 if none has come
 	started     uint64              // calls that got a slot
 	shed        [reasonCount]uint64 // refused calls by reason
@@ -81,7 +82,7 @@
 		q.slack = slack
 	}
 	q.slack += (slack - q.slack) / sampleDivisor
-	q.offered.add(now, c.service)
+	q.offered.add(now, c.service, offeredWorkWindow)
 }
 
 func (q *rankQueue) listFor(c *call) *list.List {
@@ -246,21 +247,21 @@
 // come often, short enough to follow a change of the load.
 const offeredWorkWindow = time.Second
 
-// offeredWork is the work of the calls that arrive, whether they are admitted or not, as an exponentially weighted mean.
-type offeredWork struct {
-	seconds float64 // of service time within the window
+// decayingWork is an exponentially weighted mean of the work of calls, in slots: seconds of service time per second.
+type decayingWork struct {
+	mean    float64
 	updated time.Time
 }
 
-func (o *offeredWork) add(now time.Time, service time.Duration) {
-	o.seconds = o.perSecond(now)*offeredWorkWindow.Seconds() + service.Seconds()
-	o.updated = now
+func (w *decayingWork) add(now time.Time, service, window time.Duration) {
+	w.mean = w.slots(now, window) + service.Seconds()/window.Seconds()
+	w.updated = now
 }
 
-// perSecond returns the seconds of service time that arrive per second, which is the number of slots that they fill.
-func (o *offeredWork) perSecond(now time.Time) float64 {
-	if o.updated.IsZero() {
+// slots returns the number of slots that the work fills.
+func (w *decayingWork) slots(now time.Time, window time.Duration) float64 {
+	if w.updated.IsZero() {
 		return 0
 	}
-	return o.seconds / offeredWorkWindow.Seconds() * math.Exp(-now.Sub(o.updated).Seconds()/offeredWorkWindow.Seconds())
+	return w.mean * math.Exp(-now.Sub(w.updated).Seconds()/window.Seconds())
 }
--- a/coordination/admission/status.go
+++ b/coordination/admission/status.go
@@ -102,6 +102,8 @@
 		return "draining"
 	case ReasonTarget:
 		return "target"
+	case ReasonShare:
+		return "share"
 	default:
 		return "none"
 	}
--- a/coordination/admission/wait.go
+++ b/coordination/admission/wait.go
@@ -133,7 +133,7 @@
 	load := 0.0
 	for i := range c.rank {
 		if queue := &q.ranks[i]; queue.slack < q.serviceOf(c) {
-			load += queue.offered.perSecond(now)
+			load += queue.offered.slots(now, offeredWorkWindow)
 		}
 	}
 	return min(int(load), int(maxOvertakingShare*float64(q.config.Slots)))
@@ -149,7 +149,7 @@
 func (q *Queue) hasSpareSlots(c *call, now time.Time) bool {
 	load := 0.0
 	for i := range c.rank + 1 {
-		load += q.ranks[i].offered.perSecond(now)
+		load += q.ranks[i].offered.slots(now, offeredWorkWindow)
 	}
 	return load < spareShare*float64(q.config.Slots)
 }
--- a/coordination/overload/simulation_test.go
+++ b/coordination/overload/simulation_test.go
@@ -58,6 +58,11 @@
 	retries     int
 	// speeds lists the factors on the work of the upstreams, which each draws one of; nil draws from 0.7, 1 and 1.3.
 	speeds []float64
+	// teams is the number of callers' teams, of which the k-th sends in proportion to 1/k; 0 if callers have none.
+	teams int
+	// early makes callers return after this share of Retry-After; 0 means on time, and atOnce without any wait.
+	early  float64
+	atOnce bool
 	// zoneShares is the share of callers in each zone; nil spreads them evenly.
 	zoneShares []float64
 }
@@ -69,21 +74,25 @@
 	load float64
 	// lost is the number of upstreams of each service that are out of service.
 	lost map[string]int
+	// hot multiplies the requests of the team named hotTeam; 0 leaves them.
+	hot float64
 }
 
 // tally counts what became of the requests of a span.
 type tally struct {
 	asked, inTarget, late, refused, failed int
 	// tries counts the requests with those that came back.
-	tries        int
+	tries int
+	// refusedTwice counts the requests that were refused again when they came back.
+	refusedTwice int
 	earned, owed float64
 	crossed      float64
 }
 
 func (t tally) String() string {
-	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f tries/asked %.2f",
+	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f tries/asked %.2f refused twice %.3f",
 		t.asked, t.part(t.inTarget), t.part(t.late), t.part(t.refused), t.part(t.failed), t.earned/t.owed,
-		t.crossed/float64(max(1, t.asked)), t.part(t.tries))
+		t.crossed/float64(max(1, t.asked)), t.part(t.tries), t.part(t.refusedTwice))
 }
 
 func (t tally) part(count int) float64 { return float64(count) / float64(max(1, t.asked)) }
@@ -91,6 +100,7 @@
 func (t *tally) add(other *tally) {
 	t.asked += other.asked
 	t.tries += other.tries
+	t.refusedTwice += other.refusedTwice
 	t.inTarget += other.inTarget
 	t.late += other.late
 	t.refused += other.refused
@@ -151,6 +161,11 @@
 	routes     map[string]*route
 	nextCall   uint64
 	load       float64
+	hot        float64
+	// teamShares holds the running sum of the shares of the teams.
+	teamShares []float64
+	// byTeam holds the tallies of the seconds by team.
+	byTeam []map[string]*tally
 	// seconds holds a tally for each second and class; requests count in the second in which they were first sent.
 	seconds []map[string]*tally
 	start   time.Time
@@ -268,7 +283,7 @@
 }
 
 func (s *simulation) enter(p phase) {
-	s.load = p.load
+	s.load, s.hot = p.load, p.hot
 	left := map[string]int{}
 	for _, m := range s.machines {
 		left[m.service]++
@@ -293,7 +308,13 @@
 			return
 		}
 		s.nextArrival(r)
-		s.callerRequest(r)
+		team := s.drawTeam()
+		s.callerRequest(r, team)
+		if team == hotTeam && s.hot > 1 {
+			for range int(s.hot) - 1 {
+				s.after(time.Duration(s.random.Float64()*float64(time.Second)), func() { s.callerRequest(r, team) })
+			}
+		}
 	})
 }
 
@@ -324,23 +345,32 @@
 
 // callerRequest sends a request of a caller, who retries after a refusal, once if the deployment does not say how often, as
 // Retry-After says.
-func (s *simulation) callerRequest(r *route) {
+func (s *simulation) callerRequest(r *route, team int) {
 	first := s.now
-	t := s.tallyOf(first, r.name)
+	t := &tally{}
+	byRoute, byTeam := s.tallyOf(first, r.name), s.teamTally(first, team)
+	end := func() {
+		byRoute.add(t)
+		byTeam.add(t)
+	}
 	t.asked++
 	t.owed += r.worth
 	zone := s.callerZone()
+	teamName := ""
+	if team > 0 {
+		teamName = fmt.Sprint("team-", team)
+	}
+	refusals := 0
 	var try func(retries int)
 	try = func(retries int) {
 		t.tries++
 		sent, left := s.now, r.deadline-s.now.Sub(first)
 		m := s.ingressIn(zone)
+		elapsed := m.returnsOf(r.name).Elapsed(s.now, left)
 		if r.timeout > 0 {
 			left = min(left, r.timeout)
 		}
-		returns := m.returnsOf(r.name)
-		elapsed := returns.Elapsed(s.now, r.deadline-s.now.Sub(first))
-		s.forward(m, r, elapsed, s.now.Add(left), func(result outcome) {
+		ended := func(result outcome) {
 			took := s.now.Sub(first) + s.deployment.callerDelay
 			switch {
 			case result.ok && took <= r.target:
@@ -350,20 +380,90 @@
 				t.late++
 				t.earned += r.lateWorth
 			case result.notRun && retries > 0 && took < r.deadline:
+				if refusals++; refusals == 2 {
+					t.refusedTwice++
+				}
 				refusal := retry.Refusal{Load: result.load, UntilTarget: r.target - elapsed - s.now.Sub(sent), Patience: r.deadline - took}
 				wait := min(retry.After(refusal, s.random.Float64()), (r.deadline-took)/3)
+				if s.deployment.early > 0 {
+					wait = time.Duration(s.deployment.early * float64(wait))
+				}
+				if s.deployment.atOnce {
+					wait = 0
+				}
 				// The refusal, the two first packets of the connection and the request.
 				s.after(wait+4*s.deployment.callerDelay, func() { try(retries - 1) })
+				return
 			case result.notRun:
+				if refusals++; refusals == 2 {
+					t.refusedTwice++
+				}
 				t.refused++
 			default:
 				t.failed++
 			}
+			end()
+		}
+		if elapsed > r.target && !m.returnsOf(r.name).MayHaveSpare(s.now) {
+			ended(outcome{notRun: true})
+			return
+		}
+		s.forward(m, r, teamName, elapsed, s.now.Add(left), func(result outcome) {
+			if result.notRun && elapsed > r.target {
+				m.returnsOf(r.name).LateRefused(s.now)
+			}
+			ended(result)
 		})
 	}
 	s.after(s.deployment.callerDelay, func() { try(max(1, s.deployment.retries)) })
 }
 
+// hotTeam is one of the middle: it sends a few requests in a hundred.
+const hotTeam = 10
+
+// drawTeam draws the team of a request; the hot one also sends the requests of nextHot.
+func (s *simulation) drawTeam() int {
+	if s.deployment.teams == 0 {
+		return 0
+	}
+	if s.teamShares == nil {
+		sum := 0.0
+		for k := range s.deployment.teams {
+			sum += 1 / float64(k+1)
+			s.teamShares = append(s.teamShares, sum)
+		}
+	}
+	point := s.random.Float64() * s.teamShares[len(s.teamShares)-1]
+	index, _ := slices.BinarySearch(s.teamShares, point)
+	return index + 1
+}
+
+func (s *simulation) teamTally(at time.Time, team int) *tally {
+	second := int(at.Sub(s.start) / time.Second)
+	for len(s.byTeam) <= second {
+		s.byTeam = append(s.byTeam, map[string]*tally{})
+	}
+	name := fmt.Sprint("team-", team)
+	if s.byTeam[second][name] == nil {
+		s.byTeam[second][name] = &tally{}
+	}
+	return s.byTeam[second][name]
+}
+
+// teamsBetween sums the tallies of some seconds by team.
+func (s *simulation) teamsBetween(from, to int) map[string]*tally {
+	sums := map[string]*tally{}
+	for second := from; second < min(to, len(s.byTeam)); second++ {
+		for name, t := range s.byTeam[second] {
+			if sums[name] == nil {
+				sums[name] = &tally{}
+			}
+			sums[name].add(t)
+		}
+	}
+	return sums
+}
+
 func (s *simulation) callerZone() string {
 	if s.deployment.zoneShares == nil {
 		return s.deployment.zones[s.random.IntN(len(s.deployment.zones))]
@@ -392,7 +492,7 @@
 }
 
 // forward sends a request from its ingress to upstreams, as node/forwarding.go does.
-func (s *simulation) forward(m *machine, r *route, elapsed time.Duration, deadline time.Time, done func(outcome)) {
+func (s *simulation) forward(m *machine, r *route, team string, elapsed time.Duration, deadline time.Time, done func(outcome)) {
 	started := s.now.Add(-elapsed)
 	budget := m.budgets[r.name]
 	budget.CountCall(s.now)
@@ -419,7 +519,7 @@
 			t.crossed++
 		}
 		s.after(delay, func() {
-			s.execute(executor, r, deadline.Add(-delay), remaining, func(reply reply) {
+			s.execute(executor, r, team, deadline.Add(-delay), remaining, func(reply reply) {
 				s.after(delay, func() {
 					m.balancer.Done(s.now, target, reply.report(r, s.now.Sub(sent)))
 					decision := plan.AttemptEnded(s.now, forward.Result{
@@ -464,7 +564,7 @@
 }
 
 // execute admits a call at the node beside an upstream and runs it.
-func (s *simulation) execute(m *machine, r *route, deadline time.Time, targetLeft time.Duration, done func(reply)) {
+func (s *simulation) execute(m *machine, r *route, team string, deadline time.Time, targetLeft time.Duration, done func(reply)) {
 	if !m.serving || !s.now.Before(deadline) {
 		done(reply{outcome: retry.NotRun, load: m.queue.Load()})
 		return
@@ -473,7 +573,7 @@
 	id := s.nextCall
 	queue := m.queue
 	verdict := queue.Offer(s.now, admission.Ticket{
-		ID: id, Class: r.class, Priority: r.priority, Route: r.name, Deadline: deadline, TargetTime: s.now.Add(targetLeft),
+		ID: id, Class: r.class, Priority: r.priority, Route: r.name, Team: team, Deadline: deadline, TargetTime: s.now.Add(targetLeft),
 	})
 	decided := func(v admission.Verdict) {
 		if v.Action == admission.Run {
@@ -558,7 +658,7 @@
 		deadline = limit
 	}
 	call := func(done func(bool)) {
-		s.forward(m, callee, 0, deadline, func(result outcome) { done(result.ok) })
+		s.forward(m, callee, "", 0, deadline, func(result outcome) { done(result.ok) })
 	}
 	if !r.together {
 		call(func(ok bool) {
--- a/node/executor.go
+++ b/node/executor.go
@@ -111,7 +111,8 @@
 	id := e.nextID
 	call := &activeCall{fingerprint: fingerprint, exclusive: meta.Exclusive || quarantineVerdict == quarantine.Exclusive}
 	ticket := admission.Ticket{
-		ID: id, Class: meta.Class, Priority: meta.Priority, Route: meta.Route, Deadline: deadline, Exclusive: call.exclusive,
+		ID: id, Class: meta.Class, Priority: meta.Priority, Route: meta.Route, Team: meta.Team,
+		Deadline: deadline, Exclusive: call.exclusive,
 	}
 	if meta.TargetRemaining > 0 {
 		ticket.TargetTime = now.Add(meta.TargetRemaining)
