--- a/coordination/overload/simulation_test.go
+++ b/coordination/overload/simulation_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -30,6 +31,10 @@
 	work             time.Duration
 	target, deadline time.Duration
 	worth, lateWorth float64
+	// timeout bounds each attempt of a caller; 0 leaves it the rest of the deadline.
+	timeout time.Duration
+	// spread is the standard deviation of the logarithm of the work; 0 takes serviceSpread.
+	spread float64
 	// calls is the number of calls that a share of the runs makes, all at once if together is set.
 	calls    int
 	callee   string
@@ -46,9 +51,18 @@
 	slots     int
 	zoneDelay time.Duration
 	routes    []route
+	// hopDelay is the one-way delay between nodes of a zone, most of it the time of busy processors.
+	hopDelay time.Duration
 	// callerDelay is the one-way delay to callers, who open a new connection for each retry, and retries the number of those.
 	callerDelay time.Duration
 	retries     int
+	// speeds lists the factors on the work of the upstreams, which each draws one of; nil draws from 0.7, 1 and 1.3.
+	speeds []float64
+	// teams is the number of callers' teams, of which the k-th sends in proportion to 1/k; 0 if callers have none.
+	teams int
+	// early makes callers return after this share of Retry-After; 0 means on time, and atOnce without any wait.
+	early  float64
+	atOnce bool
 	// zoneShares is the share of callers in each zone; nil spreads them evenly.
 	zoneShares []float64
 }
@@ -60,25 +74,33 @@
 	load float64
 	// lost is the number of upstreams of each service that are out of service.
 	lost map[string]int
+	// hot multiplies the requests of the team named hotTeam; 0 leaves them.
+	hot float64
 }
 
 // tally counts what became of the requests of a span.
 type tally struct {
 	asked, inTarget, late, refused, failed int
-	earned, owed                           float64
-	crossed                                float64
+	// tries counts the requests with those that came back.
+	tries int
+	// refusedTwice counts the requests that were refused again when they came back.
+	refusedTwice int
+	earned, owed float64
+	crossed      float64
 }
 
 func (t tally) String() string {
-	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f",
+	return fmt.Sprintf("asked %5d in target %.3f late %.3f refused %.3f failed %.3f worth %.3f crossed/asked %.2f tries/asked %.2f refused twice %.3f",
 		t.asked, t.part(t.inTarget), t.part(t.late), t.part(t.refused), t.part(t.failed), t.earned/t.owed,
-		t.crossed/float64(max(1, t.asked)))
+		t.crossed/float64(max(1, t.asked)), t.part(t.tries), t.part(t.refusedTwice))
 }
 
 func (t tally) part(count int) float64 { return float64(count) / float64(max(1, t.asked)) }
 
 func (t *tally) add(other *tally) {
 	t.asked += other.asked
+	t.tries += other.tries
+	t.refusedTwice += other.refusedTwice
 	t.inTarget += other.inTarget
 	t.late += other.late
 	t.refused += other.refused
@@ -122,6 +144,7 @@
 	queue             *admission.Queue
 	waiting           map[uint64]func(admission.Verdict)
 	budgets           map[string]*retry.Budget
+	returns           map[string]*retry.Returns
 	expiry            time.Time
 }
 
@@ -138,6 +161,11 @@
 	routes     map[string]*route
 	nextCall   uint64
 	load       float64
+	hot        float64
+	// teamShares holds the running sum of the shares of the teams.
+	teamShares []float64
+	// byTeam holds the tallies of the seconds by team.
+	byTeam []map[string]*tally
 	// seconds holds a tally for each second and class; requests count in the second in which they were first sent.
 	seconds []map[string]*tally
 	start   time.Time
@@ -166,7 +194,7 @@
 	slices.SortFunc(s.machines, func(a, b *machine) int { return strings.Compare(a.id, b.id) })
 	fleet.SetNodes(len(s.machines))
 	for _, m := range s.machines {
-		m.speed = []float64{0.7, 1, 1.3}[s.random.IntN(3)]
+		m.speed = s.drawSpeed()
 		m.budgets = map[string]*retry.Budget{}
 		for name := range s.routes {
 			m.budgets[name] = retry.NewBudget(retry.Config{MaxAttempts: 2, Fleet: fleet})
@@ -180,6 +208,24 @@
 	return s
 }
 
+func (s *simulation) drawSpeed() float64 {
+	speeds := s.deployment.speeds
+	if speeds == nil {
+		speeds = []float64{0.7, 1, 1.3}
+	}
+	return speeds[s.random.IntN(len(speeds))]
+}
+
+func (m *machine) returnsOf(route string) *retry.Returns {
+	if m.returns == nil {
+		m.returns = map[string]*retry.Returns{}
+	}
+	if m.returns[route] == nil {
+		m.returns[route] = &retry.Returns{}
+	}
+	return m.returns[route]
+}
+
 func (s *simulation) resetQueue(m *machine) {
 	m.queue = admission.New(admission.Config{Slots: s.deployment.slots, QueueLimit: 2 * s.deployment.slots, TargetQueueLimit: admission.DefaultQueueLimit})
 	m.waiting = map[uint64]func(admission.Verdict){}
@@ -187,9 +233,9 @@
 
 func (s *simulation) delay(from, to string) time.Duration {
 	if from == to {
-		return 0
+		return s.deployment.hopDelay
 	}
-	return s.deployment.zoneDelay
+	return s.deployment.zoneDelay + s.deployment.hopDelay
 }
 
 func (s *simulation) updateTables() {
@@ -237,7 +283,7 @@
 }
 
 func (s *simulation) enter(p phase) {
-	s.load = p.load
+	s.load, s.hot = p.load, p.hot
 	left := map[string]int{}
 	for _, m := range s.machines {
 		left[m.service]++
@@ -262,7 +308,13 @@
 			return
 		}
 		s.nextArrival(r)
-		s.callerRequest(r)
+		team := s.drawTeam()
+		s.callerRequest(r, team)
+		if team == hotTeam && s.hot > 1 {
+			for range int(s.hot) - 1 {
+				s.after(time.Duration(s.random.Float64()*float64(time.Second)), func() { s.callerRequest(r, team) })
+			}
+		}
 	})
 }
 
@@ -293,17 +345,32 @@
 
 // callerRequest sends a request of a caller, who retries after a refusal, once if the deployment does not say how often, as
 // Retry-After says.
-func (s *simulation) callerRequest(r *route) {
+func (s *simulation) callerRequest(r *route, team int) {
 	first := s.now
-	t := s.tallyOf(first, r.name)
+	t := &tally{}
+	byRoute, byTeam := s.tallyOf(first, r.name), s.teamTally(first, team)
+	end := func() {
+		byRoute.add(t)
+		byTeam.add(t)
+	}
 	t.asked++
 	t.owed += r.worth
 	zone := s.callerZone()
+	teamName := ""
+	if team > 0 {
+		teamName = fmt.Sprint("team-", team)
+	}
+	refusals := 0
 	var try func(retries int)
 	try = func(retries int) {
-		left := r.deadline - s.now.Sub(first)
+		t.tries++
+		sent, left := s.now, r.deadline-s.now.Sub(first)
 		m := s.ingressIn(zone)
-		s.forward(m, r, s.now.Add(left), func(result outcome) {
+		elapsed := m.returnsOf(r.name).Elapsed(s.now, left)
+		if r.timeout > 0 {
+			left = min(left, r.timeout)
+		}
+		ended := func(result outcome) {
 			took := s.now.Sub(first) + s.deployment.callerDelay
 			switch {
 			case result.ok && took <= r.target:
@@ -313,19 +380,90 @@
 				t.late++
 				t.earned += r.lateWorth
 			case result.notRun && retries > 0 && took < r.deadline:
-				wait := min(retry.After(retry.CauseOverload, result.load, s.random.Float64()), (r.deadline-took)/3)
+				if refusals++; refusals == 2 {
+					t.refusedTwice++
+				}
+				refusal := retry.Refusal{Load: result.load, UntilTarget: r.target - elapsed - s.now.Sub(sent), Patience: r.deadline - took}
+				wait := min(retry.After(refusal, s.random.Float64()), (r.deadline-took)/3)
+				if s.deployment.early > 0 {
+					wait = time.Duration(s.deployment.early * float64(wait))
+				}
+				if s.deployment.atOnce {
+					wait = 0
+				}
 				// The refusal, the two first packets of the connection and the request.
 				s.after(wait+4*s.deployment.callerDelay, func() { try(retries - 1) })
+				return
 			case result.notRun:
+				if refusals++; refusals == 2 {
+					t.refusedTwice++
+				}
 				t.refused++
 			default:
 				t.failed++
 			}
+			end()
+		}
+		if elapsed > r.target && !m.returnsOf(r.name).MayHaveSpare(s.now) {
+			ended(outcome{notRun: true})
+			return
+		}
+		s.forward(m, r, teamName, elapsed, s.now.Add(left), func(result outcome) {
+			if result.notRun && elapsed > r.target {
+				m.returnsOf(r.name).LateRefused(s.now)
+			}
+			ended(result)
 		})
 	}
 	s.after(s.deployment.callerDelay, func() { try(max(1, s.deployment.retries)) })
 }
 
+// hotTeam is one of the middle: it sends a few requests in a hundred.
+const hotTeam = 10
+
+// drawTeam draws the team of a request; the hot one also sends the requests of nextHot.
+func (s *simulation) drawTeam() int {
+	if s.deployment.teams == 0 {
+		return 0
+	}
+	if s.teamShares == nil {
+		sum := 0.0
+		for k := range s.deployment.teams {
+			sum += 1 / float64(k+1)
+			s.teamShares = append(s.teamShares, sum)
+		}
+	}
+	point := s.random.Float64() * s.teamShares[len(s.teamShares)-1]
+	index, _ := slices.BinarySearch(s.teamShares, point)
+	return index + 1
+}
+
+func (s *simulation) teamTally(at time.Time, team int) *tally {
+	second := int(at.Sub(s.start) / time.Second)
+	for len(s.byTeam) <= second {
+		s.byTeam = append(s.byTeam, map[string]*tally{})
+	}
+	name := fmt.Sprint("team-", team)
+	if s.byTeam[second][name] == nil {
+		s.byTeam[second][name] = &tally{}
+	}
+	return s.byTeam[second][name]
+}
+
+// teamsBetween sums the tallies of some seconds by team.
+func (s *simulation) teamsBetween(from, to int) map[string]*tally {
+	sums := map[string]*tally{}
+	for second := from; second < min(to, len(s.byTeam)); second++ {
+		for name, t := range s.byTeam[second] {
+			if sums[name] == nil {
+				sums[name] = &tally{}
+			}
+			sums[name].add(t)
+		}
+	}
+	return sums
+}
+
 func (s *simulation) callerZone() string {
 	if s.deployment.zoneShares == nil {
 		return s.deployment.zones[s.random.IntN(len(s.deployment.zones))]
@@ -354,8 +492,8 @@
 }
 
 // forward sends a request from its ingress to upstreams, as node/forwarding.go does.
-func (s *simulation) forward(m *machine, r *route, deadline time.Time, done func(outcome)) {
-	started := s.now
+func (s *simulation) forward(m *machine, r *route, team string, elapsed time.Duration, deadline time.Time, done func(outcome)) {
+	started := s.now.Add(-elapsed)
 	budget := m.budgets[r.name]
 	budget.CountCall(s.now)
 	plan := forward.New(forward.Config{Class: r.class, Budget: budget, Deadline: deadline, Resendable: true})
@@ -376,12 +514,12 @@
 		sent := s.now
 		executor := s.byID[target.ID]
 		delay := s.delay(m.zone, executor.zone)
-		if delay > 0 {
+		if m.zone != executor.zone {
 			t := s.tallyOf(s.now, r.name)
 			t.crossed++
 		}
 		s.after(delay, func() {
-			s.execute(executor, r, deadline.Add(-delay), remaining, func(reply reply) {
+			s.execute(executor, r, team, deadline.Add(-delay), remaining, func(reply reply) {
 				s.after(delay, func() {
 					m.balancer.Done(s.now, target, reply.report(r, s.now.Sub(sent)))
 					decision := plan.AttemptEnded(s.now, forward.Result{
@@ -426,7 +564,7 @@
 }
 
 // execute admits a call at the node beside an upstream and runs it.
-func (s *simulation) execute(m *machine, r *route, deadline time.Time, targetLeft time.Duration, done func(reply)) {
+func (s *simulation) execute(m *machine, r *route, team string, deadline time.Time, targetLeft time.Duration, done func(reply)) {
 	if !m.serving || !s.now.Before(deadline) {
 		done(reply{outcome: retry.NotRun, load: m.queue.Load()})
 		return
@@ -435,7 +573,7 @@
 	id := s.nextCall
 	queue := m.queue
 	verdict := queue.Offer(s.now, admission.Ticket{
-		ID: id, Class: r.class, Priority: r.priority, Route: r.name, Deadline: deadline, TargetTime: s.now.Add(targetLeft),
+		ID: id, Class: r.class, Priority: r.priority, Route: r.name, Team: team, Deadline: deadline, TargetTime: s.now.Add(targetLeft),
 	})
 	decided := func(v admission.Verdict) {
 		if v.Action == admission.Run {
@@ -477,7 +615,7 @@
 	m *machine, queue *admission.Queue, id uint64, r *route, deadline time.Time, done func(reply),
 ) {
 	started := s.now
-	work := time.Duration(float64(r.work) * m.speed * s.lognormal(serviceSpread))
+	work := time.Duration(float64(r.work) * m.speed * s.lognormal(cmp.Or(r.spread, serviceSpread)))
 	ended := false
 	finish := func(ok bool) {
 		if ended {
@@ -520,7 +658,7 @@
 		deadline = limit
 	}
 	call := func(done func(bool)) {
-		s.forward(m, callee, deadline, func(result outcome) { done(result.ok) })
+		s.forward(m, callee, "", 0, deadline, func(result outcome) { done(result.ok) })
 	}
 	if !r.together {
 		call(func(ok bool) {
