rollout: an overload of the whole service is no fault of the release

The few upstreams that a release uses at first get a fixed share, while the load of the others is balanced, so that overload strikes them harder. Change: an upstream is failing only if its rate exceeds twice that of the others, and a release gets more than its first share only while the others fail less than a quarter of their calls.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -166,7 +166,7 @@
 		return Decision{State: release.Running, Share: r.Share, Focus: r.Focus + 1, Reason: "compares: " + verdict.reason}
 	case verdict.suspected:
 		return keep(r)
-	case s.Elapsed < fraction(judgedShare, r) || !t.hasEvidence(s.Newer):
+	case s.Elapsed < fraction(judgedShare, r) || !t.hasEvidence(s.Newer) || r.Share < laterSteps[0] && t.inDistress(now):
 		return j.decideFirstShare(now, t, s)
 	}
 	return j.decideLaterShare(now, t, s)
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -257,6 +257,12 @@
 			}
 			return 1
 		}),
+		Entry("beside an overload under which its few upstreams fail more than the others", func(c call, random *rand.Rand) (bool, float64) {
+			if c.at < 5*time.Second || c.at > 9*time.Second {
+				return false, 1
+			}
+			return random.Float64() < 0.44 || c.newer && random.Float64() < 0.35, 1
+		}, nil),
 		Entry("in a slow time of both", func(c call, _ *rand.Rand) (bool, float64) {
 			if c.at > 4*time.Second && c.at < 12*time.Second {
 				return false, 6
--- a/coordination/rollout/trial.go
+++ b/coordination/rollout/trial.go
@@ -24,8 +24,12 @@
 	minTimed    = 6
 	// minJudgedCalls is the number of calls after which an upstream counts as judged.
 	minJudgedCalls = 8
-	// failureExcess is how far the failure rate must exceed that of the other releases.
+	// failureExcess is how far the failure rate must exceed failureRatio times that of the other releases. Under overload
+	// the few upstreams that a release uses at first may fail more calls than others whose load is balanced.
 	failureExcess = 0.05
+	failureRatio  = 2
+	// distressRate is the failure rate of the other releases above which a release cannot be compared with them.
+	distressRate = 0.25
 	// confidence is the number of standard errors by which it must do so, which one of twenty sound upstreams exceeds.
 	confidence = 1.64
 	// slowness is the ratio of the mean times of a slow release and the others. Less may come from the upstreams' load.
@@ -76,17 +80,17 @@
 
 // isFailing reports whether the failure rate exceeds that of the other releases beyond doubt.
 func (c counts) isFailing(others counts) bool {
-	return c.failures >= minFailures && exceeds(c.failures, c.calls, others.failures, others.calls, failureExcess)
+	return c.failures >= minFailures && exceeds(c.failures, c.calls, others.failures, others.calls, failureRatio, failureExcess)
 }
 
-// exceeds reports whether the share of events among calls exceeds that among other calls beyond doubt and by more than an
-// excess.
-func exceeds(events, calls, otherEvents, otherCalls, excess float64) bool {
+// exceeds reports whether the share of events among calls exceeds a multiple of that among other calls beyond doubt and by
+// more than an excess.
+func exceeds(events, calls, otherEvents, otherCalls, ratio, excess float64) bool {
 	rate, otherRate := events/calls, otherEvents/max(otherCalls, 1)
 	lowest := rate - confidence*math.Sqrt(rate*(1-rate)/calls)
 	// A rate of 0 over few calls is not known to be 0.
 	highest := otherRate + confidence*math.Sqrt(max(otherRate*(1-otherRate), 0.01)/max(otherCalls, 1))
-	return lowest > highest+excess
+	return lowest > ratio*highest+excess
 }
 
 // isSlow reports whether all calls take much longer than on the other releases, or clearly more of them take longer than
@@ -97,7 +101,7 @@
 	}
 	late, othersLate := c.tail(others)
 	return c.mean() > slowness*others.mean() ||
-		late >= minTimed && exceeds(late, c.timed, othersLate, others.timed, tailExcess)
+		late >= minTimed && exceeds(late, c.timed, othersLate, others.timed, 1, tailExcess)
 }
 
 // tail counts the calls that take longer than nearly all of the others' calls by more than the load may explain, and the
@@ -376,6 +380,12 @@
 	return fault, all.calls
 }
 
+// inDistress reports whether the other releases themselves fail so many calls that a fault of the release may not show.
+func (t *trial) inDistress(now time.Time) bool {
+	others := t.othersRecent(now).total()
+	return others.failures > distressRate*others.calls
+}
+
 // olderAreIdle reports whether the upstreams of the other releases have had no call for settleTime, by reports that are
 // recent. Upstreams whose nodes report no more have stopped.
 func (t *trial) olderAreIdle(now time.Time) bool {
