--- a/coordination/retry/returns.go
+++ b/coordination/retry/returns.go
@@ -17,9 +17,6 @@
 	minNewShare = 0.25
 	// newShareDivisor is the inverse of the weight of one request in the share of new ones.
 	newShareDivisor = 32
-	// spareLifetime is the time for which a refusal of a late request holds for the next ones: about the time in which
-	// some slots become free. A longer one would leave those unused.
-	spareLifetime = 100 * time.Millisecond
 )
 
 // Returns recognises the requests of callers who come back after a refusal, on one route: they name a deadline that is
@@ -32,8 +29,6 @@
 	longest     [2]time.Duration
 	windowStart time.Time
 	newShare    float64
-	// noSpareUntil is the end of the time in which late requests are known to be refused.
-	noSpareUntil time.Time
 }
 
 // Elapsed returns the time since the first attempt of a request whose caller gives it a time until the deadline; 0 if the
@@ -62,18 +57,3 @@
 	}
 	return elapsed
 }
-
-// LateRefused records that the upstreams have refused a late request for lack of slots.
-func (r *Returns) LateRefused(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.noSpareUntil = now.Add(spareLifetime)
-}
-
-// MayHaveSpare reports whether the upstreams may have slots for a late request. If not, it is refused before it uses a
-// link.
-func (r *Returns) MayHaveSpare(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !now.Before(r.noSpareUntil)
-}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -97,9 +97,6 @@
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	reply := call.confirmNotRun(ctx, call.forwardWithinQuota(ctx))
-	if reply.metadata.Reason == protocol.ReasonShed && call.isLate() {
-		call.policy.returns.LateRefused(time.Now())
-	}
 	defer reply.finish()
 	n.metrics.observeRequest(call.route.Class, reply.metadata.Outcome, time.Since(started))
 	n.requestLog.requestEnded(call, reply)
@@ -142,9 +139,6 @@
 	if call.endsTooLate() {
 		return nil, protocol.ReasonDraining
 	}
-	if call.isLate() && !call.policy.returns.MayHaveSpare(started) {
-		return call, protocol.ReasonShed
-	}
 	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
 		return call, reason
 	}
@@ -402,9 +396,6 @@
 	return c.started.Add(time.Duration(c.route.TargetMs)*time.Millisecond - c.elapsed)
 }
 
-// isLate reports whether the caller's earlier attempts have used up the time until the target.
-func (c *ingressCall) isLate() bool { return c.route.TargetMs > 0 && c.target().Before(c.started) }
-
 // balancerReport describes the result of an attempt to the balancer.
 func (c *ingressCall) balancerReport(ctx context.Context, reply *callReply, elapsed time.Duration) balance.Report {
 	report := balance.Report{
