balance, speed, node: upstreams of one service differ in speed, and each gets work by its own

Cause: an ingress gets an answer of one upstream of 61 about every 3 s; what it knows of a latency decays within 2 s, so that slow and fast machines got equal shares. Calls waited at one upstream while others had free slots; Server-Load was not read. Change: the node beside an upstream measures its speed (service time of a route against the route's mean on the other upstreams) and states it in each load report; endpoints are drawn in proportion to slots times speed, and it does not decay. A call that cannot start at once is returned to its ingress twice at most, and tries another upstream; then it waits where it is served first. The load header's fourth figure only decides whether the node beside returns a call now. The pace of a start (package pace) limits the slots of an upstream that announces a warm-up, and takes the place of the other nodes' slow start. Note: the load report, call metadata and endpoint records have new optional fields.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -62,6 +62,8 @@
 // Config holds the settings of a Balancer. Zero fields take the defaults.
 type Config struct {
 	Policy Policy
+	// ID is the endpoint beside this process; empty if there is none.
+	ID string
 	// Zone is the availability zone of this process.
 	Zone string
 	// ZoneDelay returns the one-way delay to a zone. It is called by Update, not by Pick.
@@ -114,6 +116,11 @@
 	Slots    int `cbor:"3,keyasint,omitempty"`
 	// LatencyMicros is the mean service time in microseconds.
 	LatencyMicros int64 `cbor:"4,keyasint,omitempty"`
+	// Speed is how fast the upstream works, in percent of the mean of its service; 0 if it is not known.
+	Speed int `cbor:"5,keyasint,omitempty"`
+	// Slowdown is how long work takes on the upstream's instance at this moment, in percent of the usual; 0 if it is not
+	// known.
+	Slowdown int `cbor:"6,keyasint,omitempty"`
 }
 
 // Request describes a call that needs an upstream.
@@ -235,6 +242,19 @@
 	return chosen.target(), nil
 }
 
+// RouteServiceTime returns the mean service time of a route over the upstreams of other nodes; 0 if it is not known.
+func (b *Balancer) RouteServiceTime(serviceName, route string) time.Duration {
+	s := b.snapshot.Load()
+	if s == nil || s.services[serviceName] == nil {
+		return 0
+	}
+	known, ok := s.services[serviceName].averages.routes.Load(route)
+	if !ok || known.(*routeAverages).steadySamples.Load() < minSteadySamples {
+		return 0
+	}
+	return time.Duration(known.(*routeAverages).steadyTime.Load())
+}
+
 // Done records the end of a call.
 func (b *Balancer) Done(now time.Time, t Target, r Report) {
 	if t.endpoint == nil {
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -30,6 +30,15 @@
 	// maxSlowness bounds the ratio of an upstream's latency to the average of its service; latencyFloorDivisor is the
 	// bound for faster ones.
 	maxSlowness = 4
+	// capacityDecayShift sets how fast the highest capacity falls: by 1/2^capacityDecayShift with each report.
+	capacityDecayShift = 10
+	// steadySampleCount is the number of calls over which steadyTime averages.
+	steadySampleCount = 256
+	// minSteadySamples is the number of calls from which on the long average is used.
+	minSteadySamples = 16
+	// minSpeed and maxSpeed bound a reported speed, in percent, so that a wrong one does not attract or repel all calls.
+	minSpeed = 20
+	maxSpeed = 400
 	// maxErrorRate bounds the error rate that counts. At this rate an upstream's score is four times its expected
 	// delay.
 	maxErrorRate = 0.75
@@ -49,16 +58,30 @@
 	// another run on the same upstreams. Routes beyond maxRoutes have no entry.
 	routes     sync.Map
 	routeCount atomic.Int64
+	// maxCapacity is about the highest capacity of an endpoint, in slots of mean speed, in thousandths.
+	maxCapacity atomic.Int64
+	search      search
 }
 
 // routeAverages holds the running averages of one route.
 type routeAverages struct {
 	serviceTime   atomic.Int64 // nanoseconds
 	responseBytes atomic.Int64
+	// steadyTime averages the service time over more calls, and only over those of other nodes' upstreams: speeds are
+	// measured against it.
+	steadyTime    atomic.Int64 // nanoseconds
+	steadySamples atomic.Int64
 }
 
-// observeRoute adds one call to the averages of its route.
-func (a *averages) observeRoute(r Report) {
+// addSteadyTime adds a service time to the long average.
+func (r *routeAverages) addSteadyTime(sample int64) {
+	weight := min(r.steadySamples.Add(1), steadySampleCount)
+	old := r.steadyTime.Load()
+	r.steadyTime.Store(old + (sample-old)/weight)
+}
+
+// observeRoute adds one call to the averages of its route. own is set if it ran on the upstream beside this process.
+func (a *averages) observeRoute(r Report, own bool) {
 	if r.Route == "" || r.ServiceTime <= 0 {
 		return
 	}
@@ -71,6 +94,9 @@
 	}
 	route := known.(*routeAverages)
 	addSample(&route.serviceTime, int64(r.ServiceTime))
+	if !own {
+		route.addSteadyTime(int64(r.ServiceTime))
+	}
 	if r.ResponseBytes > 0 {
 		addSample(&route.responseBytes, r.ResponseBytes)
 	}
@@ -111,6 +137,7 @@
 	connectFailures atomic.Int64 // in a row
 	errorRate       atomic.Int64 // share of failed calls, in thousandths
 	errorRateAt     atomic.Int64
+	speed           atomic.Int64 // percent of the mean of the service; 0 if not known
 	ejectedUntil    atomic.Int64 // because connections failed
 	suspendedUntil  atomic.Int64 // because the instance does not respond
 }
@@ -147,6 +174,36 @@
 	return max(minSlowStartShare, float64(at-e.servingSince)/float64(slowStart))
 }
 
+// relativeSpeed returns the reported speed; 1 is the mean of the service. It does not decay: an upstream that was idle is as
+// fast as before.
+func (e *endpoint) relativeSpeed() float64 {
+	if speed := e.speed.Load(); speed != 0 {
+		return float64(speed) / 100
+	}
+	return 1
+}
+
+// capacity returns how many slots of mean speed the endpoint has, in thousandths.
+func (e *endpoint) capacity() int64 {
+	return int64(float64(e.slots.Load()) * e.relativeSpeed() * milli)
+}
+
+// capacityShare returns the capacity as a share of the highest one of the service. Endpoints are drawn with this
+// probability, so that each gets work in proportion to what it can do.
+func (e *endpoint) capacityShare() float64 {
+	highest := e.averages.maxCapacity.Load()
+	if highest == 0 {
+		return 1
+	}
+	return min(1, float64(e.capacity())/float64(highest))
+}
+
+// observeCapacity updates the highest capacity, which falls slowly when no endpoint reaches it.
+func (a *averages) observeCapacity(capacity int64) {
+	highest := a.maxCapacity.Load()
+	a.maxCapacity.Store(max(capacity, highest-highest>>capacityDecayShift))
+}
+
 // freshness returns the weight of an observation, which decays from 1 to 0 over the lifetime.
 func freshness(at time.Duration, observedAt int64, lifetime time.Duration) float64 {
 	age := float64(int64(at) - observedAt)
@@ -170,6 +227,7 @@
 	if average == 0 {
 		average = float64(initialLatency)
 	}
+	average /= e.relativeSpeed()
 	latency := average
 	if latencyAt := e.latencyAt.Load(); latencyAt != 0 {
 		latency += (float64(e.latency.Load()) - average) * freshness(at, latencyAt, c.ReportLifetime)
@@ -204,9 +262,11 @@
 }
 
 // score returns the expected delay of a call in nanoseconds, without the delay between zones. The error rate raises it
-// by the expected number of retries.
+// by the expected number of retries. Speeds have no part in it, since endpoints are drawn in proportion to them: only a
+// latency that differs from what the speed lets expect counts.
 func (e *endpoint) score(c *Config, at time.Duration) float64 {
-	return e.load(c, at) * e.expectedLatency(c, at) / (1 - e.boundedErrorRate(c, at))
+	latency := e.expectedLatency(c, at) * e.relativeSpeed()
+	return e.load(c, at) * latency / (1 - e.boundedErrorRate(c, at))
 }
 
 // observeError adds the result of one call to the error rates of the endpoint and of its service.
@@ -228,7 +288,7 @@
 	switch r.Outcome {
 	case Completed:
 		e.connectFailures.Store(0)
-		e.averages.observeRoute(r)
+		e.averages.observeRoute(r, e.ID == c.ID)
 		e.observeError(at, false)
 		e.observeLatency(at, e.serviceTime(r))
 	case Refused:
@@ -256,6 +316,10 @@
 		if r.Load.Slots > 0 {
 			e.slots.Store(int64(r.Load.Slots))
 		}
+		if r.Load.Speed > 0 {
+			e.speed.Store(int64(min(maxSpeed, max(minSpeed, r.Load.Speed))))
+			e.averages.observeCapacity(e.capacity())
+		}
 		e.observeOtherCalls(at, e.otherCallsIn(*r.Load))
 		return
 	}
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -257,7 +258,7 @@
 		if e == nil {
 			return nil, 0
 		}
-		share := e.slowStartShare(p.now, p.service.slowStart)
+		share := e.slowStartShare(p.now, p.service.slowStart) * e.capacityShare()
 		if share >= 1 || p.randomFraction() < share {
 			break
 		}
@@ -295,7 +296,9 @@
 }
 
 // randomFraction returns a random number in [0, 1).
-func (p *picker) randomFraction() float64 {
+func (p *picker) randomFraction() float64 { return fraction(p.request.Rand) }
+
+func fraction(source rand.Source) float64 {
 	const mantissaBits = 53
-	return float64(p.request.Rand.Uint64()>>(64-mantissaBits)) / (1 << mantissaBits)
+	return float64(source.Uint64()>>(64-mantissaBits)) / (1 << mantissaBits)
 }
--- a/coordination/balance/status.go
+++ b/coordination/balance/status.go
@@ -24,6 +24,10 @@
 	Load float64
 	// Share is the fraction of its full share of calls that the endpoint receives in its slow start; 1 afterwards.
 	Share float64
+	// Speed is the reported speed, where 1 is the mean of the service and also the value before the first report.
+	// CapacityShare is slots times speed, as a share of the highest of the service.
+	Speed         float64
+	CapacityShare float64
 	// EjectedFor is the remaining ejection time; 0 if the endpoint is not ejected.
 	EjectedFor time.Duration
 }
@@ -62,6 +66,8 @@
 		Latency:        time.Duration(e.expectedLatency(c, at)),
 		Load:           e.load(c, at),
 		Share:          e.slowStartShare(at, slowStart),
+		Speed:          e.relativeSpeed(),
+		CapacityShare:  e.capacityShare(),
 		EjectedFor:     max(0, time.Duration(e.ejectedUntil.Load())-at),
 	}
 	if reportedAt := e.loadReportedAt.Load(); reportedAt != 0 {
--- a/coordination/endpoints/record.go
+++ b/coordination/endpoints/record.go
@@ -75,6 +75,8 @@
 	Leaving *UpstreamProcess `cbor:"10,keyasint,omitempty"`
 	// Release is the version of the upstream's software; empty if it announces none.
 	Release string `cbor:"11,keyasint,omitempty"`
+	// Paced is set if other nodes need not slow the start of the upstream: the node beside it does, or knows that it is warm.
+	Paced bool `cbor:"12,keyasint,omitempty"`
 }
 
 // UpstreamProcess identifies one process of an upstream by its ID and its start time in Unix milliseconds.
--- a/node/admin.go
+++ b/node/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sapphiregate.example/sapphiregate/coordination/balance"
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/quarantine"
 	"sapphiregate.example/sapphiregate/coordination/quota"
@@ -105,10 +106,12 @@
 	Version     uint64 `json:"version"`
 	Digest      string `json:"digest,omitempty"`
 	// InForceMs is the time in milliseconds for which the version has been in force.
-	InForceMs  int64                    `json:"in_force_ms,omitempty"`
-	Routes     int                      `json:"routes"`
-	Relay      relay.Status             `json:"relay"`
-	Endpoints  []endpoints.Record       `json:"endpoints"`
+	InForceMs int64              `json:"in_force_ms,omitempty"`
+	Routes    int                `json:"routes"`
+	Relay     relay.Status       `json:"relay"`
+	Endpoints []endpoints.Record `json:"endpoints"`
+	// Balancer shows the endpoints as this node's balancer sees them.
+	Balancer   []balance.EndpointStatus `json:"balancer"`
 	Upstream   UpstreamDump             `json:"upstream"`
 	Quarantine []quarantine.Entry       `json:"quarantine,omitempty"`
 	Quotas     []quota.HoldingStatus    `json:"quotas,omitempty"`
@@ -121,6 +124,8 @@
 	State        string              `json:"state"`
 	Announcement *Announcement       `json:"announcement,omitempty"`
 	Load         protocol.LoadReport `json:"load"`
+	// Paced is set while the start of the upstream is paced; Load has the slots that it may use.
+	Paced bool `json:"paced,omitempty"`
 	// SelfReport is what the upstream itself reports at its load path; it is shown for comparison only.
 	SelfReport json.RawMessage `json:"self_report,omitempty"`
 }
@@ -129,7 +134,7 @@
 	dump := Dump{
 		ID: n.id, Zone: n.options.Zone, Incarnation: n.incarnation, Version: n.Version(),
 		Quarantine: n.quarantine.Entries(time.Now()), Added: n.metrics.quantiles(), Violations: invariant.Counts(),
-		Upstream: n.executor.dump(r), Quotas: n.quotas.status(),
+		Upstream: n.executor.dump(r), Quotas: n.quotas.status(), Balancer: n.balancer.Status(time.Now()),
 	}
 	if current := n.snapshot.Load(); current != nil {
 		dump.Digest = current.digest.String()
@@ -154,6 +159,10 @@
 	e.mu.Lock()
 	current := e.upstream
 	dump := UpstreamDump{State: e.state.String(), Load: loadReport(e.queue.Load())}
+	if current != nil {
+		dump.Load.Speed, dump.Load.Slowdown = current.statedSpeed(time.Now())
+		dump.Paced = current.pace.Active()
+	}
 	e.mu.Unlock()
 	if current == nil {
 		return dump
--- a/node/announce.go
+++ b/node/announce.go
@@ -48,8 +48,12 @@
 		Int("slots", announcement.Slots).Msg("upstream announced itself")
 }
 
-// slots returns the number of calls that the upstream may run at once. The caller holds e.mu.
-func (e *executor) slots() int {
+// slots returns the number of calls that the upstream may run at once: fewer than its slots while its start is paced. The
+// caller holds e.mu.
+func (e *executor) slots() int { return e.upstream.pace.Limit(e.allSlots()) }
+
+// allSlots returns the number of calls that the upstream may run at once when it is warm. The caller holds e.mu.
+func (e *executor) allSlots() int {
 	slots := e.upstream.announcement.Slots
 	if service, ok := e.service(e.upstream.announcement.Service); ok && service.MaxConcurrency > 0 {
 		slots = min(slots, service.MaxConcurrency)
@@ -64,7 +68,7 @@
 		return config
 	}
 	config.Slots = e.slots()
-	config.QueueLimit = defaultQueuePerSlot * config.Slots
+	config.QueueLimit = defaultQueuePerSlot * e.allSlots()
 	config.TargetQueueLimit = max(config.QueueLimit, admission.DefaultQueueLimit)
 	if service, ok := e.service(e.upstream.announcement.Service); ok && service.QueueLimit > 0 {
 		config.QueueLimit, config.TargetQueueLimit = service.QueueLimit, service.QueueLimit
--- a/node/control.go
+++ b/node/control.go
@@ -46,6 +46,7 @@
 			service, ok := current.services[name]
 			return service, ok
 		},
+		routeServiceTime: n.balancer.RouteServiceTime,
 		announce: func(record endpoints.Record) {
 			record.Address = n.options.Advertise
 			go n.control.Post(func(now time.Time) { n.peer.Announce(now, record) })
@@ -211,12 +212,20 @@
 		table = append(table, balance.Endpoint{
 			ID: record.ID, Incarnation: record.Incarnation, Zone: record.Zone, Service: record.Service,
 			Address: record.Address, State: balanceStates[record.State], Slots: record.Slots, Release: record.Release,
-			ServingSince: known.since,
+			ServingSince: slowStartSince(record, known),
 		})
 	}
 	return table
 }
 
+// slowStartSince returns the time at which the slow start of an endpoint begins; zero if it needs none.
+func slowStartSince(record endpoints.Record, known knownEndpoint) time.Time {
+	if record.Paced {
+		return time.Time{}
+	}
+	return known.since
+}
+
 // observeEndpoint determines the time since which an upstream serves. Upstreams in the first table that this node gets
 // have a zero time: they have probably served for long. The connection to the former process of a restarted instance is
 // closed.
--- a/node/crash.go
+++ b/node/crash.go
@@ -154,13 +154,17 @@
 // healthy, or may be used although its health check fails. One that says that it leaves is drained. It returns the time
 // since which the upstream accepts connections; zero if it does not, or is in service.
 func (e *executor) checkDown(current *upstream, acceptingSince time.Time) time.Time {
+	path, known := e.checkedHealthPath(current)
+	if !known && !acceptingSince.IsZero() && !e.mayServeUnhealthy(current, acceptingSince) {
+		// Until a configuration names the health path, another connection would show nothing new.
+		return acceptingSince
+	}
 	if !current.acceptsConnections(e.ctx) {
 		return time.Time{}
 	}
 	if acceptingSince.IsZero() {
 		acceptingSince = time.Now()
 	}
-	path, known := e.checkedHealthPath(current)
 	healthy, leaving := current.checkHealth(e.ctx, path, e.dialect)
 	if (!known || !healthy) && !leaving && !e.mayServeUnhealthy(current, acceptingSince) {
 		return acceptingSince
@@ -180,6 +184,9 @@
 	}
 	e.logger.Info().Str("service", current.announcement.Service).Str("address", current.announcement.Address).
 		Int("slots", current.announcement.Slots).Msg(message)
+	if e.state == upstreamDown {
+		e.paceRecovery()
+	}
 	e.state = upstreamServing
 	e.announceState(endpoints.Serving)
 	return time.Time{}
@@ -211,7 +218,7 @@
 func (e *executor) announceState(state endpoints.State) {
 	announcement := e.upstream.announcement
 	record := endpoints.Record{Service: announcement.Service, State: state, Slots: announcement.Slots,
-		Release: announcement.Release}
+		Release: announcement.Release, Paced: e.isPaced()}
 	if e.hasDeregistered(announcement) {
 		record.Leaving = &endpoints.UpstreamProcess{ID: announcement.ID, Incarnation: announcement.Incarnation}
 	}
--- a/node/executor.go
+++ b/node/executor.go
@@ -27,6 +27,8 @@
 	quarantine  *quarantine.List
 	// service returns a service as the configuration in force defines it.
 	service func(name string) (bundle.Service, bool)
+	// routeServiceTime returns the mean service time of a route over the upstreams of other nodes; 0 if it is not known.
+	routeServiceTime func(service, route string) time.Duration
 	// announce publishes the upstream's endpoint record to the mesh.
 	announce func(endpoints.Record)
 	// publish distributes a crash report or clearance to all nodes.
@@ -67,6 +69,7 @@
 	// crashCheck is set while the upstream is probed after a broken connection.
 	crashCheck    *crashCheck
 	lastHeartbeat heartbeatPosition
+	warmup        announcedWarmup
 	// configuredService is the service that the settings name; it is used until an upstream announces itself.
 	configuredService string
 	// deregistered holds, by upstream ID, the last incarnation (Unix milliseconds) that has said that it is about to stop.
@@ -83,6 +86,8 @@
 type activeCall struct {
 	fingerprint quarantine.Fingerprint
 	exclusive   bool
+	service     string
+	route       string
 	started     time.Time
 }
 
@@ -109,7 +114,8 @@
 	}
 	e.nextID++
 	id := e.nextID
-	call := &activeCall{fingerprint: fingerprint, exclusive: meta.Exclusive || quarantineVerdict == quarantine.Exclusive}
+	call := &activeCall{fingerprint: fingerprint, exclusive: meta.Exclusive || quarantineVerdict == quarantine.Exclusive,
+		service: meta.Service, route: meta.Route}
 	ticket := admission.Ticket{
 		ID: id, Class: meta.Class, Priority: meta.Priority, Route: meta.Route, Team: meta.Team,
 		Deadline: deadline, Exclusive: call.exclusive,
@@ -117,6 +123,10 @@
 	if meta.TargetRemaining > 0 {
 		ticket.TargetTime = now.Add(meta.TargetRemaining)
 	}
+	if meta.ReturnIfBusy && (e.upstream.moment.Slow(now) || !e.queue.StartsAtOnce(now, ticket)) {
+		e.mu.Unlock()
+		return nil, protocol.ReasonBusy
+	}
 	verdict := e.queue.Offer(now, ticket)
 	if verdict.Reason == admission.ReasonTarget || verdict.Reason == admission.ReasonQueueFull {
 		e.requestLog.upstreamFull(now, meta.Service, e.queue.Occupancy)
@@ -219,11 +229,13 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.active[slot.callID]; !ok {
+	call, ok := e.active[slot.callID]
+	if !ok {
 		return
 	}
 	delete(e.active, slot.callID)
 	if serviceTime > 0 {
+		e.observeServiceTime(now, slot.upstream, call, serviceTime)
 		e.applyDecisions(e.queue.Finish(now, slot.callID, serviceTime))
 	} else {
 		e.applyDecisions(e.queue.Cancel(now, slot.callID))
@@ -263,6 +275,9 @@
 func (e *executor) load() protocol.LoadReport {
 	e.mu.Lock()
 	load := e.queue.Load()
+	if e.upstream != nil {
+		load.Speed, load.Slowdown = e.upstream.statedSpeed(time.Now())
+	}
 	e.mu.Unlock()
 	return loadReport(load)
 }
@@ -270,5 +285,6 @@
 func loadReport(load balance.Load) protocol.LoadReport {
 	return protocol.LoadReport{
 		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
+		Speed: load.Speed, Slowdown: load.Slowdown,
 	}
 }
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -128,15 +128,18 @@
 	ctx       context.Context
 	index     int
 	target    balance.Target
+	// request is what the target was picked for.
+	request balance.Request
 }
 
 // startAttempt chooses an upstream that was not tried yet and prepares an attempt. It returns false if there is none.
 func (f *forwarder) startAttempt(ctx context.Context) (*attempt, bool) {
 	c := f.call
-	target, err := c.node.balancer.Pick(time.Now(), balance.Request{
+	request := balance.Request{
 		Service: c.metadata.Service, Route: c.route.Name, Zone: c.route.Zone, Exclude: f.tried, Rand: f.random,
 		TargetRemaining: c.timeUntilTarget(), MeetTargetOnly: f.lastReason == protocol.ReasonShed,
-	})
+	}
+	target, err := c.node.balancer.Pick(time.Now(), request)
 	if err != nil {
 		f.lastReason = cmp.Or(f.lastReason, protocol.ReasonNoUpstream)
 		return nil, false
@@ -145,7 +148,7 @@
 	c.tried = f.tried
 	f.plan.AttemptStarted()
 	f.pending++
-	started := &attempt{forwarder: f, index: len(f.cancels), target: target}
+	started := &attempt{forwarder: f, index: len(f.cancels), target: target, request: request}
 	var cancel context.CancelFunc
 	started.ctx, cancel = context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
@@ -154,7 +157,7 @@
 
 func (a *attempt) run() attemptResult {
 	onAcknowledged := func() { a.forwarder.acknowledged.Store(true) }
-	result := a.forwarder.call.attempt(a.ctx, a.target, a.index > 0, onAcknowledged)
+	result := a.forwarder.call.place(a.ctx, a.request, a.target, a.index > 0, onAcknowledged)
 	result.index = a.index
 	return result
 }
@@ -162,6 +165,7 @@
 // handleResult passes the result of an attempt to the plan and starts the next attempt if the plan asks for one.
 func (f *forwarder) handleResult(ctx context.Context, result attemptResult) forward.Action {
 	meta := &result.reply.metadata
+	f.tried[result.index] = result.target.ID
 	decision := f.plan.AttemptEnded(time.Now(), forward.Result{
 		Outcome: retryOutcomes[meta.Outcome], Final: isFinal(meta.Reason), Suspect: meta.Suspect,
 		RefusedByUpstream: meta.Reason == protocol.ReasonUpstreamRefused,
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -83,6 +83,7 @@
 		id: h.Announcement.ID, incarnation: h.Announcement.Incarnation, sequence: h.Sequence,
 	}
 	e.warmAt = time.Now().Add(h.Warmup)
+	e.noteWarmup(h)
 	if h.Leaving && h.Announcement.Incarnation > 0 {
 		e.rememberDeregistered(h.Announcement.ID, h.Announcement.Incarnation)
 	}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -333,6 +333,8 @@
 type attemptResult struct {
 	index int
 	reply *callReply
+	// target is the upstream to which the call was sent last.
+	target balance.Target
 	// externalTime is the part of the attempt that was not spent in sapphiregate's processes.
 	externalTime time.Duration
 }
@@ -354,7 +356,7 @@
 // attempt sends the call to one upstream and returns once its response has begun. It reports the result to the
 // balancer.
 func (c *ingressCall) attempt(
-	ctx context.Context, target balance.Target, isRetry bool, onAcknowledged func(),
+	ctx context.Context, target balance.Target, isRetry, returnIfBusy bool, onAcknowledged func(),
 ) attemptResult {
 	now := time.Now()
 	meta := c.metadata
@@ -363,6 +365,7 @@
 	meta.TargetRemaining = c.timeUntilTarget()
 	meta.Incarnation = target.Incarnation
 	meta.Exclusive = c.exclusive
+	meta.ReturnIfBusy = returnIfBusy
 	meta.Retry = c.metadata.Retry || isRetry
 	reply := c.node.send(ctx, target, &meta, &c.body, onAcknowledged)
 	c.chargeRepeatedRun(reply)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -38,6 +38,8 @@
 	upstreamCrashes    prometheus.Counter
 	activations        prometheus.Counter
 	linesDropped       prometheus.Counter
+	returnedCalls      prometheus.Counter
+	callsByZone        *prometheus.CounterVec
 
 	// added provides quantiles for the dump. It is more exact than the buckets of addedTime, which are a factor of two
 	// apart.
@@ -67,6 +69,8 @@
 			"Time from a request written to the upstream beside the node to its answer."),
 		upstreamCrashes: r.Counter("upstream_crashes_total", "Crashes of the upstream beside the node."),
 		activations:     r.Counter("activations_total", "Versions put into force."),
+		callsByZone:     r.Counters("calls_total", "Calls sent to an upstream, by the zone of the upstream.", "zone"),
+		returnedCalls:   r.Counter("returned_calls_total", "Calls that another node returned because its upstream had no free slot."),
 		linesDropped:    r.Counter("log_lines_dropped_total", "Lines about requests beyond the bound of the log."),
 		added:           hdrhistogram.New(1, maxAddedMicros, addedSignificantDigits),
 	}
@@ -86,6 +90,10 @@
 		func() float64 { return n.executor.upstreamLimit() })
 	m.registry.Gauge("upload_buffer_bytes", "Memory that is reserved for the bodies of uploads.",
 		func() float64 { return float64(n.uploads.reserved.Load()) })
+	m.registry.Gauge("upstream_speed", "Measured speed of the upstream beside the node; 1 is the mean of its service, 0 not known.",
+		func() float64 { return float64(n.executor.load().Speed) / 100 })
+	m.registry.Gauge("upstream_slowdown", "Stated time of work on the upstream beside the node now; 1 is its usual one.",
+		func() float64 { return float64(n.executor.load().Slowdown) / 100 })
 	m.registry.Gauge("upstream_waiting", "Calls that wait for a slot of the upstream beside the node.",
 		load(func(l protocol.LoadReport) int { return l.Queued }))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -219,7 +219,7 @@
 	n.requestsContext, n.abandonRequests = context.WithCancelCause(context.Background())
 	n.createTransports()
 	n.delays = zonedelay.New(options.ZoneDelay)
-	n.balancer = balance.New(balance.Config{Policy: options.Policy, Zone: options.Zone, ZoneDelay: n.zoneDelay})
+	n.balancer = balance.New(balance.Config{Policy: options.Policy, ID: n.id, Zone: options.Zone, ZoneDelay: n.zoneDelay})
 	n.fleet = retry.NewFleet(options.RetryLimits)
 	n.quotas = newQuotas(n)
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
--- a/node/notices.go
+++ b/node/notices.go
@@ -13,6 +13,7 @@
 	if response.StatusCode == http.StatusMisdirectedRequest && e.dialect.ExpectUpstream != "" {
 		return
 	}
+	load, hasLoad, loadErr := e.dialect.Load(response.Header)
 	limit, err := e.dialect.RequestLimit(response.Header)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -22,6 +23,13 @@
 	if e.dialect.Leaving(response.Header) {
 		e.noteLeaving("response")
 	}
+	if loadErr != nil && !from.invalidLoad {
+		e.logger.Warn().Err(loadErr).Msg("upstream tells a load that cannot be read")
+	}
+	from.invalidLoad = loadErr != nil
+	if hasLoad {
+		from.moment.Observe(time.Now(), load.Slowdown)
+	}
 	if err != nil {
 		// The last limit that could be read stays in force.
 		if !from.invalidLimit {
@@ -67,12 +75,14 @@
 func (e *executor) replaceUpstream(announcement Announcement) {
 	former := e.upstream
 	e.upstream = newUpstream(announcement)
+	e.paceStart()
 	if former == nil {
 		return
 	}
 	former.client.Close()
 	if former.announcement.ID == announcement.ID && former.announcement.Incarnation == announcement.Incarnation {
 		e.upstream.limit = former.limit
+		e.upstream.speed, e.upstream.moment, e.upstream.pace = former.speed, former.moment, former.pace
 	}
 }
 
--- a/node/response.go
+++ b/node/response.go
@@ -39,6 +39,7 @@
 	protocol.ReasonUnknownKey: http.StatusUnauthorized,
 	protocol.ReasonQuota:      http.StatusTooManyRequests,
 	protocol.ReasonShed:       http.StatusTooManyRequests,
+	protocol.ReasonBusy:       http.StatusTooManyRequests,
 	protocol.ReasonCallLimit:  http.StatusTooManyRequests,
 	protocol.ReasonKeyMissing: http.StatusBadRequest,
 	protocol.ReasonKeyExpired: http.StatusBadRequest,
@@ -57,6 +58,7 @@
 	protocol.ReasonNotReady:          "this node has no configuration yet; try another node",
 	protocol.ReasonNoUpstream:        "no upstream of the service takes calls; try again later",
 	protocol.ReasonShed:              "the upstreams are full; try again later",
+	protocol.ReasonBusy:              "the upstreams are full; try again later",
 	protocol.ReasonCallLimit:         "the route's call limit is reached; try again later",
 	protocol.ReasonDeadline:          "the deadline passed",
 	protocol.ReasonQuarantined:       "this request crashed upstreams; ask the operators to clear it",
@@ -233,6 +235,7 @@
 func balanceLoad(load protocol.LoadReport) balance.Load {
 	return balance.Load{
 		InFlight: load.InFlight, Queued: load.Queued, Slots: load.Slots, LatencyMicros: load.LatencyMicros,
+		Speed: load.Speed, Slowdown: load.Slowdown,
 	}
 }
 
--- /dev/null
+++ b/node/search.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/protocol"
+)
+
+const (
+	// maxReturns is how often a call may be returned before it waits. Each return costs a message to another node and back.
+	maxReturns = 2
+	// maxReturnedBytes bounds the body of a call that may be returned, since it is sent again each time.
+	maxReturnedBytes = 16 << 10
+)
+
+// mayReturn reports whether an executor without a free slot should return this call.
+func (c *ingressCall) mayReturn(returned int, request balance.Request) bool {
+	return returned < maxReturns && c.metadata.Key == "" && !c.exclusive && c.body.buffered() &&
+		len(c.body.prefix) <= maxReturnedBytes && c.node.balancer.MayReturn(request)
+}
+
+// place sends the call to the target. An executor whose upstream has no free slot returns it, and it goes to another one
+// where it can start at once; if there is none either, it waits where it is expected to be served first. It has reached
+// no upstream until then, so that this counts as one attempt.
+func (c *ingressCall) place(
+	ctx context.Context, request balance.Request, target balance.Target, isRetry bool, onAcknowledged func(),
+) attemptResult {
+	var returnedBy []balance.Candidate
+	for {
+		returnIfBusy := c.mayReturn(len(returnedBy), request)
+		result := c.attempt(ctx, target, isRetry, returnIfBusy, onAcknowledged)
+		result.target = target
+		if len(returnedBy) > 0 && returnIfBusy {
+			c.node.balancer.ReturnEnded(request.Service, result.reply.metadata.Reason != protocol.ReasonBusy)
+		}
+		if result.reply.metadata.Reason != protocol.ReasonBusy || ctx.Err() != nil {
+			c.node.metrics.callsByZone.WithLabelValues(target.Zone).Inc()
+			return result
+		}
+		c.node.metrics.returnedCalls.Inc()
+		load := balanceLoad(result.reply.metadata.Load)
+		result.reply.finish()
+		returnedBy = append(returnedBy, balance.Candidate{Target: target, Load: load})
+		request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], target.ID)
+		request.TargetRemaining = c.timeUntilTarget()
+		target = c.nextCandidate(request, returnedBy)
+	}
+}
+
+// nextCandidate picks another upstream for a returned call, or the best of those that have returned it.
+func (c *ingressCall) nextCandidate(request balance.Request, returnedBy []balance.Candidate) balance.Target {
+	if c.mayReturn(len(returnedBy), request) {
+		if next, err := c.node.balancer.Pick(time.Now(), request); err == nil {
+			return next
+		}
+	}
+	return c.node.balancer.PickEarliest(request.Route, returnedBy)
+}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sapphiregate.example/sapphiregate/coordination/pace"
+	"sapphiregate.example/sapphiregate/coordination/speed"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/transport/web"
 )
@@ -106,6 +108,26 @@
 	invalidLimit bool
 	// heartbeats are those that arrived before the upstream was verified. The executor's lock guards it.
 	heartbeats heartbeatSeries
+	// speed and moment tell how fast the upstream works, in general and now. The executor's lock guards both.
+	speed  speed.Meter
+	moment speed.Moment
+	// pace limits the calls after a start. The executor's lock guards it.
+	pace pace.Pacer
+	// invalidLoad is set after a load that could not be read.
+	invalidLoad bool
+}
+
+// minSpeedCalls is the number of calls from which on the measured speed is stated to others.
+const minSpeedCalls = 16
+
+// statedSpeed returns the speed and the slowdown for a load report, in percent. The caller holds the executor's lock.
+func (u *upstream) statedSpeed(now time.Time) (percent, slowdown int) {
+	if paced := u.pace.Speed(); u.pace.Active() && paced > 0 {
+		percent = max(1, int(100*paced))
+	} else if u.speed.Calls() >= minSpeedCalls {
+		percent = int(100 * u.speed.Speed())
+	}
+	return percent, int(100 * u.moment.Slowdown(now))
 }
 
 func newUpstream(announcement Announcement) *upstream {
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -53,6 +53,8 @@
 	TargetRemaining time.Duration `cbor:"22,keyasint,omitempty"`
 	// Team is the name of the caller's team; empty if it has none.
 	Team string `cbor:"24,keyasint,omitempty"`
+	// ReturnIfBusy asks the executor to return the call, with ReasonBusy, unless it can start at once.
+	ReturnIfBusy bool `cbor:"25,keyasint,omitempty"`
 	// Progress asks the executor for a progress frame as soon as it has the call. A hedged request waits for it.
 	Progress bool `cbor:"21,keyasint,omitempty"`
 }
@@ -72,6 +74,11 @@
 	Slots    int `cbor:"3,keyasint,omitempty"`
 	// LatencyMicros is the mean service time in microseconds.
 	LatencyMicros int64 `cbor:"4,keyasint,omitempty"`
+	// Speed is how fast the upstream works, in percent of the mean of its service; 0 if it is not known.
+	Speed int `cbor:"5,keyasint,omitempty"`
+	// Slowdown is how long work takes on the upstream's instance at this moment, in percent of the usual; 0 if it is not
+	// known. It holds for some tenths of a second.
+	Slowdown int `cbor:"6,keyasint,omitempty"`
 }
 
 // ReplyMetadata is the first part of an executor's reply.
--- a/protocol/dialect.go
+++ b/protocol/dialect.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -41,6 +42,9 @@
 	UpstreamLimit string
 	// UpstreamLeaving is the field that an upstream which is about to stop sets to 1 in all its responses.
 	UpstreamLeaving string
+	// UpstreamLoad is the field in which an upstream tells its load: calls that run, calls that wait, slots, and optionally
+	// how long work takes on its instance at this moment, in percent of the usual, separated by commas.
+	UpstreamLoad string
 	// FractionalRetryAfter is set if callers understand fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 	// OutcomeHeaders adds header fields such as HeaderOutcome to responses, which tell the caller what became of its
@@ -103,3 +107,40 @@
 	}
 	return d.RequestID == "" || response.Get(d.RequestID) == request.Get(d.RequestID)
 }
+
+// UpstreamLoad is the load that an upstream tells in a response.
+type UpstreamLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the upstream's instance at this moment, in percent of the usual; 0 if the upstream
+	// does not tell.
+	Slowdown int
+}
+
+const (
+	minLoadFields = 3
+	maxLoadFields = 4
+	// maxLoadFigure bounds the figures of a load; a larger one is a fault of the upstream.
+	maxLoadFigure = 1_000_000
+)
+
+// Load returns the load that an upstream tells in a response; false if it tells none. The error is ErrMalformed.
+func (d *Dialect) Load(header http.Header) (UpstreamLoad, bool, error) {
+	if d.UpstreamLoad == "" || header.Get(d.UpstreamLoad) == "" {
+		return UpstreamLoad{}, false, nil
+	}
+	text := header.Get(d.UpstreamLoad)
+	parts := strings.Split(text, ",")
+	malformed := errors.Wrapf(ErrMalformed, "%s is %q, want 3 or 4 whole numbers", d.UpstreamLoad, text)
+	if len(parts) < minLoadFields || len(parts) > maxLoadFields {
+		return UpstreamLoad{}, false, malformed
+	}
+	var figures [maxLoadFields]int
+	for i, part := range parts {
+		figure, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || figure < 0 || figure > maxLoadFigure {
+			return UpstreamLoad{}, false, malformed
+		}
+		figures[i] = figure
+	}
+	return UpstreamLoad{Running: figures[0], Waiting: figures[1], Slots: figures[2], Slowdown: figures[3]}, true, nil
+}
--- a/protocol/dialect_test.go
+++ b/protocol/dialect_test.go
@@ -34,3 +34,33 @@
 		Expect((&protocol.Dialect{}).RequestLimit(http.Header{"": {"8"}})).To(BeZero())
 	})
 })
+
+var _ = Describe("Dialect.Load", func() {
+	dialect := protocol.Dialect{UpstreamLoad: "X-Load"}
+	read := func(text string) (protocol.UpstreamLoad, bool, error) {
+		return dialect.Load(http.Header{"X-Load": {text}})
+	}
+
+	DescribeTable("reads the load of an upstream", func(text string, want protocol.UpstreamLoad) {
+		load, told, err := read(text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told).To(BeTrue())
+		Expect(load).To(Equal(want))
+	},
+		Entry("three figures", "3,0,8", protocol.UpstreamLoad{Running: 3, Slots: 8}),
+		Entry("four figures", "3, 1, 8, 250", protocol.UpstreamLoad{Running: 3, Waiting: 1, Slots: 8, Slowdown: 250}),
+	)
+
+	DescribeTable("returns ErrMalformed for what is no load", func(text string) {
+		_, told, err := read(text)
+		Expect(err).To(MatchError(protocol.ErrMalformed))
+		Expect(told).To(BeFalse())
+	}, Entry("too few", "3,0"), Entry("too many", "1,2,3,4,5"), Entry("text", "a,b,c"), Entry("negative", "1,-1,8"),
+		Entry("not whole", "1,2,8,1.5"), Entry("empty figure", "1,,8"), Entry("huge", "1,2,99999999999999999999"))
+
+	It("reads nothing if there is none", func() {
+		_, told, err := dialect.Load(http.Header{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(told).To(BeFalse())
+	})
+})
--- a/protocol/header.go
+++ b/protocol/header.go
@@ -56,6 +56,7 @@
 	ReasonNotReady          Reason = "not-ready"
 	ReasonNoUpstream        Reason = "no-upstream"
 	ReasonShed              Reason = "shed"
+	ReasonBusy              Reason = "busy"
 	ReasonCallLimit         Reason = "call-limit"
 	ReasonDeadline          Reason = "deadline"
 	ReasonDraining          Reason = "draining"
