balance: waits decide whether a call leaves its zone, not speeds; a returned call stays in its zone

Change: the times compared for crossing count the service time at mean speed, unless the call would miss its target in the zone and meet it elsewhere. Calls are returned only where the zone has a second upstream, and go on within it; another zone is asked only if the candidates would serve the call so late that it is worth the bytes. The last speed of an address holds over a restart of its node.

--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -12,6 +12,8 @@
 	averageShift = 3
 	// milli is the scale of loads and error rates, which are kept as integers so that they can be atomic.
 	milli = 1000
+	// percent is the scale of speeds.
+	percent = 100
 	// latencyFloorDivisor bounds the expected latency of an upstream to at least a quarter of the average of its
 	// service. An upstream that responds with errors at once would otherwise win every comparison.
 	latencyFloorDivisor = 4
@@ -178,7 +180,7 @@
 // fast as before.
 func (e *endpoint) relativeSpeed() float64 {
 	if speed := e.speed.Load(); speed != 0 {
-		return float64(speed) / 100
+		return float64(speed) / percent
 	}
 	return 1
 }
@@ -236,17 +238,24 @@
 }
 
 // expectedResponseTime returns the expected time until the response to a call of a route, including the round trip, in
-// nanoseconds. The call waits while each slot serves the calls before it, at the average service time of all routes;
-// then it takes the service time of its own route, scaled by how slow this upstream is.
+// nanoseconds.
 func (e *endpoint) expectedResponseTime(c *Config, at time.Duration, route string) float64 {
+	wait, service := e.expectedTimes(c, at, route)
+	return wait + service
+}
+
+// expectedTimes returns the expected wait of a call of a route, including the round trip, and its service time, in
+// nanoseconds. The call waits while each slot serves the calls before it, at the average service time of all routes; then
+// it takes the service time of its own route, scaled by how slow this upstream is.
+func (e *endpoint) expectedTimes(c *Config, at time.Duration, route string) (wait, service float64) {
 	latency := e.expectedLatency(c, at)
-	serviceTime := latency
+	service = latency
 	if routeAverage := e.averages.routeServiceTime(route); routeAverage > 0 {
 		average := cmp.Or(float64(e.averages.latency.Load()), latency)
-		serviceTime = routeAverage * min(latency/average, maxSlowness)
+		service = routeAverage * min(latency/average, maxSlowness)
 	}
-	wait := max(0, e.load(c, at)-1) * latency
-	return wait + serviceTime + 2*float64(e.delay.Load())
+	wait = max(0, e.load(c, at)-1)*latency + 2*float64(e.delay.Load())
+	return wait, service
 }
 
 // boundedErrorRate returns the recent share of failed calls, up to maxErrorRate. It decays to the average of the
@@ -262,11 +271,9 @@
 }
 
 // score returns the expected delay of a call in nanoseconds, without the delay between zones. The error rate raises it
-// by the expected number of retries. Speeds have no part in it, since endpoints are drawn in proportion to them: only a
-// latency that differs from what the speed lets expect counts.
+// by the expected number of retries.
 func (e *endpoint) score(c *Config, at time.Duration) float64 {
-	latency := e.expectedLatency(c, at) * e.relativeSpeed()
-	return e.load(c, at) * latency / (1 - e.boundedErrorRate(c, at))
+	return e.load(c, at) * e.expectedLatency(c, at) / (1 - e.boundedErrorRate(c, at))
 }
 
 // observeError adds the result of one call to the error rates of the endpoint and of its service.
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -144,9 +144,7 @@
 	if remote == nil {
 		return local
 	}
-	bytes := local.averages.routeResponseBytes(p.request.Route)
-	saving := crossingShare * (1 + bytes/crossingBytes) * float64(p.request.TargetRemaining)
-	if p.expectedResponseTime(remote)+saving < p.expectedResponseTime(local) {
+	if p.worthCrossing(local, remote) {
 		return remote
 	}
 	if local.boundedErrorRate(p.config, p.now) > remote.boundedErrorRate(p.config, p.now)+maxErrorRateExcess {
@@ -155,6 +153,26 @@
 	return local
 }
 
+// worthCrossing reports whether a call should go to an endpoint in another zone: because calls wait longer at the local one, or
+// because that would miss the target and the other would not. A local endpoint that is only slower keeps its share, since
+// otherwise most calls of its zone would leave it for the fast endpoints of others.
+func (p *picker) worthCrossing(local, remote *endpoint) bool {
+	cost := p.crossingCost(local)
+	localWait, localService := local.expectedTimes(p.config, p.now, p.request.Route)
+	remoteWait, remoteService := remote.expectedTimes(p.config, p.now, p.request.Route)
+	if remoteWait+remoteService*remote.relativeSpeed()+cost < localWait+localService*local.relativeSpeed() {
+		return true
+	}
+	target := float64(p.request.TargetRemaining)
+	return localWait+localService > target && remoteWait+remoteService+cost < target
+}
+
+// crossingCost returns the time, in nanoseconds, that a call must save by leaving its zone.
+func (p *picker) crossingCost(e *endpoint) float64 {
+	bytes := e.averages.routeResponseBytes(p.request.Route)
+	return crossingShare * (1 + bytes/crossingBytes) * float64(p.request.TargetRemaining)
+}
+
 func (p *picker) expectedResponseTime(e *endpoint) float64 {
 	return e.expectedResponseTime(p.config, p.now, p.request.Route)
 }
@@ -204,9 +222,16 @@
 		return first
 	}
 	second, _ := p.drawWithPosition(g, func() uint64 { return (position + 1 + p.randomBelow(count-1)) % uint64(count) })
-	return p.better(first, second)
+	if second != nil && p.drawnCost(second) < p.drawnCost(first) {
+		return second
+	}
+	return first
 }
 
+// drawnCost is the cost of an endpoint that was drawn in proportion to its speed. The speed has no part in it, so that it
+// does not count twice: only a latency that differs from what the speed lets expect does.
+func (p *picker) drawnCost(e *endpoint) float64 { return p.cost(e) * e.relativeSpeed() }
+
 func (p *picker) leastOutstanding(g *group) *endpoint {
 	var best *endpoint
 	for range min(leastOutstandingSample, len(g.endpoints)) {
--- a/coordination/balance/search.go
+++ b/coordination/balance/search.go
@@ -1,6 +1,9 @@
 package balance
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// minFoundShare is the share of the returned calls that must have found a free slot elsewhere for further calls to look
@@ -30,14 +33,14 @@
 
 // MayReturn reports whether an upstream without a free slot should return a call, so that it can start elsewhere. It
 // answers uneven load: with reports that are older than a service time, calls wait at one upstream while others have free
-// slots. Where no other has, calls wait at the first.
+// slots. Where no other in the zone has, calls wait at the first.
 func (b *Balancer) MayReturn(r Request) bool {
 	s := b.snapshot.Load()
 	if s == nil || s.services[r.Service] == nil {
 		return false
 	}
 	service := s.services[r.Service]
-	if len(service.all.endpoints) < 2 {
+	if service.local == nil || len(service.local.endpoints) < 2 {
 		return false
 	}
 	return service.averages.search.worthwhile() || fraction(r.Rand) < searchProbeShare
@@ -56,18 +59,49 @@
 	Load   Load
 }
 
-// PickEarliest selects the candidate that is expected to respond first by its report, which is as old as the way back.
-// As with Pick, the call counts as in flight until Done.
-func (b *Balancer) PickEarliest(route string, candidates []Candidate) Target {
-	best, bestTime := candidates[0].Target, 0.0
+// PickNext selects the upstream for a call that the candidates have returned: one in the zone that has not been asked, or one
+// in another zone if the candidates would serve it so late that it is worth the bytes, or the candidate that is expected to
+// respond first. It reports whether the upstream has not been asked yet. As with Pick, the call counts as in flight until
+// Done.
+func (b *Balancer) PickNext(now time.Time, r Request, returnedBy []Candidate, mayAsk bool) (next Target, asked bool) {
+	earliest, expected := earliestOf(r.Route, returnedBy)
+	if mayAsk {
+		if e := b.notAsked(now, r, expected); e != nil {
+			e.ownInFlight.Add(1)
+			return e.target(), false
+		}
+	}
+	earliest.endpoint.ownInFlight.Add(1)
+	return earliest, true
+}
+
+// notAsked returns an upstream that has not been asked and is worth asking, or nil.
+func (b *Balancer) notAsked(now time.Time, r Request, expected float64) *endpoint {
+	s := b.snapshot.Load()
+	service, ok := s.services[r.Service]
+	if !ok {
+		return nil
+	}
+	p := picker{config: &b.config, service: service, request: &r, now: now.Sub(s.epoch)}
+	if e := p.pickFrom(service.local); e != nil {
+		return e
+	}
+	remote := p.better(p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone()))
+	if remote == nil || p.expectedResponseTime(remote)+p.crossingCost(remote) >= expected {
+		return nil
+	}
+	return remote
+}
+
+// earliestOf returns the candidate that is expected to respond first by its report, which is as old as the way back, and the
+// time in nanoseconds that it takes.
+func earliestOf(route string, candidates []Candidate) (best Target, expected float64) {
 	for i, c := range candidates {
-		expected := c.expectedResponseTime(route)
-		if i == 0 || expected < bestTime {
-			best, bestTime = c.Target, expected
+		if t := c.expectedResponseTime(route); i == 0 || t < expected {
+			best, expected = c.Target, t
 		}
 	}
-	best.endpoint.ownInFlight.Add(1)
-	return best
+	return best, expected
 }
 
 // expectedResponseTime returns the time in nanoseconds for the calls ahead and this one, by the load that was reported.
@@ -75,8 +109,8 @@
 	e := c.Target.endpoint
 	slots := float64(max(1, c.Load.Slots))
 	ahead := max(0, float64(c.Load.InFlight+c.Load.Queued+1)-slots)
-	mean := float64(c.Load.LatencyMicros) * 1000
-	slowdown := max(1, float64(c.Load.Slowdown)/100)
+	mean := float64(time.Duration(c.Load.LatencyMicros) * time.Microsecond)
+	slowdown := max(1, float64(c.Load.Slowdown)/percent)
 	service := e.averages.routeServiceTime(route) / e.relativeSpeed()
 	return slowdown*(ahead*mean/slots+service) + 2*float64(e.delay.Load())
 }
--- a/coordination/balance/snapshot.go
+++ b/coordination/balance/snapshot.go
@@ -94,7 +94,12 @@
 func (s *service) add(c Config, epoch time.Time, old *snapshot, record Endpoint, setting bundle.Service) {
 	e, ok := old.find(record)
 	if !ok || !e.sameTarget(record) {
+		former := e
 		e = newEndpoint(epoch, record, s.averages)
+		if ok && former.Address == record.Address {
+			// The node has restarted beside an upstream that may run on; the speed holds until it has measured anew.
+			e.speed.Store(former.speed.Load())
+		}
 	}
 	slots := max(1, record.Slots)
 	if setting.MaxConcurrency > 0 {
--- a/coordination/balance/uneven_test.go
+++ b/coordination/balance/uneven_test.go
@@ -190,8 +190,8 @@
 			t.after(unevenDelay, func() { b.Done(at(), target, report) })
 			return load
 		}
+		mayReturn := b.MayReturn(request)
 		send = func(target balance.Target) {
-			mayReturn := len(returnedBy) < 2 && b.MayReturn(request)
 			t.after(unevenDelay, func() {
 				u := upstreams[target.ID]
 				busy := u.running >= f.slots
@@ -203,13 +203,9 @@
 					t.after(2*unevenDelay, func() {
 						returnedBy = append(returnedBy, balance.Candidate{Target: target, Load: load})
 						request.Exclude = append(request.Exclude, target.ID)
-						if len(returnedBy) < 2 {
-							next, err := b.Pick(at(), request)
-							Expect(err).NotTo(HaveOccurred())
-							send(next)
-							return
-						}
-						send(b.PickEarliest("lookup", returnedBy))
+						next, asked := b.PickNext(at(), request, returnedBy, len(returnedBy) < 2)
+						mayReturn = len(returnedBy) < 2 && !asked
+						send(next)
 					})
 					return
 				}
@@ -296,3 +292,15 @@
 		Expect(served[2]).To(BeNumerically(">", 3*served[0]/2), "of %v", served)
 	})
 })
+
+// Guards against giving a slow upstream the share of a fast one because the node beside it has restarted.
+var _ = It("keeps the speed of an upstream whose node has restarted until that has measured anew", func() {
+	h := newHarness(balance.ChoiceOfTwo, endpointsIn("a", 2))
+	h.runCalls(40, func(t balance.Target) balance.Report {
+		return balance.Report{Latency: 5 * time.Millisecond, Load: &balance.Load{Slots: 10, Speed: map[string]int{"a-0": 50, "a-1": 150}[t.ID]}}
+	})
+	table := endpointsIn("a", 2)
+	table[0].Incarnation = 2
+	h.Update(h.now, table, nil)
+	Expect(h.Status(h.now)[0].Speed).To(Equal(0.5))
+})
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -7,6 +7,7 @@
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/coordination/relay"
 	"sapphiregate.example/sapphiregate/internal/clock"
+	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/release"
 )
@@ -37,6 +38,9 @@
 	return record, ok && record.Service != ""
 }
 
+// Load returns the load of the node's upstream.
+func (n *Node) Load() protocol.LoadReport { return n.executor.load() }
+
 // MergeEndpoint merges a record into the endpoint table, like one from the distribution tree, and passes it to the
 // balancer.
 func (n *Node) MergeEndpoint(record endpoints.Record) error {
--- a/node/search.go
+++ b/node/search.go
@@ -28,14 +28,15 @@
 	ctx context.Context, request balance.Request, target balance.Target, isRetry bool, onAcknowledged func(),
 ) attemptResult {
 	var returnedBy []balance.Candidate
+	mayReturn := c.mayReturn(0, request)
 	for {
-		returnIfBusy := c.mayReturn(len(returnedBy), request)
-		result := c.attempt(ctx, target, isRetry, returnIfBusy, onAcknowledged)
+		result := c.attempt(ctx, target, isRetry, mayReturn, onAcknowledged)
 		result.target = target
-		if len(returnedBy) > 0 && returnIfBusy {
-			c.node.balancer.ReturnEnded(request.Service, result.reply.metadata.Reason != protocol.ReasonBusy)
+		returned := result.reply.metadata.Reason == protocol.ReasonBusy
+		if len(returnedBy) > 0 && mayReturn {
+			c.node.balancer.ReturnEnded(request.Service, !returned)
 		}
-		if result.reply.metadata.Reason != protocol.ReasonBusy || ctx.Err() != nil {
+		if !returned || ctx.Err() != nil {
 			c.node.metrics.callsByZone.WithLabelValues(target.Zone).Inc()
 			return result
 		}
@@ -45,16 +46,9 @@
 		returnedBy = append(returnedBy, balance.Candidate{Target: target, Load: load})
 		request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], target.ID)
 		request.TargetRemaining = c.timeUntilTarget()
-		target = c.nextCandidate(request, returnedBy)
+		var asked bool
+		mayReturn = c.mayReturn(len(returnedBy), request)
+		target, asked = c.node.balancer.PickNext(time.Now(), request, returnedBy, mayReturn)
+		mayReturn = mayReturn && !asked
 	}
 }
-
-// nextCandidate picks another upstream for a returned call, or the best of those that have returned it.
-func (c *ingressCall) nextCandidate(request balance.Request, returnedBy []balance.Candidate) balance.Target {
-	if c.mayReturn(len(returnedBy), request) {
-		if next, err := c.node.balancer.Pick(time.Now(), request); err == nil {
-			return next
-		}
-	}
-	return c.node.balancer.PickEarliest(request.Route, returnedBy)
-}
