--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -140,7 +140,10 @@
 // fasterZone returns the given local endpoint, or one in another zone if that is expected to answer a call with a target
 // so much earlier that it is worth the bytes between the zones, or fails clearly fewer calls.
 func (p *picker) fasterZone(local *endpoint) *endpoint {
-	remote := p.better(p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone()))
+	remote, other := p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone())
+	if remote == nil || other != nil && p.drawnCost(other) < p.drawnCost(remote) {
+		remote = other
+	}
 	if remote == nil {
 		return local
 	}
@@ -153,14 +156,14 @@
 	return local
 }
 
-// worthCrossing reports whether a call should go to an endpoint in another zone: because calls wait longer at the local one, or
-// because that would miss the target and the other would not. A local endpoint that is only slower keeps its share, since
-// otherwise most calls of its zone would leave it for the fast endpoints of others.
+// worthCrossing reports whether a call should go to an endpoint in another zone: because the local one would take clearly
+// longer than one of mean speed, or would miss the target and the other would not. A fast endpoint is no reason to leave the
+// zone, since the calls of all other zones would then go there.
 func (p *picker) worthCrossing(local, remote *endpoint) bool {
 	cost := p.crossingCost(local)
 	localWait, localService := local.expectedTimes(p.config, p.now, p.request.Route)
 	remoteWait, remoteService := remote.expectedTimes(p.config, p.now, p.request.Route)
-	if remoteWait+remoteService*remote.relativeSpeed()+cost < localWait+localService*local.relativeSpeed() {
+	if (remoteWait+remoteService)*max(1, remote.relativeSpeed())+cost < localWait+localService {
 		return true
 	}
 	target := float64(p.request.TargetRemaining)
--- a/coordination/balance/uneven_test.go
+++ b/coordination/balance/uneven_test.go
@@ -130,8 +130,7 @@
 	}
 	f.arrivals(t, random, func() {
 		arrived := t.now
-		var start func(i int)
-		start = func(i int) {
+		start := func(i int) {
 			result.waits = append(result.waits, t.now-arrived)
 			result.served[i]++
 			free[i]--
@@ -176,7 +175,6 @@
 		arrived, b := t.now, balancers[random.IntN(len(balancers))]
 		request := balance.Request{Service: "rank", Route: "lookup", TargetRemaining: 4 * unevenService, Rand: random}
 		var returnedBy []balance.Candidate
-		var send func(target balance.Target)
 		finish := func(u *unevenUpstream, target balance.Target, took time.Duration, outcome balance.Outcome) balance.Load {
 			load := balance.Load{InFlight: u.running, Queued: len(u.queue), Slots: f.slots, LatencyMicros: u.latency.Microseconds()}
 			load.Speed = int(100 * u.meter.Speed())
@@ -191,6 +189,7 @@
 			return load
 		}
 		mayReturn := b.MayReturn(request)
+		var send func(target balance.Target)
 		send = func(target balance.Target) {
 			t.after(unevenDelay, func() {
 				u := upstreams[target.ID]
