balance: another zone's upstream counts as one of mean speed at most; a returned call does not fall to a release under judgement

Where a rollout divides the upstreams, returned calls go on as further attempts do. An attempt does not share the forwarder's source of random numbers, which is not safe for concurrent use. Tests: go test ./node failed in three tests under a load of 44 on 7 cores.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -230,9 +230,7 @@
 	if !ok {
 		return Target{}, ErrNoUpstream
 	}
-	if r.Rand == nil {
-		r.Rand = (*counterSource)(&b.randomState)
-	}
+	r.Rand = b.source(r)
 	p := picker{config: &b.config, service: service, request: &r, now: now.Sub(s.epoch)}
 	chosen := p.pickByRelease()
 	if chosen == nil {
@@ -242,6 +240,14 @@
 	return chosen.target(), nil
 }
 
+// source returns the source of random numbers for a request.
+func (b *Balancer) source(r Request) rand.Source {
+	if r.Rand != nil {
+		return r.Rand
+	}
+	return (*counterSource)(&b.randomState)
+}
+
 // RouteServiceTime returns the mean service time of a route over the upstreams of other nodes; 0 if it is not known.
 func (b *Balancer) RouteServiceTime(serviceName, route string) time.Duration {
 	s := b.snapshot.Load()
--- a/coordination/balance/endpoint.go
+++ b/coordination/balance/endpoint.go
@@ -238,24 +238,17 @@
 }
 
 // expectedResponseTime returns the expected time until the response to a call of a route, including the round trip, in
-// nanoseconds.
+// nanoseconds. The call waits while each slot serves the calls before it, at the average service time of all routes;
+// then it takes the service time of its own route, scaled by how slow this upstream is.
 func (e *endpoint) expectedResponseTime(c *Config, at time.Duration, route string) float64 {
-	wait, service := e.expectedTimes(c, at, route)
-	return wait + service
-}
-
-// expectedTimes returns the expected wait of a call of a route, including the round trip, and its service time, in
-// nanoseconds. The call waits while each slot serves the calls before it, at the average service time of all routes; then
-// it takes the service time of its own route, scaled by how slow this upstream is.
-func (e *endpoint) expectedTimes(c *Config, at time.Duration, route string) (wait, service float64) {
 	latency := e.expectedLatency(c, at)
-	service = latency
+	serviceTime := latency
 	if routeAverage := e.averages.routeServiceTime(route); routeAverage > 0 {
 		average := cmp.Or(float64(e.averages.latency.Load()), latency)
-		service = routeAverage * min(latency/average, maxSlowness)
+		serviceTime = routeAverage * min(latency/average, maxSlowness)
 	}
-	wait = max(0, e.load(c, at)-1)*latency + 2*float64(e.delay.Load())
-	return wait, service
+	wait := max(0, e.load(c, at)-1) * latency
+	return wait + serviceTime + 2*float64(e.delay.Load())
 }
 
 // boundedErrorRate returns the recent share of failed calls, up to maxErrorRate. It decays to the average of the
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -156,18 +156,12 @@
 	return local
 }
 
-// worthCrossing reports whether a call should go to an endpoint in another zone: because the local one would take clearly
-// longer than one of mean speed, or would miss the target and the other would not. A fast endpoint is no reason to leave the
-// zone, since the calls of all other zones would then go there.
+// worthCrossing reports whether a call should go to an endpoint in another zone, because the local one is expected to take
+// clearly longer. A fast endpoint counts as one of mean speed: otherwise the calls of all other zones would go there, however
+// many bytes that costs.
 func (p *picker) worthCrossing(local, remote *endpoint) bool {
-	cost := p.crossingCost(local)
-	localWait, localService := local.expectedTimes(p.config, p.now, p.request.Route)
-	remoteWait, remoteService := remote.expectedTimes(p.config, p.now, p.request.Route)
-	if (remoteWait+remoteService)*max(1, remote.relativeSpeed())+cost < localWait+localService {
-		return true
-	}
-	target := float64(p.request.TargetRemaining)
-	return localWait+localService > target && remoteWait+remoteService+cost < target
+	remoteTime := p.expectedResponseTime(remote) * max(1, remote.relativeSpeed())
+	return remoteTime+p.crossingCost(local) < p.expectedResponseTime(local)
 }
 
 // crossingCost returns the time, in nanoseconds, that a call must save by leaving its zone.
@@ -276,8 +270,8 @@
 }
 
 // drawWithPosition returns an acceptable endpoint and its position in the group, or nil. start returns the position at
-// which the search begins. An endpoint in slow start is taken with the probability of its share; otherwise the search
-// begins anew.
+// which the search begins. An endpoint is taken with the probability of its share of the highest capacity, and of its share
+// in slow start; otherwise the search begins anew.
 func (p *picker) drawWithPosition(g *group, start func() uint64) (*endpoint, uint64) {
 	var e *endpoint
 	var position uint64
--- a/coordination/balance/release.go
+++ b/coordination/balance/release.go
@@ -108,3 +108,18 @@
 	}
 	return nil
 }
+
+// forReturned returns the upstreams to which a call may go that one has returned. As with further attempts, it does not fall
+// to a release that is being rolled out.
+func (s *service) forReturned() *service {
+	switch split := s.split; {
+	case split == nil:
+		return s
+	case split.rule.Forbidden:
+		return split.older
+	case split.rule.Share >= 1, split.older.isEmpty():
+		return split.newer
+	default:
+		return split.older
+	}
+}
--- a/coordination/balance/search.go
+++ b/coordination/balance/search.go
@@ -43,7 +43,7 @@
 	if service.local == nil || len(service.local.endpoints) < 2 {
 		return false
 	}
-	return service.averages.search.worthwhile() || fraction(r.Rand) < searchProbeShare
+	return service.averages.search.worthwhile() || fraction(b.source(r)) < searchProbeShare
 }
 
 // ReturnEnded records whether a call that was returned has found a free slot on another upstream.
@@ -78,10 +78,12 @@
 // notAsked returns an upstream that has not been asked and is worth asking, or nil.
 func (b *Balancer) notAsked(now time.Time, r Request, expected float64) *endpoint {
 	s := b.snapshot.Load()
-	service, ok := s.services[r.Service]
+	whole, ok := s.services[r.Service]
 	if !ok {
 		return nil
 	}
+	service := whole.forReturned()
+	r.Rand = b.source(r)
 	p := picker{config: &b.config, service: service, request: &r, now: now.Sub(s.epoch)}
 	if e := p.pickFrom(service.local); e != nil {
 		return e
--- a/coordination/balance/uneven_test.go
+++ b/coordination/balance/uneven_test.go
@@ -303,3 +303,22 @@
 	h.Update(h.now, table, nil)
 	Expect(h.Status(h.now)[0].Speed).To(Equal(0.5))
 })
+
+// Guards against a release under judgement that gets more than its share because busy upstreams of the older one return calls.
+var _ = It("sends no returned call to a release that is being rolled out", func() {
+	table := endpointsIn("a", 4)
+	for i := range table {
+		table[i].Release = map[bool]string{true: "v2", false: "v1"}[i >= 2]
+	}
+	h := newHarness(balance.ChoiceOfTwo, nil)
+	h.SetReleaseRules(map[string]balance.ReleaseRule{"rank": {Release: "v2", Share: 0.1}})
+	h.Update(h.now, table, nil)
+	for range 50 {
+		request := h.request
+		first := h.pick()
+		request.Exclude = []string{first.ID}
+		returned := []balance.Candidate{{Target: first, Load: balance.Load{InFlight: 10, Slots: 10}}}
+		next, _ := h.PickNext(h.now, request, returned, true)
+		Expect(next.ID).To(Or(Equal("a-0"), Equal("a-1")))
+	}
+})
--- a/node/executor.go
+++ b/node/executor.go
@@ -78,8 +78,6 @@
 	stopping bool
 	// drainStarted is the time at which the current drain began.
 	drainStarted time.Time
-	// warmAt is the time from which on the upstream expects to be no longer slow after its start.
-	warmAt time.Time
 }
 
 // activeCall is a call that waits for a slot or holds one; started is zero while it waits.
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -144,6 +144,8 @@
 		f.lastReason = cmp.Or(f.lastReason, protocol.ReasonNoUpstream)
 		return nil, false
 	}
+	// The attempt may run beside another one, and f.random is not safe for concurrent use.
+	request.Rand = nil
 	f.tried = append(f.tried, target.ID)
 	c.tried = f.tried
 	f.plan.AttemptStarted()
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -82,7 +82,6 @@
 	e.lastHeartbeat = heartbeatPosition{
 		id: h.Announcement.ID, incarnation: h.Announcement.Incarnation, sequence: h.Sequence,
 	}
-	e.warmAt = time.Now().Add(h.Warmup)
 	e.noteWarmup(h)
 	if h.Leaving && h.Announcement.Incarnation > 0 {
 		e.rememberDeregistered(h.Announcement.ID, h.Announcement.Incarnation)
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -190,5 +190,5 @@
 	if e.upstream == nil {
 		return Announcement{}, false
 	}
-	return e.upstream.announcement, !time.Now().Before(e.warmAt)
+	return e.upstream.announcement, !time.Now().Before(e.warmup.until)
 }
