--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -139,13 +140,14 @@
 // fasterZone returns the given local endpoint, or one in another zone if that is expected to answer a call with a target
 // so much earlier that it is worth the bytes between the zones, or fails clearly fewer calls.
 func (p *picker) fasterZone(local *endpoint) *endpoint {
-	remote := p.better(p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone()))
+	remote, other := p.pickFrom(p.remoteZone()), p.pickFrom(p.remoteZone())
+	if remote == nil || other != nil && p.drawnCost(other) < p.drawnCost(remote) {
+		remote = other
+	}
 	if remote == nil {
 		return local
 	}
-	bytes := local.averages.routeResponseBytes(p.request.Route)
-	saving := crossingShare * (1 + bytes/crossingBytes) * float64(p.request.TargetRemaining)
-	if p.expectedResponseTime(remote)+saving < p.expectedResponseTime(local) {
+	if p.worthCrossing(local, remote) {
 		return remote
 	}
 	if local.boundedErrorRate(p.config, p.now) > remote.boundedErrorRate(p.config, p.now)+maxErrorRateExcess {
@@ -154,6 +156,20 @@
 	return local
 }
 
+// worthCrossing reports whether a call should go to an endpoint in another zone, because the local one is expected to take
+// clearly longer. A fast endpoint counts as one of mean speed: otherwise the calls of all other zones would go there, however
+// many bytes that costs.
+func (p *picker) worthCrossing(local, remote *endpoint) bool {
+	remoteTime := p.expectedResponseTime(remote) * max(1, remote.relativeSpeed())
+	return remoteTime+p.crossingCost(local) < p.expectedResponseTime(local)
+}
+
+// crossingCost returns the time, in nanoseconds, that a call must save by leaving its zone.
+func (p *picker) crossingCost(e *endpoint) float64 {
+	bytes := e.averages.routeResponseBytes(p.request.Route)
+	return crossingShare * (1 + bytes/crossingBytes) * float64(p.request.TargetRemaining)
+}
+
 func (p *picker) expectedResponseTime(e *endpoint) float64 {
 	return e.expectedResponseTime(p.config, p.now, p.request.Route)
 }
@@ -203,9 +219,16 @@
 		return first
 	}
 	second, _ := p.drawWithPosition(g, func() uint64 { return (position + 1 + p.randomBelow(count-1)) % uint64(count) })
-	return p.better(first, second)
+	if second != nil && p.drawnCost(second) < p.drawnCost(first) {
+		return second
+	}
+	return first
 }
 
+// drawnCost is the cost of an endpoint that was drawn in proportion to its speed. The speed has no part in it, so that it
+// does not count twice: only a latency that differs from what the speed lets expect does.
+func (p *picker) drawnCost(e *endpoint) float64 { return p.cost(e) * e.relativeSpeed() }
+
 func (p *picker) leastOutstanding(g *group) *endpoint {
 	var best *endpoint
 	for range min(leastOutstandingSample, len(g.endpoints)) {
@@ -247,8 +270,8 @@
 }
 
 // drawWithPosition returns an acceptable endpoint and its position in the group, or nil. start returns the position at
-// which the search begins. An endpoint in slow start is taken with the probability of its share; otherwise the search
-// begins anew.
+// which the search begins. An endpoint is taken with the probability of its share of the highest capacity, and of its share
+// in slow start; otherwise the search begins anew.
 func (p *picker) drawWithPosition(g *group, start func() uint64) (*endpoint, uint64) {
 	var e *endpoint
 	var position uint64
@@ -257,7 +280,7 @@
 		if e == nil {
 			return nil, 0
 		}
-		share := e.slowStartShare(p.now, p.service.slowStart)
+		share := e.slowStartShare(p.now, p.service.slowStart) * e.capacityShare()
 		if share >= 1 || p.randomFraction() < share {
 			break
 		}
@@ -295,7 +318,9 @@
 }
 
 // randomFraction returns a random number in [0, 1).
-func (p *picker) randomFraction() float64 {
+func (p *picker) randomFraction() float64 { return fraction(p.request.Rand) }
+
+func fraction(source rand.Source) float64 {
 	const mantissaBits = 53
-	return float64(p.request.Rand.Uint64()>>(64-mantissaBits)) / (1 << mantissaBits)
+	return float64(source.Uint64()>>(64-mantissaBits)) / (1 << mantissaBits)
 }
