Decide about a call without counting it

The decisions of the balancer, the queue of an upstream, the quota and the split of a route were each made in one step with what they count, so that only a request that is sent could show them.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -164,28 +164,46 @@
 	c.service = q.expectedService(c, now)
 	q.rankQueue(c).observeArrival(c, now)
 	ratio := q.teams.observeArrival(c, now)
+	verdict, displaced := q.decide(c, now, ratio)
+	switch verdict.Action {
+	case Run:
+		q.start(c, now)
+	case Wait:
+		if displaced != nil {
+			q.evict(displaced, ReasonQueueFull, now)
+		}
+		q.enqueue(c)
+		q.reserve(now)
+	case Shed:
+		q.countShed(c, verdict.Reason)
+	}
+	return verdict
+}
+
+// decide returns the verdict on a new call and, if it waits in the place of another call, that one. ratio is that of the
+// call's team.
+func (q *Queue) decide(c *call, now time.Time, ratio float64) (verdict Verdict, displaced *call) {
 	switch {
 	case q.draining:
-		return q.shed(c, ReasonDraining)
+		return Verdict{Shed, ReasonDraining}, nil
 	case c.remaining(now) <= q.expectedService(c, now):
-		return q.shed(c, ReasonDeadline)
+		return Verdict{Shed, ReasonDeadline}, nil
 	case ratio > excessRatio && q.isNearlyFull():
-		return q.shed(c, ReasonShare)
+		return Verdict{Shed, ReasonShare}, nil
 	case q.mayStart(c, now):
-		q.start(c, now)
-		return verdictRun
+		return verdictRun, nil
 	case c.isLate(now) && !q.hasSpareSlots(c, now):
-		return q.shed(c, ReasonTarget)
+		return Verdict{Shed, ReasonTarget}, nil
 	case c.remaining(now) < q.expectedService(c, now)+q.expectedWait(c, now):
-		return q.shed(c, ReasonDeadline)
+		return Verdict{Shed, ReasonDeadline}, nil
 	case q.waitMissesTarget(c, now):
-		return q.shed(c, ReasonTarget)
-	case !q.makeQueueRoom(c, now):
-		return q.shed(c, ReasonQueueFull)
+		return Verdict{Shed, ReasonTarget}, nil
+	}
+	displaced, ok := q.queueRoom(c, now)
+	if !ok {
+		return Verdict{Shed, ReasonQueueFull}, nil
 	}
-	q.enqueue(c)
-	q.reserve(now)
-	return verdictWait
+	return verdictWait, displaced
 }
 
 // Cancel removes a call whose caller has gone away, whether it waits or runs, and returns the decisions that follow.
@@ -298,11 +316,7 @@
 	return min(q.config.Slots, max(1, int(math.Ceil(q.limit.perSecond*q.serviceTime.mean.Seconds()))))
 }
 
-// shed counts a refused call and returns the verdict on it.
-func (q *Queue) shed(c *call, reason Reason) Verdict {
-	q.rankQueue(c).shed[reason]++
-	return Verdict{Action: Shed, Reason: reason}
-}
+func (q *Queue) countShed(c *call, reason Reason) { q.rankQueue(c).shed[reason]++ }
 
 // rankQueue returns the queue of the call's rank.
 func (q *Queue) rankQueue(c *call) *rankQueue { return &q.ranks[c.rank] }
@@ -360,28 +374,26 @@
 	return len(q.running) > 0 && free <= int(math.Ceil(excessHeadroomShare*float64(q.config.Slots)))
 }
 
-// makeQueueRoom reports whether the queue of the call's rank has room for it. Under overload it evicts the oldest
-// ordinary call of a full queue. Exclusive calls get only their share of the queue: they are served slowly and would
+// queueRoom reports whether the queue of the call's rank has room for it. Under overload a full queue has room in the
+// place of its oldest ordinary call, which it returns. Exclusive calls get only their share of the queue: they are served slowly and would
 // otherwise fill it.
-func (q *Queue) makeQueueRoom(c *call, now time.Time) bool {
+func (q *Queue) queueRoom(c *call, now time.Time) (displaced *call, ok bool) {
 	queue := q.rankQueue(c)
 	if c.exclusive && queue.exclusive.Len() >= max(1, int(float64(q.config.QueueLimit)*q.config.ExclusiveShare)) {
-		return false
+		return nil, false
 	}
 	if len(queue.byDeadline) < q.queueLimit(c) {
-		return true
+		return nil, true
 	}
 	if !c.exclusive && queue.ordinary.Len() > 0 {
 		if last := queue.ordinary.Back().Value.(*call); c.overtakes(last) {
-			q.evict(last, ReasonQueueFull, now)
-			return true
+			return last, true
 		}
 	}
 	if !queue.overloaded(now) {
-		return false
+		return nil, false
 	}
-	q.evict(queue.oldest(), ReasonQueueFull, now)
-	return true
+	return queue.oldest(), true
 }
 
 // queueLimit returns the number of calls that may wait in the rank of a call.
@@ -407,7 +419,8 @@
 
 func (q *Queue) evict(c *call, reason Reason, now time.Time) {
 	q.remove(c, now)
-	q.pending = append(q.pending, Decision{ID: c.id, Verdict: q.shed(c, reason)})
+	q.countShed(c, reason)
+	q.pending = append(q.pending, Decision{ID: c.id, Verdict: Verdict{Shed, reason}})
 }
 
 func (q *Queue) start(c *call, now time.Time) {
--- a/coordination/admission/team.go
+++ b/coordination/admission/team.go
@@ -98,6 +98,14 @@
 	return (admitted + usualFloor) / (growth * (usual + usualFloor))
 }
 
+// knownRatio returns the ratio of a team, and creates no account. A team without one has had nothing beyond its usual.
+func (t *teams) knownRatio(team string, now time.Time) float64 {
+	if _, ok := t.accounts[team]; team == "" || !ok && len(t.accounts) < maxTeams {
+		return 0
+	}
+	return t.ratio(team, now)
+}
+
 // usualSlots returns the usual work of an account. The mean of a short time counts in full: it has begun at zero.
 func (t *teams) usualSlots(account *teamAccount, now time.Time) float64 {
 	age := max(now.Sub(t.since), offeredWorkWindow)
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -52,6 +52,8 @@
 	request *Request
 	now     time.Duration // offset from the epoch of the snapshot
 	level   strictness
+	// ahead is the number of turns of round robin that Explain looks ahead; 0 takes the next turn.
+	ahead uint64
 }
 
 // pick returns the selected endpoint, or nil if there is none.
@@ -204,7 +206,7 @@
 	}
 	switch p.config.Policy {
 	case RoundRobin:
-		return p.drawEndpoint(g, func() uint64 { return g.cursor.Add(1) % uint64(len(g.endpoints)) })
+		return p.drawEndpoint(g, func() uint64 { return p.turn(g) % uint64(len(g.endpoints)) })
 	case LeastOutstanding:
 		return p.leastOutstanding(g)
 	default:
@@ -212,6 +214,14 @@
 	}
 }
 
+// turn returns the turn of round robin, and takes it unless the picker only looks ahead.
+func (p *picker) turn(g *group) uint64 {
+	if p.ahead > 0 {
+		return g.cursor.Load() + p.ahead
+	}
+	return g.cursor.Add(1)
+}
+
 func (p *picker) choiceOfTwo(g *group) *endpoint {
 	count := len(g.endpoints)
 	first, position := p.drawWithPosition(g, func() uint64 { return p.randomBelow(count) })
@@ -301,14 +311,19 @@
 	return nil, 0
 }
 
-func (p *picker) acceptable(e *endpoint) bool {
-	if e.suspended(p.now) {
-		return false
-	}
-	if p.level < allowExcluded && slices.Contains(p.request.Exclude, e.ID) {
-		return false
-	}
-	return p.level > onlyHealthy || !e.ejected(p.now)
+func (p *picker) acceptable(e *endpoint) bool { return p.obstacle(e) == NoObstacle }
+
+// obstacle returns why an endpoint is not acceptable.
+func (p *picker) obstacle(e *endpoint) Obstacle {
+	switch {
+	case e.suspended(p.now):
+		return Suspended
+	case p.level < allowExcluded && slices.Contains(p.request.Exclude, e.ID):
+		return Excluded
+	case p.level == onlyHealthy && e.ejected(p.now):
+		return Ejected
+	}
+	return NoObstacle
 }
 
 // randomBelow returns a random number in [0, n).
--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -129,19 +129,32 @@
 	if held == nil {
 		return Decision{}
 	}
-	held.dropExpired(now)
-	switch {
-	case len(held.hand) > 0:
-		first := &held.hand[0]
-		token := Token{team: team, lease: first.lease, expires: first.expires}
-		if first.tokens--; first.tokens == 0 {
+	decision := h.Peek(now, team)
+	switch decision.Verdict {
+	case Allowed:
+		if held.hand[0].tokens--; held.hand[0].tokens == 0 {
 			held.hand = held.hand[1:]
 		}
 		held.counts.Allowed++
-		return Decision{Token: token}
-	case now.Before(held.pausedUntil):
+	case OverQuota:
 		held.refused++
 		held.counts.Refused++
+	}
+	return decision
+}
+
+// Peek returns what Take would decide. It spends no token and counts no request.
+func (h *Holder) Peek(now time.Time, team string) Decision {
+	held := h.teams[team]
+	if held == nil {
+		return Decision{}
+	}
+	held.dropExpired(now)
+	switch {
+	case len(held.hand) > 0:
+		first := held.hand[0]
+		return Decision{Token: Token{team: team, lease: first.lease, expires: first.expires}}
+	case now.Before(held.pausedUntil):
 		return Decision{Verdict: OverQuota, RetryAfter: max(minWait, held.retryAt.Sub(now))}
 	default:
 		return Decision{Verdict: NeedsLease}
@@ -151,6 +164,19 @@
 // TakeReserve spends a token of the reserve, for a request that cannot wait for the owner any longer. A process that has
 // just started has no reserve for one window, in which its former process may have spent it.
 func (h *Holder) TakeReserve(now time.Time, team string) bool {
+	if !h.HasReserve(now, team) {
+		return false
+	}
+	if held := h.teams[team]; held != nil {
+		held.reserveSpent = append(held.reserveSpent, now)
+		held.counts.Allowed++
+		held.counts.FromReserve++
+	}
+	return true
+}
+
+// HasReserve returns what TakeReserve would return. It spends no token.
+func (h *Holder) HasReserve(now time.Time, team string) bool {
 	held := h.teams[team]
 	if held == nil {
 		return true
@@ -159,13 +185,7 @@
 		return false
 	}
 	held.reserveSpent = slices.DeleteFunc(held.reserveSpent, func(at time.Time) bool { return now.Sub(at) > h.bounds.Window })
-	if len(held.reserveSpent) >= wholeTokens(held.shares.reserve/float64(h.nodes)) {
-		return false
-	}
-	held.reserveSpent = append(held.reserveSpent, now)
-	held.counts.Allowed++
-	held.counts.FromReserve++
-	return true
+	return len(held.reserveSpent) < wholeTokens(held.shares.reserve/float64(h.nodes))
 }
 
 // Refund gives back the token of a request that was not run. A token whose lease has expired is lost: the owner has
--- a/coordination/routing/split.go
+++ b/coordination/routing/split.go
@@ -36,13 +36,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := 0
+	best := s.best()
 	for i, share := range s.shares {
 		s.credits[i] += share.Weight
-		if s.credits[i] > s.credits[best] {
-			best = i
-		}
 	}
 	s.credits[best] -= s.total
 	return s.shares[best].Service
 }
+
+// Peek returns what Next would return, and takes no turn.
+func (s *Splitter) Peek() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shares[s.best()].Service
+}
+
+// best returns the share whose turn is next. The caller holds s.mu.
+func (s *Splitter) best() int {
+	best := 0
+	for i, share := range s.shares {
+		if s.credits[i]+share.Weight > s.credits[best]+s.shares[best].Weight {
+			best = i
+		}
+	}
+	return best
+}
