Explain at a node's admin address where a request would go

Cause: where a request goes depends on the configuration, the team's quota, a rollout, and what one node knows of each upstream.

Change: GET /v1/explain?host=&path=&method=&team=. It takes the steps of a real request up to the send: match and check are split out of prepare, ticketOf and returnsCall out of admit, balancerRequest out of startAttempt, retryAfter out of writeOutcome. Where a step counts, the caller passes the variant that does not. The team is given by name.

Evidence: tests compare the explanation with a real request that follows: the upstream that gets it, and status and reason of no-route, unknown-key, no-upstream, shed and quota; the quota's counts stay as they were, and a split keeps its turn (this one fails if the explanation takes a turn).

--- a/node/admin.go
+++ b/node/admin.go
@@ -26,6 +26,8 @@
 	PathMetrics    = "/metrics"
 	PathReady      = "/ready"
 	PathQuarantine = "/v1/quarantine"
+	// PathExplain tells where a request would go; its query parameters are host, path, method and team.
+	PathExplain = "/v1/explain"
 )
 
 const maxAnnouncementBytes = 16 << 10
@@ -35,6 +37,7 @@
 	mux.HandleFunc("PUT "+PathUpstream, n.serveAnnounce)
 	mux.HandleFunc("DELETE "+PathUpstream, n.serveLeave)
 	mux.HandleFunc("GET "+PathDump, n.serveDump)
+	mux.HandleFunc("GET "+PathExplain, n.serveExplain)
 	mux.HandleFunc("GET "+PathReady, n.serveReady)
 	mux.HandleFunc("DELETE "+PathQuarantine, n.serveClear)
 	mux.Handle("GET "+PathMetrics, n.metrics.registry.Handler())
--- a/node/executor.go
+++ b/node/executor.go
@@ -114,14 +114,9 @@
 	id := e.nextID
 	call := &activeCall{fingerprint: fingerprint, exclusive: meta.Exclusive || quarantineVerdict == quarantine.Exclusive,
 		service: meta.Service, route: meta.Route}
-	ticket := admission.Ticket{
-		ID: id, Class: meta.Class, Priority: meta.Priority, Route: meta.Route, Team: meta.Team,
-		Deadline: deadline, Exclusive: call.exclusive,
-	}
-	if meta.TargetRemaining > 0 {
-		ticket.TargetTime = now.Add(meta.TargetRemaining)
-	}
-	if meta.ReturnIfBusy && (e.upstream.moment.Slow(now) || !e.queue.StartsAtOnce(now, ticket)) {
+	ticket := ticketOf(now, meta, deadline)
+	ticket.ID, ticket.Exclusive = id, call.exclusive
+	if e.returnsCall(now, meta, ticket) {
 		e.mu.Unlock()
 		return nil, protocol.ReasonBusy
 	}
@@ -150,6 +145,22 @@
 	return e.finishAdmission(ctx, id, target, verdict)
 }
 
+func ticketOf(now time.Time, meta *protocol.CallMetadata, deadline time.Time) admission.Ticket {
+	ticket := admission.Ticket{
+		Class: meta.Class, Priority: meta.Priority, Route: meta.Route, Team: meta.Team, Deadline: deadline,
+		Exclusive: meta.Exclusive,
+	}
+	if meta.TargetRemaining > 0 {
+		ticket.TargetTime = now.Add(meta.TargetRemaining)
+	}
+	return ticket
+}
+
+// returnsCall reports whether the upstream returns a call, so that it can start elsewhere. The caller holds e.mu.
+func (e *executor) returnsCall(now time.Time, meta *protocol.CallMetadata, ticket admission.Ticket) bool {
+	return meta.ReturnIfBusy && (e.upstream.moment.Slow(now) || !e.queue.StartsAtOnce(now, ticket))
+}
+
 // unavailableReason returns why the upstream cannot take the call, or ReasonNone. The caller holds e.mu.
 func (e *executor) unavailableReason(meta *protocol.CallMetadata) protocol.Reason {
 	switch {
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -135,10 +135,8 @@
 // startAttempt chooses an upstream that was not tried yet and prepares an attempt. It returns false if there is none.
 func (f *forwarder) startAttempt(ctx context.Context) (*attempt, bool) {
 	c := f.call
-	request := balance.Request{
-		Service: c.metadata.Service, Route: c.route.Name, Zone: c.route.Zone, Exclude: f.tried, Rand: f.random,
-		TargetRemaining: c.timeUntilTarget(), MeetTargetOnly: f.lastReason == protocol.ReasonShed,
-	}
+	request := c.balancerRequest(f.tried, f.lastReason)
+	request.Rand = f.random
 	target, err := c.node.balancer.Pick(time.Now(), request)
 	if err != nil {
 		f.lastReason = cmp.Or(f.lastReason, protocol.ReasonNoUpstream)
@@ -157,6 +155,14 @@
 	return started, true
 }
 
+// balancerRequest returns what the balancer needs to know for the next attempt.
+func (c *ingressCall) balancerRequest(tried []string, lastReason protocol.Reason) balance.Request {
+	return balance.Request{
+		Service: c.metadata.Service, Route: c.route.Name, Zone: c.route.Zone, Exclude: tried,
+		TargetRemaining: c.timeUntilTarget(), MeetTargetOnly: lastReason == protocol.ReasonShed,
+	}
+}
+
 func (a *attempt) run() attemptResult {
 	onAcknowledged := func() { a.forwarder.acknowledged.Store(true) }
 	result := a.forwarder.call.place(a.ctx, a.request, a.target, a.index > 0, onAcknowledged)
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -112,41 +112,61 @@
 // prepare matches the request to a route, applies the route's call limit, reads the request's header and body, and
 // checks the quarantine. On refusal it returns the reason, and the call if a later attempt may succeed.
 func (n *Node) prepare(started time.Time, w http.ResponseWriter, r *http.Request) (*ingressCall, protocol.Reason) {
+	call, reason := n.match(started, r)
+	if reason != protocol.ReasonNone {
+		return nil, reason
+	}
+	call.team = call.snapshot.teamOf(r.Header[headerKey])
+	if reason := call.check(r, call.policy.takeCall, call.policy.split.Next); reason != protocol.ReasonNone {
+		return nil, reason
+	}
+	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
+		return call, reason
+	}
+	return call, call.checkQuarantine()
+}
+
+// match finds the route of a request in the configuration in force.
+func (n *Node) match(started time.Time, r *http.Request) (*ingressCall, protocol.Reason) {
 	current := n.snapshot.Load()
 	if current == nil {
 		return nil, protocol.ReasonNotReady
 	}
+	call := &ingressCall{node: n, started: started, snapshot: current}
 	path, _, _ := strings.Cut(requestURI(r), "?")
-	route, err := current.routes.Match(routing.Request{
+	var err error
+	call.route, err = current.routes.Match(routing.Request{
 		Host: r.Host, Path: path, Method: r.Method, Header: r.Header.Get,
 	})
 	if err != nil {
-		return nil, protocol.ReasonNoRoute
+		return call, protocol.ReasonNoRoute
 	}
-	call := &ingressCall{
-		node: n, started: started, snapshot: current, route: route, policy: current.policies[route.Name],
-	}
-	var reason protocol.Reason
-	if call.team, reason = n.identifyTeam(current, r.Header, route.Public); reason != protocol.ReasonNone {
-		return nil, reason
-	}
-	if call.policy.limiter != nil && !call.policy.limiter.AllowN(started, 1) {
-		return nil, protocol.ReasonCallLimit
+	call.policy = current.policies[call.route.Name]
+	return call, protocol.ReasonNone
+}
+
+// check decides about a call by its team, its route's call limit, its header and a stop of this node. withinLimit and
+// nextService differ for a call that is only explained, which counts nowhere.
+func (c *ingressCall) check(
+	r *http.Request, withinLimit func(time.Time) bool, nextService func() string,
+) protocol.Reason {
+	if reason := c.node.checkTeam(c.team, c.route.Public, c.snapshot); reason != protocol.ReasonNone {
+		return reason
 	}
-	if reason := call.buildMetadata(r); reason != protocol.ReasonNone {
-		return nil, reason
+	if !withinLimit(c.started) {
+		return protocol.ReasonCallLimit
 	}
-	if call.endsTooLate() {
-		return nil, protocol.ReasonDraining
+	if reason := c.buildMetadata(r, nextService); reason != protocol.ReasonNone {
+		return reason
 	}
-	if reason := call.readBody(w, r); reason != protocol.ReasonNone {
-		return call, reason
+	if c.endsTooLate() {
+		return protocol.ReasonDraining
 	}
-	return call, call.checkQuarantine()
+	return protocol.ReasonNone
 }
 
 // buildMetadata sets the call's deadline and the metadata that is sent to the executor.
-func (c *ingressCall) buildMetadata(r *http.Request) protocol.Reason {
+func (c *ingressCall) buildMetadata(r *http.Request, nextService func() string) protocol.Reason {
 	dialect := &c.node.options.Dialect
 	depth, _ := strconv.Atoi(r.Header.Get(dialect.Depth))
 	if depth < 0 || depth >= protocol.MaxDepth {
@@ -175,7 +195,7 @@
 		header[http.CanonicalHeaderKey(dialect.CallerService)] = []string{c.node.executor.localService()}
 	}
 	c.metadata = protocol.CallMetadata{
-		Service: c.policy.split.Next(), Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: requestURI(r),
+		Service: nextService(), Route: c.route.Name, Class: c.route.Class, Method: r.Method, URI: requestURI(r),
 		Host: r.Host, Header: protocol.HeaderFields(header), Depth: depth,
 		Retry:         dialect.Retry != "" && r.Header.Get(dialect.Retry) != "",
 		ContentLength: r.ContentLength, Version: c.snapshot.version, Priority: c.route.Priority,
--- a/node/quota.go
+++ b/node/quota.go
@@ -164,7 +164,7 @@
 		q.mu.Unlock()
 		return q.conclude(c, decision)
 	}
-	lost := !q.lostSince.IsZero() && now.Sub(q.lostSince) > quotaLostAfter
+	lost := q.isLost(now)
 	waiter := &quotaWaiter{decided: make(chan quota.Decision, 1)}
 	if !lost {
 		q.waiting[team] = append(q.waiting[team], waiter)
@@ -185,6 +185,27 @@
 	return q.withoutOwner(c)
 }
 
+// peek returns what charge would decide now, without a token being spent, and whether the owner is lost. Where the owner
+// is asked, it decides.
+func (q *quotas) peek(team string) (decision quota.Decision, lost bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := clock.Now()
+	return q.holder.Peek(now, team), q.isLost(now)
+}
+
+// hasReserve reports whether a request may be let in without the owner.
+func (q *quotas) hasReserve(team string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.holder.HasReserve(clock.Now(), team)
+}
+
+// isLost reports whether requests no longer wait for an owner. The caller holds the lock.
+func (q *quotas) isLost(now time.Time) bool {
+	return !q.lostSince.IsZero() && now.Sub(q.lostSince) > quotaLostAfter
+}
+
 // conclude turns a decision into the reason of a refusal, if it is one.
 func (q *quotas) conclude(c *ingressCall, decision quota.Decision) (quota.Token, protocol.Reason) {
 	if decision.Verdict == quota.OverQuota {
--- a/node/request_tracker.go
+++ b/node/request_tracker.go
@@ -23,13 +23,28 @@
 func (t *requestTracker) admit() protocol.Reason {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	reason := t.refusal()
+	if reason == protocol.ReasonNone {
+		t.inFlight++
+	}
+	return reason
+}
+
+// peek returns what admit would return.
+func (t *requestTracker) peek() protocol.Reason {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusal()
+}
+
+// refusal returns why a request is refused. The caller holds t.mu.
+func (t *requestTracker) refusal() protocol.Reason {
 	switch {
 	case t.closed:
 		return protocol.ReasonDraining
 	case t.inFlight >= t.limit:
 		return protocol.ReasonShed
 	}
-	t.inFlight++
 	return protocol.ReasonNone
 }
 
--- a/node/response.go
+++ b/node/response.go
@@ -192,10 +192,10 @@
 	if status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", keyScheme)
 	}
-	if outcome == protocol.OutcomeNotRun && status >= http.StatusTooManyRequests && header.Get(headerRetryAfter) == "" {
-		refusal.Cause = retryCauses[reason]
-		after := retry.After(refusal, rand.Float64())
-		header.Set(headerRetryAfter, n.formatRetryAfter(after))
+	if outcome == protocol.OutcomeNotRun && header.Get(headerRetryAfter) == "" {
+		if after, ok := retryAfter(reason, status, refusal); ok {
+			header.Set(headerRetryAfter, n.formatRetryAfter(after))
+		}
 	}
 	w.WriteHeader(status)
 	text := reasonTexts[reason]
@@ -205,6 +205,15 @@
 	fmt.Fprintf(w, "%s: %s\n", outcome, text)
 }
 
+// retryAfter returns when a caller that was refused may return; false if a retry cannot help.
+func retryAfter(reason protocol.Reason, status int, refusal retry.Refusal) (time.Duration, bool) {
+	if status < http.StatusTooManyRequests {
+		return 0, false
+	}
+	refusal.Cause = retryCauses[reason]
+	return retry.After(refusal, rand.Float64()), true
+}
+
 // retryCauses maps reasons to the causes that determine Retry-After; all other reasons mean that the upstreams are
 // full.
 var retryCauses = map[protocol.Reason]retry.Cause{
@@ -392,7 +401,7 @@
 // serveOutcome responds to a caller that asks for the outcome of an earlier irreversible request.
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
 	if current := n.snapshot.Load(); current != nil {
-		if _, reason := n.identifyTeam(current, r.Header, false); reason != protocol.ReasonNone {
+		if reason := n.checkTeam(current.teamOf(r.Header[headerKey]), false, current); reason != protocol.ReasonNone {
 			n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), retry.Refusal{})
 			return
 		}
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -41,6 +41,16 @@
 	returns *retry.Returns
 }
 
+// takeCall reports whether the call limit of the route allows a call, and counts it.
+func (p *routePolicy) takeCall(now time.Time) bool {
+	return p.limiter == nil || p.limiter.AllowN(now, 1)
+}
+
+// allowsCall returns what takeCall would return.
+func (p *routePolicy) allowsCall(now time.Time) bool {
+	return p.limiter == nil || p.limiter.TokensAt(now) >= 1
+}
+
 // newSnapshot builds the snapshot of a bundle. It keeps budgets and limiters of unchanged routes from the previous
 // snapshot, so that a new version does not refill them.
 func newSnapshot(
--- a/node/team.go
+++ b/node/team.go
@@ -27,29 +27,28 @@
 	RevokedWithin time.Duration
 }
 
-// identifyTeam finds the caller's team by the key of its request. It returns no team if the request needs no key.
-func (n *Node) identifyTeam(current *snapshot, header http.Header, public bool) (*bundle.Team, protocol.Reason) {
+// checkTeam returns why a caller is refused whose key is that of a team; team is nil if its request has no known key.
+func (n *Node) checkTeam(team *bundle.Team, public bool, current *snapshot) protocol.Reason {
 	if current.teams == nil {
-		return nil, protocol.ReasonNone
+		return protocol.ReasonNone
 	}
 	limits := n.options.KeyLimits
 	if !public && limits.RevokedWithin > 0 && n.confirmedAge() > limits.RevokedWithin {
-		return nil, protocol.ReasonUnconfirmed
+		return protocol.ReasonUnconfirmed
 	}
-	team := current.teamOf(header[headerKey])
 	switch {
 	case team != nil || public:
-		return team, protocol.ReasonNone
+		return protocol.ReasonNone
 	case limits.AddedWithin > 0 && n.confirmedAge() > limits.AddedWithin:
-		return nil, protocol.ReasonUnconfirmed
+		return protocol.ReasonUnconfirmed
 	}
-	return nil, protocol.ReasonUnknownKey
+	return protocol.ReasonUnknownKey
 }
 
 // teamOf returns the team whose key the values of headerKey hold; nil if there is none. Several values name no team, since
 // the processes on the way could choose different ones.
 func (s *snapshot) teamOf(values []string) *bundle.Team {
-	if len(values) != 1 {
+	if s.teams == nil || len(values) != 1 {
 		return nil
 	}
 	scheme, key, _ := strings.Cut(values[0], " ")
@@ -59,6 +58,16 @@
 	return s.teams[bundle.DigestKey(strings.TrimSpace(key))]
 }
 
+// teamNamed returns a team by its name; nil if there is none.
+func (s *snapshot) teamNamed(name string) *bundle.Team {
+	for _, team := range s.teams {
+		if team.Name == name {
+			return team
+		}
+	}
+	return nil
+}
+
 // confirmedAge returns an upper bound of the time since the version in force was the latest.
 func (n *Node) confirmedAge() time.Duration {
 	at := n.confirmedAt.Load()
