--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -21,7 +21,7 @@
 	ExitInvalid = 3
 	// ExitRefused means that the control members refused the request; nothing changed.
 	ExitRefused = 4
-	// ExitUnreachable means that no control member accepted the request; nothing changed.
+	// ExitUnreachable means that no control member accepted the request, or that the node did not answer; nothing changed.
 	ExitUnreachable = 5
 	// ExitUnknown means that the request may or may not have taken effect; running the same command again is safe.
 	ExitUnknown = 6
@@ -30,6 +30,8 @@
 	ExitNotInForce = 7
 	// ExitStopped means that the rollout that was watched is stopped.
 	ExitStopped = 8
+	// ExitWouldRefuse means that the node would refuse the request that explain describes.
+	ExitWouldRefuse = 9
 )
 
 // Errors of the commands.
@@ -59,6 +61,8 @@
 	{ErrNotInForce, "not-in-force", ExitNotInForce,
 		"run 'sapphirectl watch' to keep watching, or see 'slow convergence' in docs/operators.md"},
 	{ErrStopped, "stopped", ExitStopped, "approve a corrected bundle with 'sapphirectl replace'"},
+	{ErrWouldRefuse, "would-refuse", ExitWouldRefuse, "the explanation on standard output tells why"},
+	{ErrNodeUnreachable, "node-unreachable", ExitUnreachable, "check --node: it takes the admin address of a node that runs"},
 	{operator.ErrVersionTaken, "", ExitRefused,
 		"another operator won the version: agree with them on the content, then choose a greater version"},
 	{operator.ErrVersionOld, "", ExitRefused, "run 'sapphirectl status' and choose a version above the latest"},
--- a/ctl/root.go
+++ b/ctl/root.go
@@ -69,6 +69,7 @@
 		a.bundleCommand(), a.keysCommand(), a.approveCommand(), a.replaceCommand(), a.stopCommand(),
 		a.watchCommand(), a.statusCommand(), a.historyCommand(), a.membersCommand(), a.quarantineCommand(),
 		a.releaseCommand(), a.dumpCommand(), a.quotasCommand(), a.traceCommand(),
+		a.explainCommand(),
 	)
 	return root
 }
