node: an attempt has its own list of the upstreams that were tried

Cause: startAttempt gave each attempt the forwarder's slice as the list to exclude. place reads it on the attempt's goroutine when the call is returned, and handleResult writes the same array when another attempt has ended: a data race, and an upstream that is excluded although it was not tried. With the growth of a slice the array is shared from the fourth attempt on.

Evidence: the new test fails before, with the three excluded upstreams replaced by those at which the attempts ended.

Change: the list is copied; the first attempt copies nothing.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sapphiregate.example/sapphiregate/coordination/endpoints"
+	"sapphiregate.example/sapphiregate/coordination/forward"
 	"sapphiregate.example/sapphiregate/coordination/relay"
+	"sapphiregate.example/sapphiregate/coordination/routing"
 	"sapphiregate.example/sapphiregate/internal/clock"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
@@ -108,3 +112,26 @@
 
 // ReservedUploadBytes returns what uploads hold of the node's memory.
 func (n *Node) ReservedUploadBytes() int64 { return n.uploads.reserved.Load() }
+
+// ExcludedByAttempts starts attempts of a call, one for each element of endedAt, and then lets each end at that upstream, as
+// if the upstream that it was sent to had returned the call. It returns what the attempts exclude before and after that.
+func (n *Node) ExcludedByAttempts(service string, endedAt []string) (before, after [][]string) {
+	c := &ingressCall{node: n, route: &routing.Route{Route: bundle.Route{Class: bundle.ClassLookup}}}
+	c.metadata.Service = service
+	f := &forwarder{call: c, plan: forward.New(forward.Config{Class: bundle.ClassLookup}), random: rand.NewPCG(1, 1)}
+	var attempts []*attempt
+	for range endedAt {
+		started, ok := f.startAttempt(context.Background())
+		if !ok {
+			break
+		}
+		attempts = append(attempts, started)
+		before = append(before, slices.Clone(started.request.Exclude))
+	}
+	for i, started := range attempts {
+		f.tried[i] = endedAt[i]
+		f.cancels[i]()
+		after = append(after, started.request.Exclude)
+	}
+	return before, after
+}
--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,7 +137,9 @@
 func (f *forwarder) startAttempt(ctx context.Context) (*attempt, bool) {
 	c := f.call
 	request := balance.Request{
-		Service: c.metadata.Service, Route: c.route.Name, Zone: c.route.Zone, Exclude: f.tried, Rand: f.random,
+		Service: c.metadata.Service, Route: c.route.Name, Zone: c.route.Zone, Rand: f.random,
+		// The attempt may read this while handleResult changes f.tried.
+		Exclude:         slices.Clone(f.tried),
 		TargetRemaining: c.timeUntilTarget(), MeetTargetOnly: f.lastReason == protocol.ReasonShed,
 	}
 	target, err := c.node.balancer.Pick(time.Now(), request)
--- a/node/search_test.go
+++ b/node/search_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sapphiregate.example/sapphiregate/coordination/endpoints"
 	"sapphiregate.example/sapphiregate/node"
 )
 
@@ -67,6 +68,22 @@
 	})
 })
 
+var _ = Describe("the attempts of a call", func() {
+	// Replays attempts that end at other upstreams than they were sent to, while others run on their own goroutines, which read
+	// what they exclude.
+	It("do not share the list of upstreams that were tried", func() {
+		ingress, _, _ := startNode("ingress", newFakeLedger().server.Address())
+		for _, id := range []string{"a", "b", "c", "d"} {
+			Expect(ingress.MergeEndpoint(endpoints.Record{
+				ID: id, Incarnation: 1, Sequence: 1, Service: "desk", Address: "127.0.0.1:1", State: endpoints.Serving, Slots: 1,
+			})).To(Succeed())
+		}
+		before, after := ingress.ExcludedByAttempts("desk", []string{"1", "2", "3", "4"})
+		Expect(before).To(HaveLen(4))
+		Expect(after).To(Equal(before))
+	})
+})
+
 var _ = Describe("a heartbeat that announces a warm-up", func() {
 	heartbeat := func(sequence uint64, warmup time.Duration, started time.Time) node.Heartbeat {
 		return node.Heartbeat{
