node: a stop waits for the goroutine that asks for quotas

Cause: startAsking used a bare go statement, so that Kill returned while the goroutine could still run, count in metrics and log.

Evidence: the new test holds the end of a request to the owner; Kill returned at once before, and waits now.

Change: the goroutine runs in a task group, which Kill closes after the node's context has ended. Nothing is started from then on.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -135,3 +135,9 @@
 	}
 	return before, after
 }
+
+// BlockQuotaReply makes the request to the owner of the quotas, once it has ended, wait until unblock is called.
+func (n *Node) BlockQuotaReply() (unblock func()) {
+	n.quotas.mu.Lock()
+	return n.quotas.mu.Unlock
+}
--- a/node/quota.go
+++ b/node/quota.go
@@ -61,6 +61,8 @@
 type quotas struct {
 	node   *Node
 	logger zerolog.Logger
+	// tasks runs ask, so that a stop can wait for it.
+	tasks taskGroup
 
 	mu     sync.Mutex
 	holder *quota.Holder
@@ -263,10 +265,12 @@
 	if q.asking || q.node.ctx.Err() != nil {
 		return
 	}
-	q.asking = true
-	go q.ask()
+	q.asking = q.tasks.start(q.ask)
 }
 
+// close waits for the end of ask. The node's context must have ended.
+func (q *quotas) close() { q.tasks.close() }
+
 // ask sends requests to the owner, at least one, until no request waits for a token.
 func (q *quotas) ask() {
 	for {
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -24,6 +24,7 @@
 	book   *quota.Book
 	// silent makes it leave requests without a reply.
 	silent bool
+	asked  bool
 }
 
 func newFakeOwner(limits map[string]quota.Limit) *fakeOwner {
@@ -43,6 +44,7 @@
 func (o *fakeOwner) Lend(ctx context.Context, request *quota.Request) (*quota.Reply, error) {
 	o.mu.Lock()
 	silent := o.silent
+	o.asked = true
 	o.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -54,6 +56,12 @@
 	return &quota.Reply{IsOwner: true, Grants: o.book.Lend(now, now.Add(time.Second), request)}, nil
 }
 
+func (o *fakeOwner) isAsked() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.asked
+}
+
 // quotaBounds leaves so little beyond the limit that it does not count in these tests.
 var quotaBounds = quota.Bounds{Window: 5 * time.Second, Allowance: 2}
 
@@ -107,4 +115,21 @@
 		Eventually(func() int { return f.post("/lookup", "", "Authorization", keyed).status }, eventuallyTimeout).
 			Should(Equal(http.StatusOK))
 	})
+
+	It("is asked for by no goroutine that outlives the node", func() {
+		owner.mu.Lock()
+		owner.silent = true
+		owner.mu.Unlock()
+		go f.post("/lookup", "", "Authorization", keyed)
+		Eventually(owner.isAsked, eventuallyTimeout).Should(BeTrue())
+		unblock := f.ingress.BlockQuotaReply()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.ingress.Kill()
+		}()
+		Consistently(stopped, 200*time.Millisecond).ShouldNot(BeClosed())
+		unblock()
+		Eventually(stopped, eventuallyTimeout).Should(BeClosed())
+	})
 })
--- a/node/stop.go
+++ b/node/stop.go
@@ -134,6 +134,7 @@
 	n.controlPool.Close()
 	n.ledgerPool.Close()
 	n.quotaPool.Close()
+	n.quotas.close()
 	n.liveness.stop()
 	n.calls.Close()
 	n.probes.Close()
