node: a caller's very long deadline does not overflow

Cause: the milliseconds of the header were multiplied into nanoseconds without a bound. From 9.2e12 ms on the product wraps, often below zero: a proper request was refused for its deadline.

Evidence: the extended test got 503 in place of 200 for the greatest int64.

Change: the time is bounded by that of the longest route.

--- a/node/forwarding_test.go
+++ b/node/forwarding_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -134,6 +135,8 @@
 				Expect(got.header).NotTo(HaveKey("X-Hop"))
 				Expect(got.header).NotTo(HaveKey("Keep-Alive"))
 				Expect(got.header.Get("X-End")).To(Equal("1"))
+				patient := f.post("/lookup", "", protocol.HeaderDeadline, strconv.FormatInt(math.MaxInt64, 10))
+				Expect(patient.status).To(Equal(http.StatusOK))
 				deep := f.post("/lookup", "", protocol.HeaderDepth, strconv.Itoa(protocol.MaxDepth))
 				Expect(deep.status).To(Equal(http.StatusLoopDetected))
 			})
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -159,7 +159,8 @@
 		if err != nil || milliseconds <= 0 {
 			return protocol.ReasonDeadline
 		}
-		given := time.Duration(milliseconds) * time.Millisecond
+		// No route allows more; the nanoseconds of a longer time may overflow.
+		given := time.Duration(min(milliseconds, bundle.MaxDeadlineMs)) * time.Millisecond
 		c.elapsed = c.policy.returns.Elapsed(c.started, given)
 		c.callerDeadline = c.started.Add(given)
 		remaining = min(remaining, given)
