control: the age of an order does not depend on how two members' clocks differ

Cause: each member took the age of a rollout's order from the leader's wall clock when it saw the order first. A member whose clock is seconds ahead of the leader's counted the order as that much older. After a change of leader it judges with that age: a rollout of 12 s ends at 0.88 of its duration whatever is known, so with clocks 5 s apart after 5.6 s in place of 10.6 s, and a good release without all calls by then is rolled back.

Evidence: the new test; the member ahead by 5 s took a new order for 5.0 s old.

Change: an order is no older than the last confirmation, by a quorum, of the state without it, which the member knows by its own clock. A member that has just started knows none and takes the leader's time as before.

--- a/control/export_test.go
+++ b/control/export_test.go
@@ -5,8 +5,22 @@
 	"time"
 
 	"sapphiregate.example/sapphiregate/coordination/raft"
+	"sapphiregate.example/sapphiregate/coordination/rollout"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
+// OrderAge returns the age that a member takes an order for that it sees now, if the state without it was confirmed some time
+// ago (never if that is 0) and the leader's clock says that the order was sent at a time.
+func OrderAge(now time.Time, confirmedAgo time.Duration, sent time.Time) time.Duration {
+	s := newRollouts(rollout.Config{})
+	s.track(now, nil)
+	if confirmedAgo > 0 {
+		s.confirm(now.Add(-confirmedAgo))
+	}
+	s.track(now, []release.Rollout{{Service: "desk", State: release.Running, Started: 1, StartedUnixMs: sent.UnixMilli()}})
+	return now.Sub(s.orderedAt[1])
+}
+
 // Snapshot returns the log index of the newest snapshot of the registry.
 func (m *Member) Snapshot() (index uint64) {
 	if m.waitRunning(context.Background()) != nil {
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -28,6 +28,8 @@
 	// proposedAt holds the time of the last decision that was proposed for a revision.
 	proposedAt map[uint64]time.Time
 	judgedAt   time.Time
+	// confirmedAt is a time at which the tracked rollouts were all that a quorum had stored; zero if none is known.
+	confirmedAt time.Time
 }
 
 func newRollouts(config rollout.Config) rollouts {
@@ -36,8 +38,16 @@
 	}
 }
 
+// confirm notes that the tracked rollouts were the latest ones at a time. It keeps the latest of these times.
+func (s *rollouts) confirm(at time.Time) {
+	if at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
 // track takes the rollouts of the registry. The time of an order is taken from the leader's clock when a member sees the
-// order first; from then on it depends on the local monotonic clock only.
+// order first; from then on it depends on the local monotonic clock only. The clocks of two members may differ by seconds, but
+// an order is no older than the last confirmation of a state without it.
 func (s *rollouts) track(now time.Time, all []release.Rollout) {
 	s.running = s.running[:0]
 	orderedAt := make(map[uint64]time.Time)
@@ -50,6 +60,9 @@
 		ordered, ok := s.orderedAt[r.Started]
 		if !ok {
 			ordered = now.Add(-max(0, now.Sub(time.UnixMilli(r.StartedUnixMs))))
+			if ordered.Before(s.confirmedAt) {
+				ordered = s.confirmedAt
+			}
 		}
 		orderedAt[r.Started] = ordered
 		if proposed, ok := s.proposedAt[r.Revision]; ok {
@@ -64,6 +77,9 @@
 // can go on at once if they become the leader.
 func (m *Member) decideRollouts(now time.Time) {
 	s := &m.rollouts
+	if age, ok := m.replicas[registryGroup].raft.ConfirmedAge(now); ok {
+		s.confirm(now.Add(-age))
+	}
 	if len(s.running) == 0 || now.Sub(s.judgedAt) < judgeInterval {
 		return
 	}
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"sapphiregate.example/sapphiregate/control"
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/release"
 )
@@ -50,3 +52,18 @@
 		Eventually(rollout, eventuallyTimeout).Should(HaveField("Reason", "canceled by ben"))
 	})
 })
+
+var _ = Describe("the age of an order", func() {
+	// Replays an order whose leader's clock differs from that of the member that judges next: a rollout of 12 s would be rolled
+	// back after half of that, for want of time.
+	DescribeTable("is no greater than the time since the state without it was confirmed",
+		func(confirmedAgo, clockDifference, want time.Duration) {
+			now := time.Now()
+			age := control.OrderAge(now, confirmedAgo, now.Add(-clockDifference))
+			Expect(age).To(BeNumerically("~", want, 2*time.Millisecond))
+		},
+		Entry("at a member that follows the log, behind the leader's clock", 200*time.Millisecond, 100*time.Millisecond, 100*time.Millisecond),
+		Entry("at one that is ahead of it by seconds", 200*time.Millisecond, 5*time.Second, 200*time.Millisecond),
+		Entry("at one that has just started: the leader's clock counts", time.Duration(0), 5*time.Second, 5*time.Second),
+	)
+})
