--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,6 +75,60 @@
 	b.ReportMetric(float64(added.ValueAtQuantile(99)), "added-p99-us")
 }
 
+// BenchmarkUpload measures one upload through a node to the upstream beside another one. Besides the time and allocations, it
+// reports the processor time of the caller, both nodes and the upstream.
+func BenchmarkUpload(b *testing.B) {
+	for _, size := range []int{48 << 10, 400 << 10} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) { benchmarkUpload(b, size) })
+	}
+}
+
+func benchmarkUpload(b *testing.B, size int) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer upstream.Close()
+	executor, _ := benchmarkNode(b, "executor")
+	ingress, callers := benchmarkNode(b, "ingress")
+	uploads := testBundle()
+	for i := range uploads.Routes {
+		if uploads.Routes[i].Class == bundle.ClassLookup {
+			uploads.Routes[i].Class = bundle.ClassUpload
+		}
+	}
+	check(b, executor.PutInForce(bundle.Approval{Version: 2}, uploads))
+	check(b, ingress.PutInForce(bundle.Approval{Version: 2}, uploads))
+	check(b, executor.AcceptUpstream(node.Announcement{
+		Service: "desk", Address: strings.TrimPrefix(upstream.URL, "http://"), Slots: 100, Connections: 100,
+	}))
+	record, ok := executor.OwnRecord()
+	for ; !ok; record, ok = executor.OwnRecord() {
+		time.Sleep(time.Millisecond)
+	}
+	check(b, ingress.MergeEndpoint(record))
+	body := make([]byte, size)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	b.ReportAllocs()
+	started := processorTime(b)
+	for b.Loop() {
+		response, err := client.Post("http://"+callers+"/lookup", "application/octet-stream", bytes.NewReader(body))
+		check(b, err)
+		if response.StatusCode != http.StatusOK {
+			b.Fatal(response.Status)
+		}
+		_ = response.Body.Close()
+	}
+	b.ReportMetric(float64((processorTime(b)-started).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	check(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func benchmarkNode(b *testing.B, id string) (started *node.Node, callers string) {
 	var listeners []net.Listener
 	for range 3 {
--- a/transport/web/upstream_test.go
+++ b/transport/web/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -75,6 +76,28 @@
 		Entry("with a body", "belt=black"),
 	)
 
+	// Guards against a goroutine for each request that its caller gave up in the middle of the body.
+	It("leaves a streamed body alone after the request has ended", func() {
+		reader, writer := io.Pipe()
+		request := post("")
+		request.Body, request.Streamed, request.ContentLength = reader, true, 1000
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := client.Do(ctx, request)
+			ended <- err
+		}()
+		_, err := writer.Write([]byte("a part"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(goroutines()).To(ContainSubstring("interruptibleBody"))
+		cancel()
+		Eventually(ended).Should(Receive(HaveOccurred()))
+		_, err = writer.Write([]byte("what the read in progress gets"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(goroutines).ShouldNot(ContainSubstring("interruptibleBody"))
+	})
+
 	It("returns ErrNotWritten when the connection is refused", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -85,6 +108,12 @@
 	})
 })
 
+// goroutines returns the stacks of all goroutines.
+func goroutines() string {
+	buffer := make([]byte, 1<<20)
+	return string(buffer[:runtime.Stack(buffer, true)])
+}
+
 var _ = Describe("CopyHeader", func() {
 	It("drops hop-by-hop fields and those that Connection names", func() {
 		header := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-Kept": {"2"}}
