--- a/node/forwarding.go
+++ b/node/forwarding.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,7 +136,8 @@
 // startAttempt chooses an upstream that was not tried yet and prepares an attempt. It returns false if there is none.
 func (f *forwarder) startAttempt(ctx context.Context) (*attempt, bool) {
 	c := f.call
-	request := c.balancerRequest(f.tried, f.lastReason)
+	// The attempt may read the list while handleResult changes f.tried.
+	request := c.balancerRequest(slices.Clone(f.tried), f.lastReason)
 	request.Rand = f.random
 	target, err := c.node.balancer.Pick(time.Now(), request)
 	if err != nil {
