--- a/soak/core.go
+++ b/soak/core.go
@@ -43,11 +43,17 @@
 	at      time.Time
 }
 
-// missingRoute is a route that a node did not know although the version that added it had been acknowledged.
-type missingRoute struct {
+// lateVersion is a response of a node that does not agree with a version although that had been acknowledged.
+type lateVersion struct {
 	node  string
 	added acknowledgement
 	sent  time.Time
+	// promise is the time after the acknowledgement in which the node has to agree with the version. unlessDisturbed is
+	// set if it may take longer while any member is disturbed.
+	promise         time.Duration
+	unlessDisturbed bool
+	// effect is what the node did.
+	effect string
 }
 
 // addedRoute is the name of the route that a version adds.
@@ -76,7 +82,9 @@
 			if !ok || requestStatus(client, node, addedRoute(latest.version)) != http.StatusNotFound {
 				break
 			}
-			r.recorder.routeMissing(missingRoute{node: node.name, added: latest, sent: sent})
+			r.recorder.versionMissing(lateVersion{
+				node: node.name, added: latest, sent: sent, promise: applyWithin, effect: "did not know the route",
+			})
 		}
 	}
 	client.CloseIdleConnections()
@@ -93,10 +101,10 @@
 	return response.StatusCode
 }
 
-func (r *recorder) routeMissing(m missingRoute) {
+func (r *recorder) versionMissing(m lateVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.missingRoutes = append(r.missingRoutes, m)
+	r.lateVersions = append(r.lateVersions, m)
 }
 
 // checkVersions reports nodes that did not have a version in force in time. It is called at the end, when all faults are
@@ -105,21 +113,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reported := make(map[string]bool)
-	for _, m := range r.missingRoutes {
-		key := fmt.Sprint(m.node, " ", m.added.version)
+	for _, m := range r.lateVersions {
+		key := fmt.Sprint(m.node, " ", m.effect, " ", m.added.version)
 		if reported[key] || !r.isLate(m) {
 			continue
 		}
 		reported[key] = true
 		r.violations = append(r.violations, fmt.Sprintf(
-			"%s did not know the route of version %d at %.3f s, %.3f s after its acknowledgement", m.node, m.added.version,
+			"%s %s of version %d at %.3f s, %.3f s after its acknowledgement", m.node, m.effect, m.added.version,
 			m.sent.Sub(r.started).Seconds(), m.sent.Sub(m.added.at).Seconds()))
 	}
 }
 
-// isLate reports whether the node must have known the route: it was free of faults for contactTime, and so was the core.
+// isLate reports whether the node must have had the version: it was free of faults for contactTime, and so was the core.
 // With coreExtension in addition, the core may have been disturbed as long as more than half of it was not.
-func (r *recorder) isLate(m missingRoute) bool {
+func (r *recorder) isLate(m lateVersion) bool {
 	coreDisturbed := false
 	disturbedMembers := make(map[string]bool)
 	for _, w := range r.works {
@@ -135,7 +143,7 @@
 			disturbedMembers[w.process] = true
 		}
 	}
-	extended := m.sent.Sub(m.added.at) >= applyWithin+coreExtension && len(disturbedMembers) <= coreMemberCount/2
+	extended := !m.unlessDisturbed && m.sent.Sub(m.added.at) >= m.promise+coreExtension && len(disturbedMembers) <= coreMemberCount/2
 	return !coreDisturbed || extended
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -47,6 +47,8 @@
 	dataFolder    string
 	callerAddress string
 	adminAddress  string
+	// announcements is the address to which the upstream of a node on a platform announces itself.
+	announcements string
 	// proxy carries all mesh traffic to the process.
 	proxy *proxy
 	// ready is set while a node reports that it is ready.
@@ -141,6 +143,9 @@
 		m.settings["zone"] = fmt.Sprintf("zone-%d", i%zoneCount)
 		m.settings["join"] = join
 		m.settings["ledger_groups"] = 0
+		if options.Teams {
+			m.settings["objectives"] = objectives()
+		}
 		m.settings["platform"] = map[string]any{"operators": operatorAddress, "first_start": true, "tolerated_instances": options.memberTotal() / 2}
 	}
 	for i, n := range d.nodes {
@@ -156,6 +161,9 @@
 			if err := n.usePlatform(u.address()); err != nil {
 				return nil, err
 			}
+			if options.Teams {
+				go u.announce(n)
+			}
 			continue
 		}
 		n.settings["upstream"] = map[string]any{"service": service, "address": u.address(), "slots": slots}
@@ -164,7 +172,8 @@
 	return d, nil
 }
 
-// usePlatform gives a node the settings of a deployment on a platform, with its objectives. Nobody announces the upstream.
+// usePlatform gives a node the settings of a deployment on a platform, with its objectives. The upstream announces itself
+// only with teams.
 func (p *process) usePlatform(upstream string) error {
 	announcements, err := freeAddress()
 	if err != nil {
@@ -177,7 +186,8 @@
 	p.settings["platform"] = map[string]any{
 		"service": service, "upstream": upstream, "announcements": announcements, "ready": ready,
 	}
-	p.settings["objectives"] = map[string]any{"apply_within": applyWithin.String()}
+	p.announcements = announcements
+	p.settings["objectives"] = objectives()
 	return nil
 }
 
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -53,9 +53,9 @@
 	responses  int
 	timeline   []event
 	violations []string
-	// members holds the names of the control members. missingRoutes holds what probes of routes have found.
-	members       map[string]bool
-	missingRoutes []missingRoute
+	// members holds the names of the control members. lateVersions holds what probes of routes and keys have found.
+	members      map[string]bool
+	lateVersions []lateVersion
 }
 
 func newRecorder() *recorder {
@@ -179,6 +179,8 @@
 type upstream struct {
 	server   *http.Server
 	listener net.Listener
+	// closed is closed once the upstream no longer announces itself.
+	closed chan struct{}
 }
 
 func newUpstream(recorder *recorder, node string) (*upstream, error) {
@@ -186,13 +188,14 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{listener: listener}
+	u := &upstream{listener: listener, closed: make(chan struct{})}
 	u.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			attempt := r.Header.Get(headerAttempt)
 			if attempt == "" {
 				return // Health checks have no attempt header.
 			}
+			recorder.checkTeam(attempt, r.Header)
 			ended := recorder.requestRan(node, attempt)
 			defer func() { ended(r.Context().Err() != nil) }()
 			// net/http notices that the node has given up once the body is read.
@@ -201,6 +204,7 @@
 			if err != nil {
 				recorder.reportViolation("request %s reached its upstream without its header: %v", attempt, err)
 			}
+			w.Header().Set(headerSignature, "soak")
 			w.Header().Set("Content-Length", strconv.Itoa(len(responseBody(attempt))))
 			for range responseParts(attempt) {
 				sleep(r.Context(), work/time.Duration(responseParts(attempt)))
@@ -215,4 +219,7 @@
 }
 
 func (u *upstream) address() string { return u.listener.Addr().String() }
-func (u *upstream) close()          { _ = u.server.Close() }
+func (u *upstream) close() {
+	close(u.closed)
+	_ = u.server.Close()
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,6 +55,8 @@
 	// Core selects faults of the control members, and a check of the time in which versions come into force. There are
 	// no callers but those that probe the versions.
 	Core bool
+	// Teams adds teams to Core: keys that versions add and remove, a quota, and herds of nodes that are killed.
+	Teams bool
 }
 
 // memberTotal returns the number of control members of a seed.
@@ -73,9 +76,11 @@
 	// connection that had carried others.
 	Crossed, Kept   int
 	ApprovedVersion uint64
-	Recovery        time.Duration
-	Violations      []string
-	Timeline        []event
+	// Busiest is the greatest number of requests of the limited team that ran in a quotaWindow.
+	Busiest    int
+	Recovery   time.Duration
+	Violations []string
+	Timeline   []event
 	// Folder holds the logs and settings of the processes. It is removed if no guarantee was violated.
 	Folder string
 }
@@ -114,6 +119,7 @@
 	recorder.checkNotRun()
 	recorder.checkCuts()
 	recorder.checkVersions()
+	report.Busiest = recorder.checkQuota()
 	report.Crossed, report.Kept = recorder.crossed, recorder.keptCount()
 	report.Responses, report.Served, report.ApprovedVersion = recorder.responses, recorder.served, r.approved
 	report.Violations, report.Timeline = recorder.violations, recorder.timeline
@@ -132,6 +138,10 @@
 	// submitted is the last version that was sent to the group, and approved the last one whose approval the group
 	// acknowledged.
 	submitted, approved uint64
+	// newest is submitted, for the goroutines that probe.
+	newest atomic.Uint64
+	// finalProbes counts the requests of wrongKeys.
+	finalProbes int
 	// submittedBundle is the configuration of the submitted version, and furtherRoutes the number of its routes that
 	// serve no caller.
 	submittedBundle *bundle.Bundle
@@ -170,6 +180,10 @@
 		background.Go(func() { r.newCaller(options.Seed, index).loop(loadCtx) })
 	}
 	for _, n := range r.deployment.nodes {
+		if options.Teams {
+			background.Go(func() { r.probeKeys(loadCtx, n) })
+			background.Go(func() { r.exceedQuota(loadCtx, n) })
+		}
 		if options.Core {
 			background.Go(func() { r.probeNode(loadCtx, n) })
 			continue
@@ -191,6 +205,8 @@
 	faultCtx, stopFaults := context.WithTimeout(ctx, options.FaultDuration)
 	injector := newInjector(r.deployment, r.recorder, options.Seed)
 	switch {
+	case options.Teams:
+		injector.runTeams(faultCtx)
 	case options.Core:
 		injector.runCore(faultCtx)
 	case options.Planned:
@@ -207,6 +223,9 @@
 		r.recorder.reportViolation("no new version was in force on all nodes %v after the last fault (%s)", recoveryTimeout, r.describeVersions())
 	}
 	r.checkHistory(ctx)
+	if options.Teams && !r.await(ctx, recoveryTimeout, func() bool { return r.wrongKeys(ctx) == "" }) {
+		r.recorder.reportViolation("keys were not in force on all nodes within %v: %s", recoveryTimeout, r.wrongKeys(ctx))
+	}
 	before := r.recorder.servedCount()
 	if !options.Core && !r.await(ctx, recoveryTimeout, func() bool { return r.recorder.servedCount() >= before+callerCount }) {
 		r.recorder.reportViolation("callers were not served again within %v", recoveryTimeout)
@@ -274,6 +293,11 @@
 	if r.submitted == r.approved {
 		r.submitted++
 		r.submittedBundle = newBundle(r.submitted, r.furtherRoutes, r.options.routeDeadline())
+		if r.options.Teams {
+			r.submittedBundle.Teams = soakTeams(r.submitted)
+			bundle.Canonicalize(r.submittedBundle)
+		}
+		r.newest.Store(r.submitted)
 	}
 	defer r.recorder.endWork(r.recorder.startWork(workChange, ""))
 	update, err := bundle.FullUpdate(r.submittedBundle)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,7 +86,10 @@
 		w.started, w.ended = second(float64(w.started.Unix())), second(float64(w.ended.Unix()))
 		r.works = append(r.works, &w)
 	}
-	r.routeMissing(missingRoute{node: "node-0", added: acknowledgement{version: 7, at: second(10)}, sent: second(sent)})
+	r.versionMissing(lateVersion{
+		node: "node-0", added: acknowledgement{version: 7, at: second(10)}, sent: second(sent), promise: applyWithin,
+		effect: "did not know the route",
+	})
 	r.checkVersions()
 	if !late {
 		Expect(r.violations).To(BeEmpty())
@@ -411,4 +414,18 @@
 		Expect(report.Violations).To(BeEmpty(), "logs: %s", report.Folder)
 		Expect(report.ApprovedVersion).To(BeNumerically(">", 5))
 	})
+
+	It("keeps the promises about teams in a short seed", func() {
+		report, err := Run(context.Background(), Options{
+			Binary: binary, Seed: 1, FaultDuration: 16 * time.Second, Nodes: DefaultNodes, Core: true, Teams: true,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range report.Timeline {
+			GinkgoWriter.Printf("%7.3f s  %s\n", e.At.Seconds(), e.Text)
+		}
+		Expect(report.Violations).To(BeEmpty(), "logs: %s", report.Folder)
+		Expect(report.ApprovedVersion).To(BeNumerically(">", keyLifetime))
+		Expect(report.Served).To(BeNumerically(">", 0))
+		Expect(report.Busiest).To(BeNumerically(">", quotaRate*quotaWindow.Seconds()/2))
+	})
 })
