--- a/soak/command.go
+++ b/soak/command.go
@@ -75,7 +75,7 @@
 	flags.IntVar(&options.Nodes, "nodes", DefaultNodes, "number of nodes")
 	flags.BoolVar(&options.Planned, "planned", false, "series of planned work instead of random faults")
 	flags.BoolVar(&options.Core, "core", false, "faults of the control members, and a check of when versions come into force")
-	flags.BoolVar(&options.Teams, "teams", false, "keys and a quota of teams as well as --core, and herds of nodes that are killed")
+	flags.BoolVar(&options.Teams, "teams", false, "keys and a quota of teams, and rollouts, as well as --core, and herds of nodes that are killed")
 	flags.BoolVar(&regressions, "regressions", false, "run the seeds that failed before instead of --seed and --seeds")
 	flags.BoolVarP(&verbose, "verbose", "v", false, "print the timeline of every seed, not only of those that violate a guarantee")
 	return command
@@ -90,7 +90,8 @@
 	fmt.Fprintf(w, "seed %d: %s; %d answers, %d served, %d on kept connections, %d crossed a close, %d versions, recovery %v\n",
 		r.Seed, result, r.Responses, r.Served, r.Kept, r.Crossed, r.ApprovedVersion, r.Recovery.Round(time.Millisecond))
 	if r.Busiest > 0 {
-		fmt.Fprintf(w, "  at most %d of %.0f requests of the limited team in %v\n", r.Busiest, float64(quotaBound), quotaWindow)
+		fmt.Fprintf(w, "  at most %d of %.0f requests of the limited team in %v; %d rollouts completed, %d rolled back\n", r.Busiest,
+			float64(quotaBound), quotaWindow, r.Completed, r.RolledBack)
 	}
 	if len(r.Violations) == 0 && !verbose {
 		return
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -48,6 +48,8 @@
 type run struct {
 	// node is the node beside the upstream.
 	node string
+	// release is that of the upstream; empty if it has none.
+	release string
 	// ended is zero while the upstream runs the attempt.
 	started, ended time.Time
 	// canceled is set if the node closed the connection to the upstream before the end.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"sapphiregate.example/sapphiregate/protocol/operator"
 )
 
 // Bounds of the schedule. Durations are drawn evenly between a minimum and the minimum plus its spread. Faults reach
@@ -30,6 +32,8 @@
 	locks        map[*process]*sync.Mutex
 	lastWipe     time.Time
 	activeFaults sync.WaitGroup
+	// operator is the client that finds the leader.
+	operator *operator.Client
 }
 
 func newInjector(d *deployment, recorder *recorder, seed uint64) *injector {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 const (
@@ -56,6 +59,11 @@
 	// members holds the names of the control members. lateVersions holds what probes of routes and keys have found.
 	members      map[string]bool
 	lateVersions []lateVersion
+	// lastRollout is the rollout that was read last, and rollouts those that have ended.
+	lastRollout release.Rollout
+	rollouts    []endedRollout
+	// rolloutBegun is set from the start of a rollout until the leader is killed.
+	rolloutBegun atomic.Bool
 }
 
 func newRecorder() *recorder {
@@ -81,9 +89,14 @@
 // requestRan records that the upstream beside a node runs an attempt, and returns a function that records the end of the
 // run and whether the node canceled it. An irreversible request that runs again is a violation.
 func (r *recorder) requestRan(node, attempt string) (ended func(canceled bool)) {
+	return r.requestRanOn(node, "", attempt)
+}
+
+// requestRanOn does the same for an upstream of a release.
+func (r *recorder) requestRanOn(node, release, attempt string) (ended func(canceled bool)) {
 	r.mu.Lock()
 	index := len(r.runs[attempt])
-	r.runs[attempt] = append(r.runs[attempt], run{node: node, started: time.Now()})
+	r.runs[attempt] = append(r.runs[attempt], run{node: node, release: release, started: time.Now()})
 	r.mu.Unlock()
 	if index > 0 && irreversible(attempt) {
 		r.reportViolation("irreversible request %s ran twice", attempt)
@@ -180,7 +193,9 @@
 	server   *http.Server
 	listener net.Listener
 	// closed is closed once the upstream no longer announces itself.
-	closed chan struct{}
+	closed   chan struct{}
+	instance atomic.Pointer[instance]
+	calls    atomic.Int64
 }
 
 func newUpstream(recorder *recorder, node string) (*upstream, error) {
@@ -189,6 +204,7 @@
 		return nil, err
 	}
 	u := &upstream{listener: listener, closed: make(chan struct{})}
+	u.instance.Store(&instance{id: node, release: firstRelease, started: time.Now().UnixMilli()})
 	u.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			attempt := r.Header.Get(headerAttempt)
@@ -196,7 +212,8 @@
 				return // Health checks have no attempt header.
 			}
 			recorder.checkTeam(attempt, r.Header)
-			ended := recorder.requestRan(node, attempt)
+			current := u.instance.Load()
+			ended := recorder.requestRanOn(node, current.release, attempt)
 			defer func() { ended(r.Context().Err() != nil) }()
 			// net/http notices that the node has given up once the body is read.
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -204,6 +221,10 @@
 			if err != nil {
 				recorder.reportViolation("request %s reached its upstream without its header: %v", attempt, err)
 			}
+			if current.faulty && u.calls.Add(1)%2 == 0 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
 			w.Header().Set(headerSignature, "soak")
 			w.Header().Set("Content-Length", strconv.Itoa(len(responseBody(attempt))))
 			for range responseParts(attempt) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -21,6 +21,7 @@
 	"sapphiregate.example/sapphiregate/protocol/operator"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/state/registry"
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 const (
@@ -77,10 +78,12 @@
 	Crossed, Kept   int
 	ApprovedVersion uint64
 	// Busiest is the greatest number of requests of the limited team that ran in a quotaWindow.
-	Busiest    int
-	Recovery   time.Duration
-	Violations []string
-	Timeline   []event
+	Busiest int
+	// Completed and RolledBack count the rollouts that ended so.
+	Completed, RolledBack int
+	Recovery              time.Duration
+	Violations            []string
+	Timeline              []event
 	// Folder holds the logs and settings of the processes. It is removed if no guarantee was violated.
 	Folder string
 }
@@ -120,6 +123,14 @@
 	recorder.checkCuts()
 	recorder.checkVersions()
 	report.Busiest = recorder.checkQuota()
+	recorder.checkRollouts()
+	for _, e := range recorder.rollouts {
+		if e.state == release.Completed {
+			report.Completed++
+		} else {
+			report.RolledBack++
+		}
+	}
 	report.Crossed, report.Kept = recorder.crossed, recorder.keptCount()
 	report.Responses, report.Served, report.ApprovedVersion = recorder.responses, recorder.served, r.approved
 	report.Violations, report.Timeline = recorder.violations, recorder.timeline
@@ -135,6 +146,8 @@
 	deployment *deployment
 	recorder   *recorder
 	operator   *operator.Client
+	// watcher is the client that rolls out releases, so that it does not wait for changes of the configuration.
+	watcher *operator.Client
 	// submitted is the last version that was sent to the group, and approved the last one whose approval the group
 	// acknowledged.
 	submitted, approved uint64
@@ -164,11 +177,13 @@
 	for _, m := range r.deployment.members {
 		addresses = append(addresses, m.adminAddress)
 	}
-	var err error
-	r.operator, err = operator.NewClient(operator.ClientConfig{
-		Addresses: addresses, AttemptTimeout: time.Second, Rounds: 1,
-	})
-	return errors.Wrap(err, "soak: connect to the operator API")
+	for _, client := range []**operator.Client{&r.operator, &r.watcher} {
+		var err error
+		if *client, err = operator.NewClient(operator.ClientConfig{Addresses: addresses, AttemptTimeout: time.Second, Rounds: 1}); err != nil {
+			return errors.Wrap(err, "soak: connect to the operator API")
+		}
+	}
+	return nil
 }
 
 // injectAndRecover injects faults while callers and an operator are active, and returns the time from the end of the
@@ -202,8 +217,13 @@
 			sleep(changeCtx, changeInterval)
 		}
 	})
+	var rollouts sync.WaitGroup
+	if options.Teams {
+		rollouts.Go(func() { r.rollOutReleases(changeCtx, r.watcher) })
+	}
 	faultCtx, stopFaults := context.WithTimeout(ctx, options.FaultDuration)
 	injector := newInjector(r.deployment, r.recorder, options.Seed)
+	injector.operator = r.operator
 	switch {
 	case options.Teams:
 		injector.runTeams(faultCtx)
@@ -231,6 +251,7 @@
 		r.recorder.reportViolation("callers were not served again within %v", recoveryTimeout)
 	}
 	recovery := time.Since(lastFaultEnd)
+	rollouts.Wait()
 	stopLoad()
 	background.Wait()
 	return recovery
--- a/soak/teams.go
+++ b/soak/teams.go
@@ -41,7 +41,7 @@
 	limitedInterval = 6 * time.Millisecond
 )
 
-// firstRelease is the release of all upstreams.
+// firstRelease is the release of all upstreams at first.
 const firstRelease = "r0"
 
 const (
@@ -58,7 +58,7 @@
 func objectives() map[string]any {
 	return map[string]any{
 		"apply_within": applyWithin.String(), "revoke_within": revokeWithin.String(), "quota_window": quotaWindow.String(),
-		"quota_overshoot": quotaOvershoot, "quota_allowance": quotaAllowance,
+		"quota_overshoot": quotaOvershoot, "quota_allowance": quotaAllowance, "rollback_within": rollbackWithin.String(),
 	}
 }
 
@@ -66,21 +66,29 @@
 func (u *upstream) announce(node *process) {
 	client := &http.Client{Timeout: time.Second, Transport: new(http.Transport)}
 	defer client.CloseIdleConnections()
-	started := time.Now().UnixMilli()
+	post := func(id, action string, body []byte) {
+		response, err := client.Post("http://"+node.announcements+"/v1/instances/"+id+"/"+action, "application/json", bytes.NewReader(body))
+		if err == nil { // Otherwise the node is down.
+			response.Body.Close()
+		}
+	}
+	announced := u.instance.Load()
 	for sequence := 1; ; sequence++ {
 		select {
 		case <-u.closed:
 			return
 		case <-time.After(heartbeatInterval):
 		}
+		current := u.instance.Load()
+		if current != announced {
+			post(announced.id, "deregister", nil)
+			announced = current
+		}
 		heartbeat, _ := json.Marshal(map[string]any{ // It holds nothing that cannot be encoded.
-			"Service": service, "Address": u.address(), "Zone": node.settings["zone"], "Version": firstRelease,
-			"Slots": plannedSlots, "State": "ready", "ColdLeft": "0ms", "Seq": sequence, "born": started,
+			"Service": service, "Address": u.address(), "Zone": node.settings["zone"], "Version": current.release,
+			"Slots": plannedSlots, "State": "ready", "ColdLeft": "0ms", "Seq": sequence, "born": current.started,
 		})
-		response, err := client.Post("http://"+node.announcements+"/v1/instances/"+node.name+"/heartbeat", "application/json", bytes.NewReader(heartbeat))
-		if err == nil { // Otherwise the node is down.
-			response.Body.Close()
-		}
+		post(current.id, "heartbeat", heartbeat)
 	}
 }
 
@@ -146,12 +154,16 @@
 	return response.StatusCode
 }
 
-// acknowledgesSteadily reports whether the group acknowledged versions just now and in the applyWithin before the last one: it
-// shows that nodes in touch have heard of a quorum within the last one.
+// acknowledgesSteadily reports whether the group acknowledged a version in each half of applyWithin, three times in a row: it
+// shows that nodes in touch have heard of a quorum within the last applyWithin.
 func (r *seedRun) acknowledgesSteadily(now time.Time) bool {
-	latest, _ := r.latestAcknowledged(now)
-	former, _ := r.latestAcknowledged(now.Add(-applyWithin))
-	return now.Sub(latest.at) < applyWithin/2 && now.Sub(former.at) < 2*applyWithin
+	const step = applyWithin / 2
+	for age := time.Duration(0); age <= applyWithin; age += step {
+		if latest, _ := r.latestAcknowledged(now.Add(-age)); now.Sub(latest.at) > age+step {
+			return false
+		}
+	}
+	return true
 }
 
 // probeKeys sends requests with added and removed keys to a node, on a connection that stays open, until the context ends.
@@ -259,13 +271,17 @@
 	return busiest
 }
 
-// runTeams injects herds of killed nodes among the faults of the core until the context ends.
+// runTeams injects herds of killed nodes among the faults of the core until the context ends, and kills the leader once in
+// each rollout.
 func (i *injector) runTeams(ctx context.Context) {
 	for ctx.Err() == nil {
-		if i.rng.IntN(3) == 0 {
-			nodes := i.deployment.nodes
+		nodes := i.deployment.nodes
+		switch herd := i.rng.IntN(3) == 0; {
+		case i.recorder.rolloutBegun.Swap(false):
+			i.killLeader()
+		case herd:
 			i.killAll(i.drawProcesses(nodes, (len(nodes)+1)/2))
-		} else {
+		default:
 			i.startCoreFault()
 		}
 		i.activeFaults.Wait()
