node: the refusal of a request with a long body says that its connection closes

Cause: a refusal is sent before the body is read, and net/http then reads at most 256 KiB of it. It closes the connection of a longer body without having said so; a caller that has sent its whole body sends its next request there and loses it. The test fails before the change (Close is false, the next request gets no response) and passes with it. Change: such a refusal has Connection: close. Open: the same where an upstream answers before it has read a streamed body.

--- a/node/response.go
+++ b/node/response.go
@@ -30,6 +30,10 @@
 // that still sends gets the response before the connection closes.
 const unreadBodyTimeout = time.Second
 
+// maxUnreadBytes is how much of a body net/http reads after the response. It closes the connection of a longer one, which the
+// caller has to know before it sends its next request there.
+const maxUnreadBytes = 256 << 10
+
 // outcomeTimeout bounds a query to the ledger for an outcome.
 const outcomeTimeout = 2 * time.Second
 
@@ -107,6 +111,9 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return
 	}
+	if r.ContentLength > maxUnreadBytes {
+		w.Header().Set("Connection", "close")
+	}
 	conn := http.NewResponseController(w)
 	sendBeforeBodyEnds(conn)
 	timeout := unreadBodyTimeout
--- a/node/unread_body_test.go
+++ b/node/unread_body_test.go
@@ -49,6 +49,27 @@
 		Entry("too long for its route", "/small", "Content-Length: 5000", ""),
 	)
 
+	// Guards against a caller that has sent its whole body, gets the refusal, and loses its next request on the connection.
+	It("is told that its connection closes if its body is too long to be read after the response", func() {
+		f := newFixture(false, newFakeLedger().server.Address(), 4, http.NotFound)
+		for _, length := range []int{200 << 10, 1 << 20} {
+			conn, err := net.Dial("tcp", f.callers)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(conn.SetDeadline(time.Now().Add(endlessLimit))).To(Succeed())
+			refused := fmt.Sprintf("POST /none HTTP/1.1\r\nHost: desk\r\nContent-Length: %d\r\n\r\n", length)
+			go func() { _, _ = io.WriteString(conn, refused+strings.Repeat("x", length)+inner) }()
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = http.ReadResponse(reader, nil)
+			Expect(response.Close).To(Equal(err != nil), "body of %d bytes: the next request got %v", length, err)
+		}
+	})
+
 	// Guards against a refusal that is lost because the connection is reset while the body still arrives.
 	It("gets its response although its body goes on", func() {
 		f := newFixture(false, newFakeLedger().server.Address(), 4, http.NotFound)
