soak: uploads across faults and planned stops

Change: half of the callers' irreversible requests are uploads, some of them streamed or sent with a pause; a caller that cannot send a whole request reads whether it was refused.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// loop sends requests to the nodes in turn, one in three to the irreversible route. Each has an identifier of its own,
-// its attempt, which begins with the kind of call.
+// loop sends requests to the nodes in turn, one in six to the irreversible route and one in six as an upload. Each has an
+// identifier of its own, its attempt, which begins with the kind of call.
 func (c *caller) loop(ctx context.Context) {
 	defer func() {
 		for _, connection := range c.connections {
@@ -86,13 +86,19 @@
 	}()
 	for n := 0; ctx.Err() == nil; n++ {
 		kind, path := "l", "/lookup"
-		if n%3 == 0 {
+		switch n % 6 {
+		case 0:
 			kind, path = "p", "/promote"
+		case 3:
+			kind, path = "u", "/upload"
 		}
 		attempt := fmt.Sprintf("%s-%d-%d", kind, c.index, n)
 		if n%3 > 0 && c.rng.IntN(longResponseShare) == 0 {
 			attempt += suffixLong
 		}
+		if kind == "u" && c.rng.IntN(largeUploadShare) == 0 {
+			attempt += suffixLarge
+		}
 		c.send(ctx, c.node(n), path, attempt)
 		sleep(ctx, callInterval)
 	}
@@ -156,8 +162,12 @@
 	_ = connection.SetDeadline(seen.deadline.Add(callPatience))
 	stopWaiting := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Now()) })
 	defer stopWaiting()
-	if _, err := connection.Write(encoded); err != nil {
-		c.drop(node) // The request is incomplete.
+	if err := c.write(ctx, connection, encoded, attempt); err != nil {
+		// The request is incomplete, but the node may have refused it already.
+		if response, body, err := readResponse(connection.reader, request); err == nil {
+			recorder.responseReceived(attempt, response, body)
+		}
+		c.drop(node)
 		return
 	}
 	seen.sent = time.Now()
@@ -177,7 +187,7 @@
 }
 
 func encodeRequest(node *process, path, attempt string, work time.Duration) (*http.Request, []byte, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+node.callerAddress+path, strings.NewReader(attempt))
+	request, err := http.NewRequest(http.MethodPost, "http://"+node.callerAddress+path, strings.NewReader(requestBody(attempt)))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -167,7 +167,9 @@
 			continue
 		}
 		n.settings["upstream"] = map[string]any{"service": service, "address": u.address(), "slots": slots}
-		n.settings["limits"] = map[string]any{"drain_timeout": gracePeriod.String(), "leave_notice": "2500ms"}
+		n.settings["limits"] = map[string]any{
+			"drain_timeout": gracePeriod.String(), "leave_notice": "2500ms", "max_body_bytes": 2 * largeUploadBytes,
+		}
 	}
 	return d, nil
 }
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -109,8 +109,9 @@
 	}
 }
 
-// irreversible reports whether an attempt belongs to an irreversible call: caller.loop lets these begin with "p".
-func irreversible(attempt string) bool { return attempt[0] == 'p' }
+// irreversible reports whether an attempt may run once at most: caller.loop lets those of irreversible calls begin with "p" and
+// those of uploads with "u".
+func irreversible(attempt string) bool { return attempt[0] == 'p' || isUpload(attempt) }
 
 // responseReceived records the outcome of an attempt. A successful response must have the body for that attempt.
 func (r *recorder) responseReceived(attempt string, response *http.Response, body []byte) {
@@ -216,7 +217,8 @@
 			ended := recorder.requestRanOn(node, current.release, attempt)
 			defer func() { ended(r.Context().Err() != nil) }()
 			// net/http notices that the node has given up once the body is read.
-			_, _ = io.Copy(io.Discard, r.Body)
+			received, bodyErr := io.Copy(io.Discard, r.Body)
+			recorder.checkUpload(attempt, received, bodyErr)
 			work, err := time.ParseDuration(r.Header.Get(headerServiceTime))
 			if err != nil {
 				recorder.reportViolation("request %s reached its upstream without its header: %v", attempt, err)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -371,6 +371,7 @@
 		Services: []bundle.Service{{Name: service}},
 		Routes: []bundle.Route{
 			route("lookup", bundle.ClassLookup, false), route("promote", bundle.ClassIrreversible, true),
+			route("upload", bundle.ClassUpload, false),
 		},
 	}
 	for added := max(1, version-min(version, addedRoutes)+1); added <= version; added++ {
