--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"sapphiregate.example/sapphiregate/state/release"
 )
 
 const (
@@ -53,9 +56,14 @@
 	responses  int
 	timeline   []event
 	violations []string
-	// members holds the names of the control members. missingRoutes holds what probes of routes have found.
-	members       map[string]bool
-	missingRoutes []missingRoute
+	// members holds the names of the control members. lateVersions holds what probes of routes and keys have found.
+	members      map[string]bool
+	lateVersions []lateVersion
+	// lastRollout is the rollout that was read last, and rollouts those that have ended.
+	lastRollout release.Rollout
+	rollouts    []endedRollout
+	// rolloutBegun is set from the start of a rollout until the leader is killed.
+	rolloutBegun atomic.Bool
 }
 
 func newRecorder() *recorder {
@@ -81,9 +89,14 @@
 // requestRan records that the upstream beside a node runs an attempt, and returns a function that records the end of the
 // run and whether the node canceled it. An irreversible request that runs again is a violation.
 func (r *recorder) requestRan(node, attempt string) (ended func(canceled bool)) {
+	return r.requestRanOn(node, "", attempt)
+}
+
+// requestRanOn does the same for an upstream of a release.
+func (r *recorder) requestRanOn(node, release, attempt string) (ended func(canceled bool)) {
 	r.mu.Lock()
 	index := len(r.runs[attempt])
-	r.runs[attempt] = append(r.runs[attempt], run{node: node, started: time.Now()})
+	r.runs[attempt] = append(r.runs[attempt], run{node: node, release: release, started: time.Now()})
 	r.mu.Unlock()
 	if index > 0 && irreversible(attempt) {
 		r.reportViolation("irreversible request %s ran twice", attempt)
@@ -96,8 +109,9 @@
 	}
 }
 
-// irreversible reports whether an attempt belongs to an irreversible call: caller.loop lets these begin with "p".
-func irreversible(attempt string) bool { return attempt[0] == 'p' }
+// irreversible reports whether an attempt may run once at most: caller.loop lets those of irreversible calls begin with "p" and
+// those of uploads with "u".
+func irreversible(attempt string) bool { return attempt[0] == 'p' || isUpload(attempt) }
 
 // responseReceived records the outcome of an attempt. A successful response must have the body for that attempt.
 func (r *recorder) responseReceived(attempt string, response *http.Response, body []byte) {
@@ -179,6 +193,10 @@
 type upstream struct {
 	server   *http.Server
 	listener net.Listener
+	// closed is closed once the upstream no longer announces itself.
+	closed   chan struct{}
+	instance atomic.Pointer[instance]
+	calls    atomic.Int64
 }
 
 func newUpstream(recorder *recorder, node string) (*upstream, error) {
@@ -186,21 +204,30 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{listener: listener}
+	u := &upstream{listener: listener, closed: make(chan struct{})}
+	u.instance.Store(&instance{id: node, release: firstRelease, started: time.Now().UnixMilli()})
 	u.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			attempt := r.Header.Get(headerAttempt)
 			if attempt == "" {
 				return // Health checks have no attempt header.
 			}
-			ended := recorder.requestRan(node, attempt)
+			recorder.checkTeam(attempt, r.Header)
+			current := u.instance.Load()
+			ended := recorder.requestRanOn(node, current.release, attempt)
 			defer func() { ended(r.Context().Err() != nil) }()
 			// net/http notices that the node has given up once the body is read.
-			_, _ = io.Copy(io.Discard, r.Body)
+			received, bodyErr := io.Copy(io.Discard, r.Body)
+			recorder.checkUpload(attempt, received, bodyErr)
 			work, err := time.ParseDuration(r.Header.Get(headerServiceTime))
 			if err != nil {
 				recorder.reportViolation("request %s reached its upstream without its header: %v", attempt, err)
 			}
+			if current.faulty && u.calls.Add(1)%2 == 0 {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			w.Header().Set(headerSignature, "soak")
 			w.Header().Set("Content-Length", strconv.Itoa(len(responseBody(attempt))))
 			for range responseParts(attempt) {
 				sleep(r.Context(), work/time.Duration(responseParts(attempt)))
@@ -215,4 +242,7 @@
 }
 
 func (u *upstream) address() string { return u.listener.Addr().String() }
-func (u *upstream) close()          { _ = u.server.Close() }
+func (u *upstream) close() {
+	close(u.closed)
+	_ = u.server.Close()
+}
