quota: while there is no owner, a node goes on at the pace of its last window

Cause: the owner of the quotas is the registry's leader. While none lends, nodes had what is in hand and a reserve that is 0 for most teams, and refused nearly all requests below the limits with 503. Change: if a member has said within 0.5 s that there is no owner, a node lets requests in for 2.5 s at 0.6 of its former pace, 0.25 for a team that is limited. Nobody lends meanwhile, so the sum stays within the refill. A node that is cut off has no such word.

--- a/coordination/quota/holder.go
+++ b/coordination/quota/holder.go
@@ -75,7 +75,12 @@
 	pausedUntil, retryAt time.Time
 	// reserveSpent holds the times at which tokens of the reserve were spent within the last window.
 	reserveSpent []time.Time
-	counts       HolderCounts
+	// admitted counts the requests that were let in with the owner's tokens. coastingSince is when this node last began to go
+	// on without an owner, coastingTotal what it may let in by that, and coastingSpent what it has.
+	admitted                     demand
+	coastingSince                time.Time
+	coastingTotal, coastingSpent int
+	counts                       HolderCounts
 }
 
 // Holder holds the tokens of one node. It is not safe for concurrent use.
@@ -102,7 +107,7 @@
 	for team, limit := range limits {
 		held := h.teams[team]
 		if held == nil {
-			held = &holding{}
+			held = &holding{admitted: demand{slot: h.bounds.Window / demandSlots}}
 			h.teams[team] = held
 		}
 		held.limit, held.shares = limit, h.bounds.divide(limit)
@@ -135,6 +140,7 @@
 		if held.hand[0].tokens--; held.hand[0].tokens == 0 {
 			held.hand = held.hand[1:]
 		}
+		held.admitted.add(now, 1)
 		held.counts.Allowed++
 	case OverQuota:
 		held.refused++
@@ -161,26 +167,77 @@
 	}
 }
 
-// TakeReserve spends a token of the reserve, for a request that cannot wait for the owner any longer. A process that has
+const (
+	// coastingTime is for how long a node goes on at the pace at which it let requests in before, while there is no owner. It
+	// covers an election.
+	coastingTime = 2500 * time.Millisecond
+	// coastingShare is the share of that pace: the window before may hold a burst. limitedCoastingShare takes its place for a
+	// team that the owner limits.
+	coastingShare        = 0.6
+	limitedCoastingShare = 0.25
+)
+
+// mayBeginCoasting reports whether the node has not gone on without an owner lately.
+func (h *Holder) mayBeginCoasting(now time.Time, held *holding) bool {
+	return held.coastingSince.IsZero() || now.Sub(held.coastingSince) >= h.bounds.Window+coastingTime
+}
+
+// mayCoast reports whether the node may let in a request at the pace of the last window. All nodes together let in less than
+// the refill that nobody lends meanwhile.
+func (h *Holder) mayCoast(now time.Time, held *holding) bool {
+	elapsed := now.Sub(held.coastingSince)
+	if held.coastingSpent >= held.coastingTotal || elapsed >= coastingTime {
+		return false
+	}
+	return float64(held.coastingSpent) <= float64(held.coastingTotal)*elapsed.Seconds()/coastingTime.Seconds()
+}
+
+// coastingTokens returns the requests of coastingTime at its share of the pace of the last window.
+func (h *Holder) coastingTokens(now time.Time, held *holding) int {
+	share := coastingShare
+	if now.Sub(held.pausedUntil) < h.bounds.Window {
+		share = limitedCoastingShare
+	}
+	windows := coastingTime.Seconds() / h.bounds.Window.Seconds()
+	return int(math.Round(share * windows * float64(held.admitted.total(now))))
+}
+
+// TakeReserve decides about a request that cannot wait for the owner any longer. If a member says that there is no owner, it
+// goes on at the former pace for a short time; otherwise, and then, it spends a token of the reserve. A process that has
 // just started has no reserve for one window, in which its former process may have spent it.
-func (h *Holder) TakeReserve(now time.Time, team string) bool {
-	if !h.HasReserve(now, team) {
+func (h *Holder) TakeReserve(now time.Time, team string, ownerless bool) bool {
+	if !h.HasReserve(now, team, ownerless) {
 		return false
 	}
-	if held := h.teams[team]; held != nil {
-		held.reserveSpent = append(held.reserveSpent, now)
-		held.counts.Allowed++
-		held.counts.FromReserve++
+	held := h.teams[team]
+	if held == nil {
+		return true
+	}
+	held.counts.Allowed++
+	held.counts.FromReserve++
+	if ownerless && h.mayBeginCoasting(now, held) {
+		held.coastingSince, held.coastingTotal, held.coastingSpent = now, h.coastingTokens(now, held), 0
 	}
+	if ownerless && h.mayCoast(now, held) {
+		held.coastingSpent++
+		return true
+	}
+	held.reserveSpent = append(held.reserveSpent, now)
 	return true
 }
 
 // HasReserve returns what TakeReserve would return. It spends no token.
-func (h *Holder) HasReserve(now time.Time, team string) bool {
+func (h *Holder) HasReserve(now time.Time, team string, ownerless bool) bool {
 	held := h.teams[team]
 	if held == nil {
 		return true
 	}
+	switch {
+	case ownerless && h.mayBeginCoasting(now, held) && h.coastingTokens(now, held) > 0:
+		return true
+	case ownerless && !h.mayBeginCoasting(now, held) && h.mayCoast(now, held):
+		return true
+	}
 	if now.Sub(h.started) < h.bounds.Window {
 		return false
 	}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -173,6 +173,11 @@
 	}
 }
 
+// isOwnerless reports whether the node reaches members that know of no owner.
+func (s *simulation) isOwnerless(n *simulatedNode) bool {
+	return s.now >= n.cut && s.owner == nil && (s.former == nil || s.now >= s.formerTill)
+}
+
 func (s *simulation) letIn(name string) {
 	s.allowed[name]++
 	s.runs[name] = append(s.runs[name], s.now)
@@ -192,7 +197,7 @@
 		n.waiting[name] = slices.DeleteFunc(n.waiting[name], func(since time.Duration) bool {
 			verdict := n.holder.Retake(s.time(), name).Verdict
 			late := s.now-since > maxWait
-			if verdict == quota.Allowed || verdict == quota.NeedsLease && late && n.holder.TakeReserve(s.time(), name) {
+			if verdict == quota.Allowed || verdict == quota.NeedsLease && late && n.holder.TakeReserve(s.time(), name, s.isOwnerless(n)) {
 				s.letIn(name)
 				return true
 			}
@@ -339,6 +344,33 @@
 		s.expectWithin("hot", limitOf(600), 0)
 	})
 
+	// Load: an election of 2 s at a usual load; a node that is cut off meanwhile has no word that nobody lends.
+	DescribeTable("let a node go on at its former pace while there is no owner", func(ownerless bool, atLeast, atMost int) {
+		holder := quota.NewHolder(begin, bounds, "a")
+		holder.SetLimits(map[string]quota.Limit{"team": limitOf(1000)})
+		holder.SetNodes(nodes)
+		now := begin
+		for range 50 {
+			now = now.Add(100 * time.Millisecond)
+			holder.Receive(now, now, []quota.Grant{{Team: "team", Lease: 1, Tokens: 2, Lifetime: time.Second}})
+			Expect(holder.Take(now, "team").Verdict).To(Equal(quota.Allowed))
+			Expect(holder.Take(now, "team").Verdict).To(Equal(quota.Allowed))
+		}
+		now = now.Add(time.Second)
+		letIn := 0
+		for range 200 {
+			now = now.Add(10 * time.Millisecond)
+			if holder.TakeReserve(now, "team", ownerless) {
+				letIn++
+			}
+		}
+		Expect(letIn).To(And(BeNumerically(">=", atLeast), BeNumerically("<=", atMost)))
+	},
+		// 20 requests a second for 2 s; a reserve of 1.2 requests.
+		Entry("if a member says so", true, 15, 26),
+		Entry("not if it is cut off", false, 0, 1),
+	)
+
 	It("hold for drawn sequences of all of these", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			count := rapid.IntRange(2, 24).Draw(t, "nodes")
--- a/node/quota.go
+++ b/node/quota.go
@@ -77,9 +77,11 @@
 	nextMember int
 	// lostSince is the time since which no request got grants; zero if the last one did. retryDelay is the pause before
 	// the next one.
-	lostSince  time.Time
-	retryDelay time.Duration
-	lastAsk    time.Time
+	// ownerlessAt is when a member last said that there is no owner; zero if an owner has replied since.
+	ownerlessAt time.Time
+	lostSince   time.Time
+	retryDelay  time.Duration
+	lastAsk     time.Time
 	// short is set if requests still waited after the last reply.
 	short bool
 	// avoided did not reply and is not asked until avoidedUntil.
@@ -200,7 +202,13 @@
 func (q *quotas) hasReserve(team string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.holder.HasReserve(clock.Now(), team)
+	return q.holder.HasReserve(clock.Now(), team, q.isOwnerless(clock.Now()))
+}
+
+// isOwnerless reports whether a member has lately said that there is no owner. A node that is cut off hears of none. The
+// caller holds the lock.
+func (q *quotas) isOwnerless(now time.Time) bool {
+	return !q.ownerlessAt.IsZero() && now.Sub(q.ownerlessAt) < quotaLostAfter
 }
 
 // isLost reports whether requests no longer wait for an owner. The caller holds the lock.
@@ -253,7 +261,8 @@
 func (q *quotas) withoutOwner(c *ingressCall) (quota.Token, protocol.Reason) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.holder.TakeReserve(clock.Now(), c.team.Name) {
+	now := clock.Now()
+	if q.holder.TakeReserve(now, c.team.Name, q.isOwnerless(now)) {
 		q.node.metrics.quotaRequests.WithLabelValues(quotaReserved).Inc()
 		return quota.Token{}, protocol.ReasonNone
 	}
@@ -377,9 +386,12 @@
 	case !reply.IsOwner:
 		q.node.metrics.quotaAsks.WithLabelValues("not-owner").Inc()
 		q.owner = reply.Owner
+		if reply.Owner == "" || reply.Owner == address {
+			q.ownerlessAt = now
+		}
 	default:
 		q.node.metrics.quotaAsks.WithLabelValues("granted").Inc()
-		q.owner = address
+		q.owner, q.ownerlessAt = address, time.Time{}
 		q.holder.Receive(now, sent, reply.Grants)
 	}
 	redirected := err == nil && !reply.IsOwner && reply.Owner != "" && reply.Owner != address
