--- a/soak/command.go
+++ b/soak/command.go
@@ -90,8 +90,8 @@
 	fmt.Fprintf(w, "seed %d: %s; %d answers, %d served, %d on kept connections, %d crossed a close, %d versions, recovery %v\n",
 		r.Seed, result, r.Responses, r.Served, r.Kept, r.Crossed, r.ApprovedVersion, r.Recovery.Round(time.Millisecond))
 	if r.Busiest > 0 {
-		fmt.Fprintf(w, "  at most %d of %.0f requests of the limited team in %v; %d rollouts completed, %d rolled back\n", r.Busiest,
-			float64(quotaBound), quotaWindow, r.Completed, r.RolledBack)
+		fmt.Fprintf(w, "  at most %d of %.0f requests of the limited team in %v; %d rollouts completed, %d rolled back, the leader killed in %d\n",
+			r.Busiest, float64(quotaBound), quotaWindow, r.Completed, r.RolledBack, r.LeadersKilled)
 	}
 	if len(r.Violations) == 0 && !verbose {
 		return
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -62,8 +62,9 @@
 	// lastRollout is the rollout that was read last, and rollouts those that have ended.
 	lastRollout release.Rollout
 	rollouts    []endedRollout
-	// rolloutBegun is set from the start of a rollout until the leader is killed.
-	rolloutBegun atomic.Bool
+	// killsLeader is set while the leader is to be killed at the next pause between faults. leadersKilled counts these.
+	killsLeader   atomic.Bool
+	leadersKilled int
 }
 
 func newRecorder() *recorder {
--- a/soak/rollouts.go
+++ b/soak/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,8 @@
 	rollbackWithin = 5 * time.Second
 	// watchTime is how long the upstreams of both releases stay after the end of a rollout.
 	watchTime = rollbackWithin + 3*time.Second
+	// leaderKillSpread is the time from the start of a rollout within which the leader is killed.
+	leaderKillSpread = 5 * time.Second
 	// settledTime lets a release serve alone before the next rollout.
 	settledTime = time.Second
 )
@@ -52,6 +55,7 @@
 // rollOutReleases rolls out one release after the other on half of the upstreams until the context ends. Every other
 // release is faulty. It returns when the last rollout has ended and was watched.
 func (r *seedRun) rollOutReleases(ctx context.Context, client *operator.Client) {
+	rng := rand.New(rand.NewPCG(r.options.Seed, 0))
 	current := firstRelease
 	for n := 1; ctx.Err() == nil; n++ {
 		sleep(ctx, settledTime)
@@ -69,12 +73,13 @@
 			return
 		}
 		r.recorder.logEvent("release %s is rolled out; faulty: %t", name, n%2 == 0)
-		r.recorder.rolloutBegun.Store(true)
+		killTimer := time.AfterFunc(time.Duration(rng.Int64N(int64(leaderKillSpread))), func() { r.recorder.killsLeader.Store(true) })
 		r.announceRelease(nodes, name, n%2 == 0)
 		replaced := nodes
 		if r.watchRollout(client, name, names) == release.Completed {
 			current, replaced = name, others
 		}
+		killTimer.Stop()
 		r.announceRelease(replaced, current, false)
 	}
 }
@@ -130,6 +135,7 @@
 }
 
 func (r *recorder) rolloutEnded(e endedRollout, reason string) {
+	r.killsLeader.Store(false)
 	r.logEvent("the rollout of %s has ended %s: %s", e.release, e.state, reason)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -197,16 +203,28 @@
 	return fields[2] + "-" + fields[3]
 }
 
-// killLeader kills the leader of the control members, if one is known. It is back within a second.
-func (i *injector) killLeader() {
-	status, err := i.operator.Status(context.Background())
+// killLeader kills the leader of the control members, and reports whether it did. It is back within a second.
+func (i *injector) killLeader() bool {
+	response, err := i.operator.Members(context.Background())
 	if err != nil {
-		return
+		return false
 	}
-	for _, m := range i.deployment.members {
-		if m.name == status.Leader {
-			i.recorder.logEvent("the leader is %s", m.name)
-			i.killAll([]*process{m})
+	for _, member := range response.Members {
+		for _, m := range i.deployment.members {
+			if member.Leader && member.Address == m.proxy.address() {
+				i.recorder.leaderKilled(m)
+				i.killAll([]*process{m})
+				return true
+			}
 		}
 	}
+	return false
+}
+
+func (r *recorder) leaderKilled(leader *process) {
+	r.killsLeader.Store(false)
+	r.logEvent("%s leads during a rollout", leader.name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leadersKilled++
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -81,9 +81,11 @@
 	Busiest int
 	// Completed and RolledBack count the rollouts that ended so.
 	Completed, RolledBack int
-	Recovery              time.Duration
-	Violations            []string
-	Timeline              []event
+	// LeadersKilled counts the rollouts during which the leader of the control members was killed.
+	LeadersKilled int
+	Recovery      time.Duration
+	Violations    []string
+	Timeline      []event
 	// Folder holds the logs and settings of the processes. It is removed if no guarantee was violated.
 	Folder string
 }
@@ -124,6 +126,7 @@
 	recorder.checkVersions()
 	report.Busiest = recorder.checkQuota()
 	recorder.checkRollouts()
+	report.LeadersKilled = recorder.leadersKilled
 	for _, e := range recorder.rollouts {
 		if e.state == release.Completed {
 			report.Completed++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -426,6 +426,8 @@
 		Expect(report.Violations).To(BeEmpty(), "logs: %s", report.Folder)
 		Expect(report.ApprovedVersion).To(BeNumerically(">", keyLifetime))
 		Expect(report.Served).To(BeNumerically(">", 0))
+		Expect(report.Completed + report.RolledBack).To(BeNumerically(">", 0))
+		Expect(report.LeadersKilled).To(BeNumerically(">", 0))
 		Expect(report.Busiest).To(BeNumerically(">", quotaRate*quotaWindow.Seconds()/2))
 	})
 })
--- a/soak/teams.go
+++ b/soak/teams.go
@@ -275,16 +275,18 @@
 // each rollout.
 func (i *injector) runTeams(ctx context.Context) {
 	for ctx.Err() == nil {
-		nodes := i.deployment.nodes
-		switch herd := i.rng.IntN(3) == 0; {
-		case i.recorder.rolloutBegun.Swap(false):
-			i.killLeader()
-		case herd:
+		if nodes := i.deployment.nodes; i.rng.IntN(3) == 0 {
 			i.killAll(i.drawProcesses(nodes, (len(nodes)+1)/2))
-		default:
+		} else {
 			i.startCoreFault()
 		}
 		i.activeFaults.Wait()
-		sleep(ctx, between(i.rng, minCoreFaultInterval, coreFaultIntervalSpread))
+		pause := between(i.rng, minCoreFaultInterval, coreFaultIntervalSpread)
+		for end := time.Now().Add(pause); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, pollInterval) {
+			if i.recorder.killsLeader.Load() && i.killLeader() {
+				i.activeFaults.Wait()
+				end = time.Now().Add(pause)
+			}
+		}
 	}
 }
