--- a/soak/command.go
+++ b/soak/command.go
@@ -17,7 +17,7 @@
 var regressionSeeds = []uint64{1, 201, 205, 221, 225, 1102, 2113, 2208}
 
 // plannedRegressionSeeds are those of planned work.
-var plannedRegressionSeeds = []uint64{1, 3, 6, 11, 101, 103, 104, 105, 106, 107, 112}
+var plannedRegressionSeeds = []uint64{1, 3, 6, 11, 101, 103, 104, 105, 106, 107, 112, 50001, 50104, 50105}
 
 // coreRegressionSeeds are those of faults of the core.
 var coreRegressionSeeds = []uint64{11, 12, 128}
