node: calls are returned by busy upstreams only if max_returns says so

Cause: a returned call costs a message to another node and back. Where nodes have little processor time and far more calls than they can serve, the returns take the time of the calls. Change: limits.max_returns, 0 by default; the platform's templates set none. The test of returns switches them on.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -122,6 +122,7 @@
 		MaxCalls: loaded.Limits.MaxCalls, MaxHeaderBytes: loaded.Limits.MaxHeaderBytes,
 		MaxBodyBytes: loaded.Limits.MaxBodyBytes, LeaveNotice: loaded.Limits.LeaveNotice.Std(),
 		DrainWithin: loaded.Objectives.DrainWithin.Std(), LinkMegabits: loaded.Limits.LinkMegabits,
+		MaxReturns:     loaded.Limits.MaxReturns,
 		RollbackWithin: loaded.Objectives.RollbackWithin.Std(),
 	}
 	if loaded.Limits.MaxDescriptors > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -93,6 +93,9 @@
 	DrainWithin time.Duration
 	// LinkMegabits is the rate of the instance's link in Mbit/s; 0 sets no limit.
 	LinkMegabits float64
+	// MaxReturns is how often a call is handed back by an upstream without a free slot, to start elsewhere, before it waits; 0
+	// switches returns off.
+	MaxReturns int
 	// HealthInterval is the time between two probes of a serving upstream, which detect a crash while there are no
 	// calls. A negative value disables them, for upstreams that send heartbeats.
 	HealthInterval time.Duration
--- a/node/search.go
+++ b/node/search.go
@@ -8,16 +8,12 @@
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
-const (
-	// maxReturns is how often a call may be returned before it waits. Each return costs a message to another node and back.
-	maxReturns = 2
-	// maxReturnedBytes bounds the body of a call that may be returned, since it is sent again each time.
-	maxReturnedBytes = 16 << 10
-)
+// maxReturnedBytes bounds the body of a call that may be returned, since it is sent again each time.
+const maxReturnedBytes = 16 << 10
 
 // mayReturn reports whether an executor without a free slot should return this call.
 func (c *ingressCall) mayReturn(returned int, request balance.Request) bool {
-	return returned < maxReturns && c.metadata.Key == "" && !c.exclusive && c.body.buffered() &&
+	return returned < c.node.options.Limits.MaxReturns && c.metadata.Key == "" && !c.exclusive && c.body.buffered() &&
 		len(c.body.prefix) <= maxReturnedBytes && c.node.balancer.MayReturn(request)
 }
 
--- a/node/search_test.go
+++ b/node/search_test.go
@@ -24,7 +24,7 @@
 		var ingresses []*node.Node
 		var callers []*fixture
 		for _, id := range []string{"ingress-1", "ingress-2"} {
-			ingress, address, _ := startNode(id, member)
+			ingress, address, _ := startNode(id, member, func(o *node.Options) { o.Limits.MaxReturns = 2 })
 			ingresses = append(ingresses, ingress)
 			callers = append(callers, &fixture{callers: address, client: &http.Client{}})
 		}
--- a/settings/check.go
+++ b/settings/check.go
@@ -26,6 +26,7 @@
 	minMemoryMB       = 32
 	maxMemoryMB       = 1 << 20
 	maxLinkMegabits   = 1_000_000
+	maxReturns        = 4
 	maxSlots          = 10_000
 	maxConnections    = 100_000
 	minHealthInterval = 100 * time.Millisecond
@@ -104,6 +105,7 @@
 	c.descriptors("limits.max_descriptors", n.Limits.MaxDescriptors)
 	c.memory("limits.memory_mb", n.Limits.MemoryMB)
 	c.numberBetween("limits.link_mbps", n.Limits.LinkMegabits, 0, maxLinkMegabits)
+	c.numberBetween("limits.max_returns", float64(n.Limits.MaxReturns), 0, maxReturns)
 }
 
 // leaveNotice checks that a stop has time left after the notice for the requests that were accepted during it.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,9 @@
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// LinkMegabits is the rate of the instance's link in Mbit/s; 0 sets no limit.
 	LinkMegabits float64 `json:"link_mbps,omitempty"`
+	// MaxReturns is how often a call is handed back by an upstream without a free slot, to start elsewhere, before it waits.
+	// Each return costs a message to another node and back; 0 switches returns off.
+	MaxReturns int `json:"max_returns,omitempty"`
 }
 
 // Node is the settings of a node process.
