--- a/protocol/operator/types.go
+++ b/protocol/operator/types.go
@@ -25,9 +25,9 @@
 	PathQuarantine      = "/v1/quarantine"
 	PathQuarantineClear = "/v1/quarantine/clear"
 	PathDump            = "/v1/dump"
-	PathRollouts        = "/v1/rollouts"
-	PathRolloutStart    = "/v1/rollouts/start"
-	PathRolloutCancel   = "/v1/rollouts/cancel"
+	PathRollouts        = "/v1/releases"
+	PathRolloutStart    = "/v1/releases/start"
+	PathRolloutCancel   = "/v1/releases/cancel"
 )
 
 // StageRequest stores a bundle in the registry.
