--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -319,3 +319,33 @@
 		},
 	}
 }
+
+// wipe ends the process of a member and removes its disk.
+func (d *deployment) wipe(p *process) {
+	p.kill()
+	if err := os.RemoveAll(filepath.Join(d.folder, p.name)); err != nil {
+		cannotRun("wipe: %v", err)
+	}
+}
+
+// restartMember starts a member again, no longer for the first time.
+func (d *deployment) restartMember(p *process) {
+	p.settings["platform"].(map[string]any)["first_start"] = false
+	d.startProcess(p)
+}
+
+// read returns the version that a member answers to a read of the configuration, or why it answers none.
+func read(m *process) (version, problem string) {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + m.operators + "/v1/config/get")
+	if err != nil {
+		return "", err.Error()
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	var message struct{ Version string }
+	if response.StatusCode != http.StatusOK || json.Unmarshal(text, &message) != nil {
+		return "", fmt.Sprintf("%d %s", response.StatusCode, text)
+	}
+	return message.Version, ""
+}
