--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -56,7 +56,10 @@
 	return fmt.Sprintf("127.%d.%d.%d", 20+pid%200, 1+pid/200%250, number)
 }
 
-// freePort returns a port that is free on all the given addresses.
+// takenPorts holds the ports that freePort has returned.
+var takenPorts = map[int]bool{}
+
+// freePort returns another port that is free on all the given addresses.
 func freePort(ips ...string) int {
 	for {
 		first, err := net.Listen("tcp", ips[0]+":0")
@@ -64,7 +67,7 @@
 			cannotRun("no free port: %v", err)
 		}
 		port := first.Addr().(*net.TCPAddr).Port
-		free := true
+		free := !takenPorts[port]
 		for _, ip := range ips[1:] {
 			other, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 			if err != nil {
@@ -75,6 +78,7 @@
 		}
 		first.Close()
 		if free {
+			takenPorts[port] = true
 			return port
 		}
 	}
@@ -178,7 +182,7 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for _, n := range d.nodes {
 		for !isReady(n) {
-			if time.Now().After(deadline) {
+			if time.Now().After(deadline) || n.hasEnded() {
 				cannotRun("%s is not ready", n.name)
 			}
 			time.Sleep(50 * time.Millisecond)
