--- a/review/harness-2/frozen_read.go
+++ b/review/harness-2/frozen_read.go
@@ -19,6 +19,8 @@
 	const (
 		configApply = 2 * time.Second
 		watch       = 95 * time.Second
+		// longestFreeze is the largest dose of node_freeze at the site.
+		longestFreeze = 4 * time.Second
 		// addedRoutes is one big_config; orders is how many may be in progress at once.
 		addedRoutes = 350
 		orders      = 8
@@ -55,6 +57,12 @@
 		}
 		began := time.Now()
 		acknowledged := d.acknowledgeNext(others, versionOf, &newest)
+		if acknowledged.Add(configApply + 150*time.Millisecond).After(began.Add(longestFreeze)) {
+			// The election of another leader took too long.
+			frozen.signal(syscall.SIGCONT)
+			sending.Wait()
+			continue
+		}
 		time.Sleep(time.Until(acknowledged.Add(configApply + 50*time.Millisecond)))
 		answers := make(chan string, reads)
 		sent := time.Now()
