--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -97,7 +97,9 @@
 	for i := range members + len(upstreams) {
 		ips = append(ips, machineIP(i+1))
 	}
-	ips = append(ips, machineIP(spareNumber))
+	for i := range maxSpares {
+		ips = append(ips, machineIP(firstSpare+i))
+	}
 	d.meshPort, d.adminPort, d.controlPort = freePort(ips...), freePort(ips...), freePort(ips...)
 	callersPort := freePort(ips...)
 	readyPort := freePort(ips...)
@@ -152,12 +154,16 @@
 	return p
 }
 
-// spareNumber is the number of the machine that a script may add.
-const spareNumber = 250
+// firstSpare is the number of the first machine that a script may add, maxSpares how many there are.
+const (
+	firstSpare = 250
+	maxSpares  = 3
+)
 
-// spareMember prepares an empty machine of the core at another address, in the zone of the third one.
+// spareMember prepares an empty machine of the core at another address.
 func (d *deployment) spareMember() *process {
-	p := d.newMember("core-spare", machineIP(spareNumber), zones[2], false)
+	n := len(d.spares)
+	p := d.newMember(fmt.Sprintf("core-spare-%d", n+1), machineIP(firstSpare+n), zones[(n+2)%len(zones)], false)
 	d.spares = append(d.spares, p)
 	return p
 }
