web: reject a response with a field name that is not a token

What callers saw: an upstream sent a response in whose head the name of a field held a blank, or had one before the colon. The caller got it as a response; with a blank before the colon of Transfer-Encoding or Content-Length its body was not the upstream's. The same held for the trailer of a chunked body, and for health checks.

Cause: net/http rejects every other byte that may not be in a name, but takes blanks, and keeps such a field under the name as it was sent. The framing is then read without it.

Why this works: one check beside the code that reads responses holds for the head and the trailer of every response of an upstream, whatever the name.

--- a/node/broken_response_test.go
+++ b/node/broken_response_test.go
@@ -87,5 +87,23 @@
 			Entry("with a length", "/lookup", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"),
 			Entry("in chunks", "/lookup", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"),
 		)
+
+		// Guards against responses that are passed on although nobody can tell what they mean.
+		DescribeTable("is not passed on, "+where, func(response string) {
+			f := newBrokenFixture(remote, func(conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, response)
+			})
+			expectNoResponse(f.post("/lookup", "body"), "lookup")
+			expectNoResponse(f.post("/promote", "body", keyHeader, "k"), "irreversible")
+		},
+			Entry("a blank in the name of a field", "HTTP/1.1 200 OK\r\nX Name: v\r\nContent-Length: 2\r\n\r\nok"),
+			Entry("a blank before the colon of the transfer encoding",
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+			Entry("a control byte in the name of a field", "HTTP/1.1 200 OK\r\nX\x01Name: v\r\nContent-Length: 2\r\n\r\nok"),
+			Entry("a blank in the trailer", chunkedHead+oneChunk+"0\r\nX Sum: v\r\n\r\n"),
+			Entry("a blank in the trailer of a streamed response",
+				chunkedHead+strings.Repeat(oneChunk, 10_000)+"0\r\nX Sum: v\r\n\r\n"),
+			Entry("a control byte in the trailer", chunkedHead+oneChunk+"0\r\nX\x01Sum: v\r\n\r\n"),
+		)
 	}
 })
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -177,22 +177,13 @@
 		return nil, errors.Wrapf(ErrConnectionBroken, "%v", err)
 	}
 	result := trace.upstreamResponse(response)
-	if err := checkFinal(response); err != nil {
+	if err := checkResponse(response); err != nil {
 		result.Discard()
 		return nil, err
 	}
 	return result, nil
 }
 
-// checkFinal returns ErrConnectionBroken for a status code that does not belong to a final response. With a 101, net/http
-// hands the connection over and no longer closes it when the context ends, although no request asks for an upgrade.
-func checkFinal(response *http.Response) error {
-	if response.StatusCode < http.StatusOK {
-		return errors.Wrapf(ErrConnectionBroken, "status code %d in place of a final response", response.StatusCode)
-	}
-	return nil
-}
-
 // emptyBody is an empty body that net/http does not recognize as empty.
 type emptyBody struct{}
 
@@ -241,7 +232,7 @@
 		return Report{}, errors.Wrapf(ErrConnectionBroken, "%v", err)
 	}
 	defer response.Body.Close()
-	if err := checkFinal(response); err != nil {
+	if err := checkResponse(response); err != nil {
 		return Report{}, err
 	}
 	report := Report{Status: response.StatusCode, Header: response.Header}
