web: reject a response whose status code has no class

What callers saw: a response with status 999 was passed on. Nothing tells them what such a status means; for the health check it counted as a failure.

Cause: only codes below 200 were rejected. net/http takes all three digits.

Evidence: transport/web "is not returned ... if its status line is not that of a final response" (600, 999) and node "a broken response is not passed on: status 999", on the local upstream and through another node, failed before.

Why this works: RFC 9110 (section 15) calls codes outside of 100 to 599 invalid and lets a recipient treat them as a server error. The caller gets 502 with the outcome "unknown", as after any other response that can't be understood.

--- a/node/broken_response_test.go
+++ b/node/broken_response_test.go
@@ -96,6 +96,8 @@
 			expectNoResponse(f.post("/lookup", "body"), "lookup")
 			expectNoResponse(f.post("/promote", "body", keyHeader, "k"), "irreversible")
 		},
+			Entry("status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"),
+			Entry("status 999", "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok"),
 			Entry("a blank in the name of a field", "HTTP/1.1 200 OK\r\nX Name: v\r\nContent-Length: 2\r\n\r\nok"),
 			Entry("a blank before the colon of the transfer encoding",
 				"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
--- a/transport/web/malformed_test.go
+++ b/transport/web/malformed_test.go
@@ -65,7 +65,21 @@
 			Entry("a blank in the announcement of the trailer", "HTTP/1.1 200 OK\r\nTrailer: X Sum\r\n"+inChunks+"\r\n"),
 		)
 
+		// Guards against a status that means nothing to the caller (RFC 9110, section 15, and RFC 9112, section 4).
+		DescribeTable("is not returned "+kind+" if its status line is not that of a final response", func(line string) {
+			Expect(sendTo(line + "\r\n" + withLength)).NotTo(Succeed())
+		},
+			Entry("000", "HTTP/1.1 000 OK"), Entry("099", "HTTP/1.1 099 OK"), Entry("101", "HTTP/1.1 101 OK"),
+			Entry("600", "HTTP/1.1 600 OK"), Entry("999", "HTTP/1.1 999 OK"), Entry("no code", "HTTP/1.1"),
+			Entry("two digits", "HTTP/1.1 20 OK"), Entry("four digits", "HTTP/1.1 2000 OK"), Entry("a sign", "HTTP/1.1 +20 OK"),
+			Entry("a negative code", "HTTP/1.1 -20 OK"), Entry("letters", "HTTP/1.1 2xx OK"), Entry("no version", "200 OK"),
+			Entry("another protocol", "HTCPCP/1.0 200 OK"), Entry("lower case", "http/1.1 200 OK"), Entry("a blank before it", " HTTP/1.1 200 OK"),
+		)
+
 		It("is told from a well-formed one "+kind, func() {
+			for _, line := range []string{"HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 599 Odd"} {
+				Expect(sendTo(line+"\r\n"+withLength)).To(Succeed(), line)
+			}
 			Expect(sendTo("HTTP/1.1 200 OK\r\n" + withLength)).To(Succeed())
 			Expect(sendTo("HTTP/1.1 200 OK\r\nx_name.1~!: \tv \r\nTrailer: X-Sum\r\n" + inChunks + "X-Sum: v\r\n\r\n")).To(Succeed())
 		})
--- a/transport/web/response.go
+++ b/transport/web/response.go
@@ -23,10 +23,13 @@
 	return nil
 }
 
+// maxStatusCode is the last status code that has a class; those beyond it are invalid (RFC 9110, section 15).
+const maxStatusCode = 599
+
 // checkFinal returns ErrConnectionBroken for a status code that does not belong to a final response. With a 101, net/http
 // hands the connection over and no longer closes it when the context ends, although no request asks for an upgrade.
 func checkFinal(response *http.Response) error {
-	if response.StatusCode < http.StatusOK {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatusCode {
 		return errors.Wrapf(ErrConnectionBroken, "status code %d in place of a final response", response.StatusCode)
 	}
 	return nil
