web: reject a response of another major version of HTTP

What callers saw: an upstream sent a status line with HTTP/0.9, HTTP/2.0 or HTTP/9.9. What followed was read as an HTTP/1.1 message and passed on.

Cause: net/http takes any digit for the major version. A message of another major version has another syntax (RFC 9110, section 2.5), so what its head and body are is a guess.

Evidence: transport/web "is not returned ... if its status line is not that of a final response": versions 0.9, 2 and 9.9 failed before, for calls and for health checks. A higher minor version is accepted, as section 2.5 asks for.

Why this works: the request is sent as HTTP/1.1 and asks for no other protocol, so the response can only be HTTP/1.

--- a/transport/web/malformed_test.go
+++ b/transport/web/malformed_test.go
@@ -73,7 +73,9 @@
 			Entry("600", "HTTP/1.1 600 OK"), Entry("999", "HTTP/1.1 999 OK"), Entry("no code", "HTTP/1.1"),
 			Entry("two digits", "HTTP/1.1 20 OK"), Entry("four digits", "HTTP/1.1 2000 OK"), Entry("a sign", "HTTP/1.1 +20 OK"),
 			Entry("a negative code", "HTTP/1.1 -20 OK"), Entry("letters", "HTTP/1.1 2xx OK"), Entry("no version", "200 OK"),
-			Entry("another protocol", "HTCPCP/1.0 200 OK"), Entry("lower case", "http/1.1 200 OK"), Entry("a blank before it", " HTTP/1.1 200 OK"),
+			Entry("another protocol", "HTCPCP/1.0 200 OK"), Entry("version 0.9", "HTTP/0.9 200 OK"),
+			Entry("version 2", "HTTP/2.0 200 OK"), Entry("version 9.9", "HTTP/9.9 200 OK"),
+			Entry("lower case", "http/1.1 200 OK"), Entry("a blank before it", " HTTP/1.1 200 OK"),
 		)
 
 		It("is told from a well-formed one "+kind, func() {
--- a/transport/web/response.go
+++ b/transport/web/response.go
@@ -11,6 +11,9 @@
 // checkResponse applies the rules that every response of an upstream must meet besides those that net/http enforces. It
 // returns ErrConnectionBroken if the head breaks one; reading the body returns an error if the trailer does.
 func checkResponse(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return errors.Wrapf(ErrConnectionBroken, "protocol %s in place of HTTP/1", response.Proto)
+	}
 	if err := checkFinal(response); err != nil {
 		return err
 	}
