web: bound the fields of a response's head

What could happen: an upstream sends heads of many short fields, and bodies without an end, to callers that read little. The bound per connection did not hold for all of them together.

Cause: the bytes of a head were bounded, but not the number of its fields, each of which takes some hundred bytes in every copy, whatever its length.

Why this works: a response with more than 1000 fields is rejected where it is read, before a copy is made (RFC 9110, section 5.4, lets a recipient set such a bound). A head that is not complete takes about 1 MB, once for each slot, as before.

--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -228,6 +228,19 @@
 	return results
 }
 
+// distinctFields returns header fields with different short names and no value.
+func distinctFields(count int) string {
+	const letters = 26
+	var fields strings.Builder
+	for i := range count {
+		for _, digit := range []int{i % letters, i / letters % letters, i / letters / letters} {
+			fields.WriteByte(byte('a' + digit))
+		}
+		fields.WriteString(":\r\n")
+	}
+	return fields.String()
+}
+
 var _ = Describe("responses without an end", func() {
 	for _, remote := range []bool{false, true} {
 		path := map[bool]string{false: "on the local upstream", true: "through another node"}[remote]
@@ -301,6 +314,30 @@
 			Eventually(f.executor.InFlight, endlessLimit).Should(BeZero())
 		})
 
+		// Guards against heads that take far more memory than bytes: each field costs some in every copy of the head.
+		It("take a bounded part of the memory whatever their heads are, "+path, func() {
+			head := "HTTP/1.1 200 OK\r\n" + distinctFields(10_000)
+			body := strings.Repeat("x", fastPartBytes)
+			var heads atomic.Int32
+			f := newBrokenFixture(remote, func(conn *net.TCPConn, _ *http.Request) {
+				heads.Add(1)
+				_, err := io.WriteString(conn, head+"\r\n")
+				for err == nil {
+					_, err = io.WriteString(conn, body)
+				}
+			})
+			peak := heapPeak()
+			for range 2 * endlessSlots {
+				startCall(f, fmt.Sprintf("POST /lookup HTTP/1.1\r\nHost: desk\r\nContent-Length: 0\r\n%s: %d\r\n\r\n",
+					protocol.HeaderDeadline, endlessDeadline.Milliseconds())) // It does not read its response.
+			}
+			Eventually(heads.Load, endlessLimit).Should(BeNumerically(">=", endlessSlots))
+			Eventually(f.ingress.RequestsInFlight, endlessLimit).Should(BeZero())
+			grown := peak()
+			GinkgoWriter.Println("heap grew by", grown>>10, "KiB")
+			Expect(grown).To(BeNumerically("<", uint64(endlessMemory)))
+		})
+
 		// Guards against a buffer of 64 KiB that is allocated for each byte which an upstream sends on its own.
 		It("cost no more memory for being sent a byte at a time, "+path, func() {
 			upstream := &endlessUpstream{pause: 100 * time.Microsecond}
--- a/transport/web/malformed_test.go
+++ b/transport/web/malformed_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,6 +80,19 @@
 			Entry("lower case", "http/1.1 200 OK"), Entry("a blank before it", " HTTP/1.1 200 OK"),
 		)
 
+		// Guards against heads that take far more memory than bytes.
+		It("is not returned "+kind+" if it has too many fields", func() {
+			distinct := func(count int) (fields string) {
+				for i := range count {
+					fields += fmt.Sprintf("X-%d: v\r\n", i)
+				}
+				return fields
+			}
+			Expect(sendTo("HTTP/1.1 200 OK\r\n" + distinct(999) + withLength)).To(Succeed())
+			Expect(sendTo("HTTP/1.1 200 OK\r\n" + distinct(1000) + withLength)).NotTo(Succeed())
+			Expect(sendTo("HTTP/1.1 200 OK\r\n" + strings.Repeat("X: v\r\n", 1000) + withLength)).NotTo(Succeed())
+		})
+
 		It("is told from a well-formed one "+kind, func() {
 			for _, line := range []string{"HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 599 Odd"} {
 				Expect(sendTo(line+"\r\n"+withLength)).To(Succeed(), line)
--- a/transport/web/response.go
+++ b/transport/web/response.go
@@ -17,6 +17,9 @@
 	if err := checkFinal(response); err != nil {
 		return err
 	}
+	if count := countFields(response.Header); count > maxFields {
+		return errors.Wrapf(ErrConnectionBroken, "a head of %d fields, allowed: %d", count, maxFields)
+	}
 	if err := checkFieldNames(response.Header, response.Trailer); err != nil {
 		return errors.Wrapf(ErrConnectionBroken, "%v", err)
 	}
@@ -38,6 +41,18 @@
 	return nil
 }
 
+// maxFields bounds the fields of a head. Besides its bytes, which protocol.MaxHeaderBytes bounds, each field takes memory in
+// every copy of the head: 64 KiB of short fields take 4 MB of a node while the response is passed on.
+const maxFields = 1000
+
+func countFields(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // checkFieldNames returns an error if a name is not a token (RFC 9110, section 5.1). net/http takes names with blanks, and
 // then does not know the field: with a blank before the colon of Transfer-Encoding or Content-Length, the body would be
 // another than the upstream's.
