Bound what a stopping node does after its last response by its grace time

What could happen: callers keep opening connections to a node that stops, so that its schedule lasts to its end, 5.6 s of a grace time of 6 s. What followed had times of its own: 0.2 s for the responses to heartbeats and 0.5 s for a log that nobody reads. The process ended 6.2 s after SIGTERM; an instance kills it before, with whatever is open.

Cause: a stop keeps 0.4 s for the exit of the process, but the steps that use them did not know of it.

Why this works: the schedule of a stop names the time by which all that follows the last response is given up, 0.1 s before the end of the grace time, and the closing of the servers, the responses to heartbeats and the log share what is left until then. A log that is read is written within milliseconds. No run showed that closing the servers takes long; it is bounded because nothing else was.

--- a/coordination/shutdown/shutdown.go
+++ b/coordination/shutdown/shutdown.go
@@ -6,8 +6,11 @@
 import "time"
 
 const (
-	// maxExitTime is kept for what follows the last response: closing the remaining servers and writing the log.
+	// maxExitTime is kept for what follows the last response: closing the remaining servers, writing the log and the end of
+	// the process.
 	maxExitTime = 400 * time.Millisecond
+	// processEndShare is the inverse of the share of that time which the end of the process itself may take.
+	processEndShare = 4
 	// maxFinalResponseTime is kept for the responses to the requests that a stop gives up. A process that gets little
 	// processor time needs some of it to write them.
 	maxFinalResponseTime = 400 * time.Millisecond
@@ -41,6 +44,9 @@
 	GiveUp time.Time
 	// End is when the last response must have been written; zero if there is no limit.
 	End time.Time
+	// Exit is when all that follows it is given up; zero if there is no limit. What is left of the grace period is for the
+	// end of the process.
+	Exit time.Time
 }
 
 // NewSchedule returns the schedule of a stop that begins now.
@@ -48,13 +54,15 @@
 	if b.Grace <= 0 {
 		return Schedule{NoticeEnd: now.Add(b.Notice)}
 	}
-	end := now.Add(b.Grace - min(maxExitTime, b.Grace/reservedShare))
+	exitTime := min(maxExitTime, b.Grace/reservedShare)
+	end := now.Add(b.Grace - exitTime)
 	giveUp := end.Add(-min(maxFinalResponseTime, b.Grace/reservedShare))
 	return Schedule{
 		NoticeEnd:    now.Add(min(b.Notice, b.Grace/maxNoticeShare)),
 		LastDeadline: giveUp.Add(-min(maxRefusalTime, b.Grace/refusalShare)),
 		GiveUp:       giveUp,
 		End:          end,
+		Exit:         end.Add(exitTime - exitTime/processEndShare),
 	}
 }
 
--- a/coordination/shutdown/shutdown_test.go
+++ b/coordination/shutdown/shutdown_test.go
@@ -28,6 +28,8 @@
 		Expect(s.End).To(BeTemporally(">", s.GiveUp))
 		Expect(s.End).To(BeTemporally("<=", at(grace-min(grace/20, 400*time.Millisecond))), "the process needs time to exit")
 		Expect(s.NoticeEnd).To(BeTemporally("<", s.LastDeadline))
+		Expect(s.Exit).To(BeTemporally(">", s.End))
+		Expect(s.Exit).To(BeTemporally("<", at(grace)))
 	},
 		Entry("2 s", 2*time.Second), Entry("3 s", 3*time.Second), Entry("6 s", 6*time.Second),
 		Entry("10 s", 10*time.Second), Entry("18 s", 18*time.Second),
@@ -42,6 +44,7 @@
 	It("has no limit without a grace period", func() {
 		s := shutdown.NewSchedule(start, shutdown.Budget{Notice: time.Second})
 		Expect(s.GiveUp.IsZero()).To(BeTrue())
+		Expect(s.Exit.IsZero()).To(BeTrue())
 		Expect(s.CallDeadline(at(time.Hour))).To(Equal(at(time.Hour)))
 		Expect(s.Accepts(shutdown.Request{Arrived: at(time.Minute), Deadline: at(time.Hour), Target: at(time.Hour)})).To(BeTrue())
 	})
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -12,6 +12,7 @@
 
 	"sapphiregate.example/sapphiregate/coordination/quota"
 	"sapphiregate.example/sapphiregate/coordination/retry"
+	"sapphiregate.example/sapphiregate/coordination/shutdown"
 	"sapphiregate.example/sapphiregate/node"
 	"sapphiregate.example/sapphiregate/platform"
 	"sapphiregate.example/sapphiregate/settings"
@@ -32,7 +33,8 @@
 				return errors.Mark(err, errUsage)
 			}
 			return logs.run(func(logger zerolog.Logger) error {
-				return runNode(command.Context(), file, loaded, logger.With().Str("instance", loaded.Instance).Logger())
+				logger = logger.With().Str("instance", loaded.Instance).Logger()
+				return runNode(command.Context(), file, loaded, logger, logs.setExit)
 			})
 		},
 	}
@@ -41,7 +43,7 @@
 	return command
 }
 
-// upstreamDrainTimeout limits the wait for the responses to heartbeats after a node has stopped.
+// upstreamDrainTimeout is the longest wait for the responses to heartbeats after a node has stopped.
 const upstreamDrainTimeout = 200 * time.Millisecond
 
 // descriptorsPerCall is the number of descriptors for each call in flight: the connections of its caller and to its
@@ -59,8 +61,11 @@
 	}
 }
 
-// runNode runs a node until the context ends, then stops it gracefully.
-func runNode(ctx context.Context, file string, loaded settings.Node, logger zerolog.Logger) error {
+// runNode runs a node until the context ends, then stops it gracefully. It calls setExit with the time by which the process
+// must end once it stops.
+func runNode(
+	ctx context.Context, file string, loaded settings.Node, logger zerolog.Logger, setExit func(by time.Time),
+) error {
 	keys, err := loadKeyring(loaded.Keyring, loaded.TrustedOperators)
 	if err != nil {
 		return err
@@ -109,10 +114,12 @@
 		return err
 	})
 	logger.Info().Msg("node leaves; requests in flight finish")
+	exit := shutdown.NewSchedule(time.Now(), shutdown.Budget{Grace: loaded.Limits.DrainTimeout.Std()}).Exit
+	setExit(exit)
 	stopContext, cancel := context.WithTimeout(context.Background(), loaded.Limits.DrainTimeout.Std())
 	defer cancel()
 	err = process.Stop(stopContext)
-	adapter.Shutdown(upstreamDrainTimeout)
+	adapter.Shutdown(min(upstreamDrainTimeout, time.Until(exit)/2)) // The other half is for the log.
 	logger.Info().Err(err).Msg("node stopped")
 	return err
 }
--- a/daemon/root.go
+++ b/daemon/root.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -32,15 +33,20 @@
 type logFlags struct {
 	format string
 	level  string
+	// exitBy is when the process must end; zero if there is no limit.
+	exitBy time.Time
 }
 
+// setExit sets the time by which the process must end, also if its log lines are not written by then.
+func (f *logFlags) setExit(by time.Time) { f.exitBy = by }
+
 func (f *logFlags) register(command *cobra.Command) {
 	command.Flags().StringVar(&f.format, "log-format", "json", "log format: json or text")
 	command.Flags().StringVar(&f.level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
 }
 
 // run calls a command with the logger of the process, which also logs violated invariants. It returns after the log
-// lines of the command are written.
+// lines of the command are written, or at the time that the command has passed to setExit.
 func (f *logFlags) run(command func(logger zerolog.Logger) error) error {
 	output := logging.NewNonBlockingOutput(os.Stdout)
 	logger, err := logging.New(output, f.format, f.level)
@@ -51,7 +57,11 @@
 	undo := logging.RedirectStandardLog(logger)
 	err = command(logger)
 	undo()
-	if closeErr := output.Close(); closeErr != nil {
+	closeOutput := output.Close
+	if !f.exitBy.IsZero() {
+		closeOutput = func() error { return output.CloseBefore(f.exitBy) }
+	}
+	if closeErr := closeOutput(); closeErr != nil {
 		// Only printed: a planned stop succeeds even if nobody reads the log.
 		fmt.Fprintln(os.Stderr, "sapphiregate:", closeErr)
 	}
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -3,8 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"sync"
 	"syscall"
 	"time"
 
@@ -93,3 +97,112 @@
 			"requests cut on kept and on new connections: %v; %v", keptErr, openedErr)
 	})
 })
+
+var _ = Describe("A node whose callers and monitors keep opening connections until it has stopped", func() {
+	const (
+		grace   = 6 * time.Second
+		callers = 100
+		polls   = 8
+	)
+
+	// Guards against a process that the instance ends by force: the steps after the last response had times of their own,
+	// which together were longer than what a stop leaves for them.
+	DescribeTable("exits within its grace time", func(readsLog bool) {
+		folder := GinkgoT().TempDir()
+		caller, ready, announcements := freeAddress(), freeAddress(), freeAddress()
+		file := writeSettings(folder, "node", map[string]any{
+			"instance": "node", "zone": "zone", "callers": caller, "mesh": freeAddress(), "admin": freeAddress(),
+			"join": []string{freeAddress()}, "tls": map[string]any{"insecure": true}, "trusted_operators": []string{"ana"},
+			"limits": map[string]any{"drain_timeout": grace.String()},
+			"platform": map[string]any{
+				"service": "promotion", "upstream": freeAddress(), "announcements": announcements, "ready": ready,
+			},
+		})
+		command := exec.Command(build(folder, "sapphiregate"), "node", "--settings", file)
+		if !readsLog {
+			command.Stdout = fullPipe()
+		}
+		Expect(command.Start()).To(Succeed())
+		DeferCleanup(func() { _ = command.Process.Kill() })
+		awaitListening(caller)
+		awaitListening(ready)
+		exited := make(chan struct{})
+		var clients sync.WaitGroup
+		for range callers {
+			clients.Go(func() { requestUntil(exited, caller, slowRequest, 0) })
+			clients.Go(func() { requestUntil(exited, caller, unfinishedRequest, 0) })
+			time.Sleep(time.Second / callers) // Some of them are always in the middle of a request.
+		}
+		for range polls {
+			clients.Go(func() { requestUntil(exited, ready, wholeRequest, 20*time.Millisecond) })
+			clients.Go(func() { requestUntil(exited, announcements, wholeRequest, 20*time.Millisecond) })
+		}
+		Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		signaled := time.Now()
+		_ = command.Wait() // The exit code says whether a step was given up, which may be here.
+		elapsed := time.Since(signaled)
+		close(exited)
+		clients.Wait()
+		Expect(elapsed).To(BeNumerically("<", grace))
+	},
+		Entry("while its log is read", true),
+		Entry("while nobody reads its log", false),
+	)
+})
+
+// fullPipe returns a pipe that takes no more bytes.
+func fullPipe() *os.File {
+	reader, writer, err := os.Pipe()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _, _ = reader.Close(), writer.Close() })
+	Expect(writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+	_, err = writer.Write(make([]byte, 1<<20))
+	Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	return writer
+}
+
+func awaitListening(address string) {
+	Eventually(func() error {
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			return err
+		}
+		return connection.Close()
+	}).WithTimeout(eventTimeout).Should(Succeed())
+}
+
+const (
+	wholeRequest = "GET /promotions HTTP/1.1\r\nHost: promotion\r\n\r\n"
+	// slowRequest waits for control members, which there are none of, for two seconds.
+	slowRequest = "GET /.sapphire/outcome?key=k HTTP/1.1\r\nHost: promotion\r\n\r\n"
+	// unfinishedRequest is refused at once; the node waits for its body for a second, so that the caller gets the response.
+	unfinishedRequest = "POST /promotions HTTP/1.1\r\nHost: promotion\r\nContent-Length: 10\r\n\r\n"
+)
+
+// requestUntil sends requests to an address, each once the response to the one before has arrived, until the channel is
+// closed. It opens another connection when one ends.
+func requestUntil(done <-chan struct{}, address, request string, pause time.Duration) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			time.Sleep(time.Millisecond) // The process does not listen any more.
+			continue
+		}
+		reader := bufio.NewReader(connection)
+		for err == nil {
+			_ = connection.SetDeadline(time.Now().Add(time.Second))
+			_, _ = io.WriteString(connection, request)
+			var response *http.Response
+			if response, err = http.ReadResponse(reader, nil); err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				time.Sleep(pause)
+			}
+		}
+		_ = connection.Close()
+	}
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -47,7 +47,7 @@
 	flushTimeout = 500 * time.Millisecond
 )
 
-// ErrNotFlushed means that the queued lines were not written within flushTimeout.
+// ErrNotFlushed means that the queued lines were not written in time.
 var ErrNotFlushed = errors.New("logging: the last lines were not written")
 
 // Output queues log lines and writes them on a separate goroutine.
@@ -72,13 +72,20 @@
 
 // Close writes the queued lines. It returns ErrNotFlushed if that takes longer than flushTimeout. Write must not be
 // called afterwards.
-func (o *Output) Close() error {
+func (o *Output) Close() error { return o.closeWithin(flushTimeout) }
+
+// CloseBefore is Close for a process that must have ended at the given time.
+func (o *Output) CloseBefore(exit time.Time) error {
+	return o.closeWithin(min(flushTimeout, time.Until(exit)))
+}
+
+func (o *Output) closeWithin(timeout time.Duration) error {
 	closed := make(chan error, 1)
 	go func() { closed <- o.queue.Close() }()
 	select {
 	case err := <-closed:
 		return err
-	case <-time.After(flushTimeout):
+	case <-time.After(timeout):
 		return ErrNotFlushed
 	}
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -67,8 +67,10 @@
 	}
 	err = errors.CombineErrors(err, n.stopStep("callers' connections closed", n.callerListener.Drain(responding)))
 	err = errors.CombineErrors(err, n.stopStep("responses recorded", n.executor.background.wait(responding)))
-	n.mesh.GracefulStop(withFollowStopTimeout(responding))
-	n.Kill()
+	closeBefore(schedule.Exit, func() {
+		n.mesh.GracefulStop(withFollowStopTimeout(responding))
+		n.Kill()
+	})
 	return errors.Wrap(err, "node: stopped before all calls ended and their responses were recorded")
 }
 
@@ -123,6 +125,25 @@
 	return bounded
 }
 
+// closeBefore calls a function that closes servers and connections, and returns when it is done or when half of the time
+// until the exit of the process has passed: the other half is for what the process does after the node has stopped. The
+// zero time sets no limit.
+func closeBefore(exit time.Time, closeAll func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		closeAll()
+	}()
+	if exit.IsZero() {
+		<-done
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(time.Until(exit) / 2):
+	}
+}
+
 // Kill stops the node at once, as a crash would.
 func (n *Node) Kill() {
 	n.cancel()
