operator: reject malformed responses of members

What operators saw: a member's response with a blank in the name of a field, or before its colon, or in its trailer, counted as the decision about a change. With a length that is not known for that reason, what arrived until the connection ended was read as the body.

After a malformed response to a change its outcome is unknown, and the client asks again under the same request ID, as after a lost one.

--- a/protocol/operator/attempt.go
+++ b/protocol/operator/attempt.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"sapphiregate.example/sapphiregate/internal/httpresponse"
 )
 
 // apiRequest is one request to the API with its retries.
@@ -158,6 +160,9 @@
 		return r.lostResponse(err.Error())
 	}
 	defer httpResponse.Body.Close()
+	if err := httpresponse.Check(httpResponse); err != nil {
+		return r.lostResponse(err.Error())
+	}
 	data, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes+1))
 	if err != nil || len(data) > maxResponseBytes {
 		return r.lostResponse(fmt.Sprintf("response of %d bytes is incomplete: %v", len(data), err))
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sapphiregate.example/sapphiregate/internal/httpresponse"
 	"sapphiregate.example/sapphiregate/protocol"
 )
 
@@ -184,6 +185,18 @@
 	return result, nil
 }
 
+// checkResponse returns ErrConnectionBroken if the head of a response is malformed.
+func checkResponse(response *http.Response) error {
+	// Requests are sent as HTTP/1.1 and ask for no other protocol.
+	if response.ProtoMajor != 1 {
+		return errors.Wrapf(ErrConnectionBroken, "protocol %s in place of HTTP/1", response.Proto)
+	}
+	if err := httpresponse.Check(response); err != nil {
+		return errors.Wrapf(ErrConnectionBroken, "%v", err)
+	}
+	return nil
+}
+
 // emptyBody is an empty body that net/http does not recognize as empty.
 type emptyBody struct{}
 
