sapphirectl: show no explanation from a malformed response

What operators saw: explain took a response with a blank in the name of a field, or in its trailer, for the node's explanation.

Why this works: it applies the same rules, and reports the node as unreachable.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/internal/httpresponse"
 	"sapphiregate.example/sapphiregate/node"
 )
 
@@ -86,6 +87,9 @@
 		return nil, errors.Wrapf(ErrNodeUnreachable, "%v", err)
 	}
 	defer response.Body.Close()
+	if err := httpresponse.Check(response); err != nil {
+		return nil, errors.Wrapf(ErrNodeUnreachable, "%v", err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxExplanationBytes))
 	if err != nil {
 		return nil, errors.Wrapf(ErrNodeUnreachable, "%v", err)
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -1,7 +1,10 @@
 package ctl_test
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,4 +59,36 @@
 		_, _, code = h.run("ana", "explain", "/a")
 		Expect(code).To(Equal(ctl.ExitUsage))
 	})
+
+	// Guards against an explanation that is shown although no node has given it.
+	DescribeTable("shows nothing after a broken answer", func(answer string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, answer)
+				}
+				_ = conn.Close()
+			}
+		}()
+		stdout, stderr, code := newHarness().run("ana", "explain", "/a", "--node", listener.Addr().String())
+		Expect(code).NotTo(Equal(ctl.ExitOK))
+		Expect(stdout).To(BeEmpty())
+		Expect(stderr).NotTo(BeEmpty())
+	},
+		Entry("none", ""),
+		Entry("bytes that are no HTTP", "\x00\xff\x13\x37\r\n\r\n"),
+		Entry("a body without a length that is cut", "HTTP/1.1 200 OK\r\n\r\n{\"node\":"),
+		Entry("a body with a length that is cut", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{}"),
+		Entry("status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("a blank in the name of a field", "HTTP/1.1 200 OK\r\nX Name: v\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("a blank in the trailer",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Sum: v\r\n\r\n"),
+	)
 })
