node: reset the caller's connection when a response is given up in the middle

What callers saw: an upstream broke off a response of which a part had been passed on. A caller of HTTP/1.0 got that part, then a regular end of the connection, which for it ends the response: it took the part for the whole.

Cause: the connection was closed, which sends a FIN. In HTTP/1.1 the missing last chunk shows the truncation; HTTP/1.0 has no chunks.

Evidence: node "that was passed on in part does not end regularly for its caller: HTTP/1.0" failed before, on the local upstream and through another node. HTTP/1.1 passed before and keeps its test.

Why this works: a handler that gives up a response makes the close send a reset, whatever the version of the caller and whatever the reason.

--- a/node/broken_response_test.go
+++ b/node/broken_response_test.go
@@ -107,5 +107,20 @@
 				chunkedHead+strings.Repeat(oneChunk, 10_000)+"0\r\nX Sum: v\r\n\r\n"),
 			Entry("a control byte in the trailer", chunkedHead+oneChunk+"0\r\nX\x01Sum: v\r\n\r\n"),
 		)
+
+		// Guards against a part of a response that looks whole to a caller of HTTP/1.0, for whom it ends with the connection.
+		DescribeTable("that was passed on in part does not end regularly for its caller, "+where, func(version string) {
+			f := newBrokenFixture(remote, func(conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, chunkedHead+strings.Repeat(oneChunk, 20_000))
+			})
+			conn := startCall(f, "POST /lookup "+version+"\r\nHost: desk\r\nContent-Length: 0\r\n\r\n")
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).To(HaveOccurred())
+		},
+			Entry("HTTP/1.1", "HTTP/1.1"), Entry("HTTP/1.0", "HTTP/1.0"),
+		)
 	}
 })
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -100,7 +100,7 @@
 	defer reply.finish()
 	n.metrics.observeRequest(call.route.Class, reply.metadata.Outcome, time.Since(started))
 	n.requestLog.requestEnded(call, reply)
-	call.writeReply(w, reply)
+	call.writeReply(r.Context(), w, reply)
 	if call.limitedBody != nil {
 		if !call.limitedBody.ended.Load() {
 			limitUnreadBody(w, r) // The upstream responded before it had read the body.
--- a/node/response.go
+++ b/node/response.go
@@ -264,14 +264,14 @@
 }
 
 // writeReply writes the reply to the caller.
-func (c *ingressCall) writeReply(w http.ResponseWriter, reply *callReply) {
+func (c *ingressCall) writeReply(ctx context.Context, w http.ResponseWriter, reply *callReply) {
 	header := w.Header()
 	if c.node.options.Dialect.OutcomeHeaders {
 		header.Set(protocol.HeaderVersion, strconv.FormatUint(c.snapshot.version, 10))
 	}
 	switch reply.metadata.Outcome {
 	case protocol.OutcomeDone:
-		c.writeResponse(w, reply)
+		c.writeResponse(ctx, w, reply)
 	case protocol.OutcomeNotRun:
 		if c.quotaRetryAfter > 0 {
 			header.Set(headerRetryAfter, c.node.formatRetryAfter(c.quotaRetryAfter))
@@ -308,9 +308,9 @@
 	}
 }
 
-// writeResponse writes an upstream's response to the caller. It aborts the caller's connection if a streamed response
+// writeResponse writes an upstream's response to the caller. It resets the caller's connection if a streamed response
 // is truncated, so that the caller does not take it for complete.
-func (c *ingressCall) writeResponse(w http.ResponseWriter, reply *callReply) {
+func (c *ingressCall) writeResponse(ctx context.Context, w http.ResponseWriter, reply *callReply) {
 	// An error means that the connection is closed, which writing reports.
 	_ = http.NewResponseController(w).SetWriteDeadline(c.writeDeadline(reply))
 	header := w.Header()
@@ -338,9 +338,9 @@
 	setTrailers(header, reply.trailer)
 	w.WriteHeader(reply.metadata.Status)
 	if _, err := w.Write(reply.body); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(ctx)
 	}
-	c.writeStreamedBody(w, reply)
+	c.writeStreamedBody(ctx, w, reply)
 	setTrailers(header, reply.trailer)
 }
 
@@ -359,16 +359,16 @@
 	}
 }
 
-func (c *ingressCall) writeStreamedBody(w http.ResponseWriter, reply *callReply) {
+func (c *ingressCall) writeStreamedBody(ctx context.Context, w http.ResponseWriter, reply *callReply) {
 	controller := http.NewResponseController(w)
 	for reply.stream != nil {
 		frame, err := reply.stream.Next()
 		if err != nil {
 			c.node.metrics.truncatedResponses.Inc()
-			panic(http.ErrAbortHandler)
+			abortResponse(ctx)
 		}
 		if _, err := w.Write(frame.Body); err != nil {
-			panic(http.ErrAbortHandler)
+			abortResponse(ctx)
 		}
 		if frame.Last {
 			reply.trailer = frame.Trailer
@@ -378,6 +378,14 @@
 	}
 }
 
+// abortResponse ends the handler of a request whose response was written in part. The caller's connection is reset: a
+// caller of HTTP/1.0 would take the part for the whole response if the connection ended regularly. ctx is the context of
+// the request.
+func abortResponse(ctx context.Context) {
+	web.ResetConnection(ctx)
+	panic(http.ErrAbortHandler)
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status >= http.StatusOK &&
 		status != http.StatusNoContent && status != http.StatusNotModified
--- a/transport/web/drain.go
+++ b/transport/web/drain.go
@@ -261,6 +261,19 @@
 	}
 }
 
+// ResetConnection makes the connection of a request end with a reset once the handler has ended it. ctx is the context of
+// the request. The server must use DrainListener.ConnContext.
+func ResetConnection(ctx context.Context) {
+	connection, ok := ctx.Value(connectionKey{}).(*drainConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := connection.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// The only error is that of a closed connection.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (c *drainConn) setWaiting(waiting bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
