web: reject a response of HTTP/1.0 with a transfer encoding

What callers saw: an upstream sent a response of HTTP/1.0 with Transfer-Encoding: chunked. The caller got the chunks, with their sizes, as the body.

Cause: net/http drops the field in HTTP/1.0 and takes the rest of the connection, or Content-Length bytes, for the body. Nothing that it returns shows that.

Why this works: the connection looks at the lines of a head as they arrive and fails the response, as RFC 9112 (section 6.1) asks for: the framing counts as faulty.

--- a/transport/web/malformed_test.go
+++ b/transport/web/malformed_test.go
@@ -1,6 +1,7 @@
 package web_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -18,7 +19,7 @@
 func closeWrite(conn *net.TCPConn) { _ = conn.CloseWrite() }
 
 var _ = Describe("a malformed response", func() {
-	// request returns the response of an upstream, with its whole body, to a call and to a health check.
+	// requests holds functions that send a request and read its whole response.
 	requests := map[string]func(client *web.UpstreamClient) error{
 		"to a call": func(client *web.UpstreamClient) error {
 			response, err := client.Do(context.Background(), web.UpstreamRequest{Method: http.MethodGet, URI: "/", Header: http.Header{}})
@@ -80,6 +81,31 @@
 			Entry("lower case", "http/1.1 200 OK"), Entry("a blank before it", " HTTP/1.1 200 OK"),
 		)
 
+		// Guards against a body that is not the upstream's (RFC 9112, sections 6 and 7).
+		DescribeTable("is not returned "+kind+" if its framing is faulty", func(response string) {
+			Expect(sendTo(response)).NotTo(Succeed())
+		},
+			Entry("a length that is not reached", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"),
+			Entry("two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"+withLength),
+			Entry("a negative length", "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"),
+			Entry("a length with a sign", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok"),
+			Entry("an empty length", "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nok"),
+			Entry("a length beyond all bounds", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nok"),
+			Entry("an unknown transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\nok"),
+			Entry("two transfer encodings", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, "+inChunks[len("Transfer-Encoding: "):]+"\r\n"),
+			Entry("a transfer encoding in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+inChunks+"\r\n"),
+			Entry("a transfer encoding and a length in HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 12\r\n"+inChunks+"\r\n"),
+			Entry("a chunk size that is no number", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\nok\r\n0\r\n\r\n"),
+			Entry("a negative chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n"),
+			Entry("a chunk that is longer than its size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n"),
+			Entry("no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"),
+			Entry("an end within the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0"),
+			Entry("no end of the trailer", "HTTP/1.1 200 OK\r\n"+inChunks),
+			Entry("an end within the trailer", "HTTP/1.1 200 OK\r\n"+inChunks+"X-Sum: v\r\n"),
+			Entry("a zero byte in a value", "HTTP/1.1 200 OK\r\nX-Name: a\x00b\r\n"+withLength),
+			Entry("a carriage return in a value", "HTTP/1.1 200 OK\r\nX-Name: a\rb\r\n"+withLength),
+		)
+
 		// Guards against heads that take far more memory than bytes.
 		It("is not returned "+kind+" if it has too many fields", func() {
 			distinct := func(count int) (fields string) {
@@ -101,4 +127,34 @@
 			Expect(sendTo("HTTP/1.1 200 OK\r\nx_name.1~!: \tv \r\nTrailer: X-Sum\r\n" + inChunks + "X-Sum: v\r\n\r\n")).To(Succeed())
 		})
 	}
+
+	// Guards against a rule that looks at the bodies of responses, or at the first response of a connection only.
+	It("is found after well-formed ones on the same connection", func() {
+		const body = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		next := func(conn *net.TCPConn, reader *bufio.Reader, response string) {
+			if _, err := http.ReadRequest(reader); err == nil {
+				_, _ = io.WriteString(conn, response)
+			}
+		}
+		address := startEarlyUpstream(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+			func(conn *net.TCPConn) {
+				reader := bufio.NewReader(conn)
+				next(conn, reader, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"+withLength)
+				next(conn, reader, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"+inChunks+"\r\n")
+			})
+		client := web.NewUpstreamClient(address, 1)
+		DeferCleanup(client.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), eventuallyTimeout)
+		defer cancel()
+		send := func() error {
+			response, err := client.Do(ctx, web.UpstreamRequest{Method: http.MethodGet, URI: "/", Header: http.Header{}})
+			if err == nil {
+				_, err = io.ReadAll(response.HTTP.Body)
+			}
+			return err
+		}
+		Expect(send()).To(Succeed())
+		Expect(send()).To(Succeed())
+		Expect(send()).To(MatchError(web.ErrConnectionBroken))
+	})
 })
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -105,12 +105,18 @@
 	writtenAt     time.Time
 }
 
+// attach returns a context for the request.
+func (t *requestTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn, WroteRequest: t.wroteRequest})
+}
+
 func (t *requestTrace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conn, _ = info.Conn.(*upstreamConn)
 	if t.conn != nil {
 		t.writtenBefore = t.conn.written.Load()
+		t.conn.responseExpected.Store(true)
 	}
 }
 
@@ -152,7 +158,7 @@
 // certain that nothing was written, and ErrConnectionBroken after any other failure.
 func (c *UpstreamClient) Do(ctx context.Context, request UpstreamRequest) (*UpstreamResponse, error) {
 	trace := &requestTrace{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: trace.gotConn, WroteRequest: trace.wroteRequest})
+	ctx = trace.attach(ctx)
 	body := request.Body
 	if body == nil {
 		// net/http resends a request without a body by itself when a reused connection breaks.
@@ -236,6 +242,7 @@
 // Get requests a path of the upstream, such as its health or load report, and returns the response with at most limit
 // bytes of the body.
 func (c *UpstreamClient) Get(ctx context.Context, path string, limit int64) (Report, error) {
+	ctx = new(requestTrace).attach(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+path, nil)
 	if err != nil {
 		return Report{}, errors.Wrapf(ErrNotWritten, "%v", err)
