node: reject malformed replies of other nodes

What callers saw: the node beside an upstream replied with a status or fields that no response has. With status 0 or 1000 the ingress panicked and the caller's connection ended without a response; with 101 or 999, a name with a blank or a value with a line break, the caller got it as the upstream's response. Nodes check responses where they read them, but one of an earlier release, beside which a new one runs during an update, does not.

Cause: the ingress trusted what came over the link.

Why this works: the ingress applies the same rules to the frames of a reply as the executor to what it reads. Such a reply counts as one of a node that failed: 502 with the outcome "unknown", or a cut connection once a part was passed on.

--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -24,24 +24,32 @@
 // Check returns ErrMalformed if the head of a response breaks a rule. Otherwise reading the body returns ErrMalformed if
 // the trailer does.
 func Check(response *http.Response) error {
-	if err := checkFinal(response); err != nil {
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		return err
 	}
-	if count := countFields(response.Header); count > maxFields {
-		return errors.Wrapf(ErrMalformed, "a head of %d fields, allowed: %d", count, maxFields)
-	}
-	if err := checkFieldNames(response.Header, response.Trailer); err != nil {
+	if err := CheckFields(response.Trailer); err != nil {
 		return err
 	}
 	response.Body = &checkedBody{ReadCloser: response.Body, response: response}
 	return nil
 }
 
+// CheckHead returns ErrMalformed if a status code or the fields after it break a rule.
+func CheckHead(statusCode int, header http.Header) error {
+	if err := checkFinal(statusCode); err != nil {
+		return err
+	}
+	if count := countFields(header); count > maxFields {
+		return errors.Wrapf(ErrMalformed, "a head of %d fields, allowed: %d", count, maxFields)
+	}
+	return CheckFields(header)
+}
+
 // checkFinal returns ErrMalformed for a status code that does not belong to a final response. With a 101, net/http hands
 // the connection over and no longer closes it when the context ends, although no request asks for an upgrade.
-func checkFinal(response *http.Response) error {
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatusCode {
-		return errors.Wrapf(ErrMalformed, "status code %d in place of a final response", response.StatusCode)
+func checkFinal(statusCode int) error {
+	if statusCode < http.StatusOK || statusCode > maxStatusCode {
+		return errors.Wrapf(ErrMalformed, "status code %d in place of a final response", statusCode)
 	}
 	return nil
 }
@@ -54,14 +62,17 @@
 	return count
 }
 
-// checkFieldNames returns ErrMalformed if a name is not a token (RFC 9110, section 5.1). net/http takes names with blanks,
-// and then does not know the field: with a blank before the colon of Transfer-Encoding or Content-Length, the body would
-// be another than the sender's.
-func checkFieldNames(sections ...http.Header) error {
-	for _, fields := range sections {
-		for name := range fields {
-			if !httpguts.ValidHeaderFieldName(name) {
-				return errors.Wrapf(ErrMalformed, "the name of the field %q is not a token", name)
+// CheckFields returns ErrMalformed if a name is not a token, or a value has a byte that none may have (RFC 9110, section
+// 5). net/http takes names with blanks, and then does not know the field: with a blank before the colon of
+// Transfer-Encoding or Content-Length, the body would be another than the sender's.
+func CheckFields(fields http.Header) error {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "the name of the field %q is not a token", name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return errors.Wrapf(ErrMalformed, "the field %s has the value %q", name, value)
 			}
 		}
 	}
@@ -78,7 +89,7 @@
 func (b *checkedBody) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if errors.Is(err, io.EOF) {
-		if malformed := checkFieldNames(b.response.Trailer); malformed != nil {
+		if malformed := CheckFields(b.response.Trailer); malformed != nil {
 			return n, malformed
 		}
 	}
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
+	"sapphiregate.example/sapphiregate/internal/httpresponse"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/bundle"
 	"sapphiregate.example/sapphiregate/transport/rpc"
@@ -203,6 +204,9 @@
 		pending.responded()
 		first, err = stream.Recv()
 	}
+	if err == nil {
+		err = checkFrame(first)
+	}
 	if err != nil || first.Metadata == nil {
 		cancel()
 		select {
@@ -220,6 +224,17 @@
 	return reply
 }
 
+// checkFrame returns an error if a frame has a part of a response that can't be passed on. The executor checks responses
+// where it reads them; one of another release may do so differently.
+func checkFrame(frame *protocol.ReplyFrame) error {
+	if meta := frame.Metadata; meta != nil && meta.Outcome == protocol.OutcomeDone {
+		if err := httpresponse.CheckHead(meta.Status, http.Header(meta.Header)); err != nil {
+			return err
+		}
+	}
+	return httpresponse.CheckFields(frame.Trailer)
+}
+
 // failedCallReply returns the reply to a call that was sent and got no reply; it may have run.
 func failedCallReply(callerCtx context.Context, err error) *callReply {
 	switch {
@@ -315,6 +330,9 @@
 // Next returns the next frame.
 func (s *remoteStream) Next() (*protocol.ReplyFrame, error) {
 	frame, err := s.stream.Recv()
+	if err == nil {
+		err = checkFrame(frame)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(errStreamTruncated, "%v", err)
 	}
