node: bound what all calls hold of long responses until they are read

What could happen: an upstream gives long, complete responses to irreversible requests, and their callers read little. Bodies without an end were bounded already.

Cause: the bound of 16 MiB over all calls counted a body only while it was read from the upstream. A reply went to another node in one message, which that node had to hold whole, whatever its caller read.

Why this works: a body counts until its caller has read it, or nobody wants it any more. It is sent to another node in frames of at most 64 KiB, as other long responses are, so that flow control keeps the rest at the executor, where it counts. An announced length is counted before memory is taken for it, which saves the copies of a growing buffer. As with other long responses, a caller that is still reading at its deadline gets no more.

--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -82,60 +82,46 @@
 	p.stopped = true
 }
 
-// sendReply sends the metadata with the start of the body, then the frames of the rest.
+// sendReply sends the metadata with the start of the body, then the rest in frames that each wait until the ingress has
+// room, and those of a download until it is their turn on the link.
 func sendReply(stream rpc.CallServerStream, reply *callReply) error {
-	if reply.download != nil && len(reply.body) > 0 {
-		return sendDownload(stream, reply)
+	chunkBytes := protocol.ChunkBytes
+	if reply.download != nil {
+		chunkBytes = downloadChunkBytes
 	}
-	frame := &protocol.ReplyFrame{Metadata: &reply.metadata, Body: reply.body}
-	if reply.stream == nil {
-		frame.Last = true
-		frame.Trailer = reply.trailer
-	}
-	if err := stream.Send(frame); err != nil {
-		return err
-	}
-	for reply.stream != nil {
-		frame, err := reply.stream.Next()
-		if err != nil {
-			return err
-		}
-		if err := stream.Send(frame); err != nil {
-			return err
-		}
-		if frame.Last {
-			return nil
-		}
-	}
-	return nil
-}
-
-// sendDownload is sendReply for a download, in parts that each wait for their turn on the link.
-func sendDownload(stream rpc.CallServerStream, reply *callReply) error {
 	frame := &protocol.ReplyFrame{Metadata: &reply.metadata}
-	for rest := reply.body; len(rest) > 0; frame = new(protocol.ReplyFrame) {
-		size := min(len(rest), downloadChunkBytes)
+	for rest := reply.body; ; frame = new(protocol.ReplyFrame) {
+		size := min(len(rest), chunkBytes)
 		frame.Body, rest = rest[:size], rest[size:]
 		if frame.Last = len(rest) == 0 && reply.stream == nil; frame.Last {
 			frame.Trailer = reply.trailer
 		}
-		reply.download.wait(stream.Context(), size)
-		if err := stream.Send(frame); err != nil || frame.Last {
+		if err := sendFrame(stream, reply, frame); err != nil || frame.Last {
 			return err
 		}
+		if len(rest) == 0 {
+			break
+		}
 	}
 	for {
 		frame, err := reply.stream.Next()
 		if err != nil {
 			return err
 		}
-		reply.download.wait(stream.Context(), len(frame.Body))
-		if err := stream.Send(frame); err != nil || frame.Last {
+		if err := sendFrame(stream, reply, frame); err != nil || frame.Last {
 			return err
 		}
 	}
 }
 
+// sendFrame sends one frame of a reply once it may use the link.
+func sendFrame(stream rpc.CallServerStream, reply *callReply, frame *protocol.ReplyFrame) error {
+	if reply.download != nil && len(frame.Body) > 0 {
+		reply.download.wait(stream.Context(), len(frame.Body))
+	}
+	return stream.Send(frame)
+}
+
 // frameReader reads the rest of a request's body from its stream.
 type frameReader struct {
 	recv    func() (*protocol.CallFrame, error)
--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -338,6 +338,41 @@
 			Expect(grown).To(BeNumerically("<", uint64(endlessMemory)))
 		})
 
+		// Guards against responses with an end that use up the memory of the node together, while their callers read little.
+		It("take a bounded part of the memory for long responses to irreversible calls, "+path, func() {
+			body := bytes.Repeat([]byte("x"), 4<<20)
+			var sent atomic.Int32
+			f := newBrokenFixture(remote, func(conn *net.TCPConn, request *http.Request) {
+				response := []byte("good")
+				if path := request.URL.Path; path != "/promote/good" {
+					sent.Add(1)
+					response = body
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(response))
+				_, _ = conn.Write(response)
+				_ = conn.CloseWrite()
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			peak := heapPeak()
+			const calls = 3 * endlessSlots
+			for i := range calls {
+				conn := startCall(f, fmt.Sprintf("POST /promote HTTP/1.1\r\nHost: desk\r\nContent-Length: 0\r\n%s: k%d\r\n%s: 2000\r\n\r\n",
+					keyHeader, i, protocol.HeaderDeadline)) // It does not read its response.
+				Expect(conn.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+			}
+			Eventually(sent.Load, endlessLimit).Should(BeNumerically(">=", endlessSlots))
+			Expect(string(f.post("/promote/good", "", keyHeader, "short").body)).To(Equal("good"))
+			Eventually(f.ingress.RequestsInFlight, 2*endlessLimit).Should(BeZero())
+			grown := peak()
+			GinkgoWriter.Println("heap grew by", grown>>10, "KiB")
+			Expect(grown).To(BeNumerically("<", uint64(endlessMemory)))
+			// What was held counts no longer.
+			Eventually(f.executor.InFlight, endlessLimit).Should(BeZero())
+			Eventually(f.executor.LongBodyBytes, endlessLimit).Should(BeZero())
+			got := f.post("/promote", "", keyHeader, "long")
+			Expect(got.body).To(HaveLen(len(body)), string(got.body[:min(len(got.body), 100)]))
+		})
+
 		// Guards against a buffer of 64 KiB that is allocated for each byte which an upstream sends on its own.
 		It("cost no more memory for being sent a byte at a time, "+path, func() {
 			upstream := &endlessUpstream{pause: 100 * time.Microsecond}
--- a/node/irreversible.go
+++ b/node/irreversible.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +26,9 @@
 	lateResponseTime = 10 * time.Second
 	// maxRecordedBodyBytes bounds the response body of an irreversible call, which stays in memory until recorded.
 	maxRecordedBodyBytes = 16 << 20
-	// maxLongBodyBytes bounds what all calls together hold of such bodies while they read them, beyond the first
-	// shortBodyBytes of each: upstreams that send without end would use up the memory of the node. Short responses, which
-	// the ledger keeps (64 KiB), never count.
+	// maxLongBodyBytes bounds what all calls together hold of such bodies until their callers have read them, beyond the
+	// first shortBodyBytes of each: upstreams with long responses, or callers that read little, would use up the memory of
+	// the node. Short responses, which the ledger keeps (64 KiB), never count.
 	maxLongBodyBytes = 16 << 20
 	shortBodyBytes   = 64 << 10
 )
@@ -56,6 +58,9 @@
 	serviceTime time.Duration
 	// refusalReason is why the call got no slot after its claim was granted.
 	refusalReason protocol.Reason
+	// releaseBody gives back the memory that is reserved for the body of the response; nil if none is, or once the reply
+	// has it.
+	releaseBody func()
 }
 
 // runIrreversible runs an irreversible call at most once. It claims the key before it waits for a slot: a slot that is
@@ -89,6 +94,7 @@
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		call.post(call.stateMachine.CallerGone)
+		go func() { call.awaitReply().finish() }()
 		return unknownReply(abandonReason(ctx))
 	}
 	return call.awaitReply()
@@ -158,6 +164,7 @@
 func (c *irreversibleCall) run() {
 	defer close(c.finished)
 	defer c.releaseSlot()
+	defer c.dropBody()
 	claimPending := true
 	endClaim := func() {
 		if claimPending {
@@ -198,6 +205,14 @@
 	}
 }
 
+// dropBody gives back the memory of a response that no reply has.
+func (c *irreversibleCall) dropBody() {
+	if c.releaseBody != nil {
+		c.releaseBody()
+		c.releaseBody = nil
+	}
+}
+
 // applyOutputs carries out the state machine's outputs.
 func (c *irreversibleCall) applyOutputs(outputs []execution.Output) {
 	for _, output := range outputs {
@@ -213,7 +228,12 @@
 		case execution.RunUpstream:
 			c.acquireSlot()
 		case execution.Reply:
-			c.replies <- c.replyFor(output)
+			reply := c.replyFor(output)
+			if c.releaseBody != nil {
+				reply.addOnFinish(c.releaseBody)
+				c.releaseBody = nil
+			}
+			c.replies <- reply
 		case execution.FreeSlot:
 			c.releaseSlot()
 		}
@@ -273,89 +293,121 @@
 	}
 	c.started = now
 	go func() {
-		input := c.callUpstream(slot)
-		c.post(func(now time.Time) []execution.Output {
+		input, releaseBody := c.callUpstream(slot)
+		posted := c.post(func(now time.Time) []execution.Output {
 			c.serviceTime = now.Sub(c.started)
+			c.releaseBody = releaseBody
 			return input(now)
 		})
+		if !posted && releaseBody != nil {
+			releaseBody()
+		}
 	}()
 	return nil
 }
 
-// callUpstream sends the request once and returns the resulting input of the state machine.
-func (c *irreversibleCall) callUpstream(slot *grantedSlot) stateMachineInput {
+// callUpstream sends the request once and returns the resulting input of the state machine. releaseBody gives back the
+// memory that is reserved for the body of the response; it is nil if there is none.
+func (c *irreversibleCall) callUpstream(slot *grantedSlot) (input stateMachineInput, releaseBody func()) {
 	ctx, cancel := context.WithDeadline(c.executor.ctx, c.deadline.Add(lateResponseTime))
 	defer cancel()
 	request := c.executor.upstreamRequest(slot.upstream, c.metadata, c.body, c.deadline)
 	response, err := slot.upstream.client.Do(ctx, request)
 	if errors.Is(err, web.ErrNotWritten) {
 		c.executor.startCrashCheck(slot)
-		return c.stateMachine.UpstreamRefused
+		return c.stateMachine.UpstreamRefused, nil
 	}
 	if err != nil {
 		c.executor.awaitCrashCheck(ctx, slot)
-		return c.stateMachine.UpstreamFailed
+		return c.stateMachine.UpstreamFailed, nil
 	}
 	defer response.HTTP.Body.Close()
 	if !c.executor.dialect.ValidResponse(request.Header, response.HTTP.Header, response.HTTP.StatusCode) {
 		response.Discard()
-		return c.stateMachine.UpstreamFailed
+		return c.stateMachine.UpstreamFailed, nil
 	}
 	c.executor.observeNotices(slot.upstream, response.HTTP)
 	if c.executor.dialect.Refused(response.HTTP.StatusCode, response.HTTP.Header) {
 		c.executor.closeRefusal(response)
-		return c.stateMachine.UpstreamRefused
+		return c.stateMachine.UpstreamRefused, nil
 	}
-	body, err := c.executor.readRecordedBody(response.HTTP.Body)
+	body, releaseBody, err := c.executor.readRecordedBody(response.HTTP.Body, response.HTTP.ContentLength)
 	if err != nil {
 		c.executor.awaitCrashCheck(ctx, slot)
-		return c.stateMachine.UpstreamFailed
+		return c.stateMachine.UpstreamFailed, nil
 	}
 	c.executor.clearSuspicion(c.metadata)
 	recorded := ledger.Response{
 		Status: response.HTTP.StatusCode, Header: web.CopyHeader(response.HTTP.Header), Body: body,
 	}
-	return func(now time.Time) []execution.Output { return c.stateMachine.UpstreamResponse(now, recorded) }
+	return func(now time.Time) []execution.Output { return c.stateMachine.UpstreamResponse(now, recorded) }, releaseBody
 }
 
-// readRecordedBody reads a whole body of at most maxRecordedBodyBytes.
-func (e *executor) readRecordedBody(body io.Reader) ([]byte, error) {
+// readRecordedBody reads a whole body of at most maxRecordedBodyBytes, whose length is -1 if it is not known. The caller
+// must call release once it does not hold the body any more.
+func (e *executor) readRecordedBody(body io.Reader, length int64) (data []byte, release func(), err error) {
 	counted := &longBodyReader{reader: body, total: &e.longBodyBytes}
-	defer counted.release()
-	data, err := io.ReadAll(io.LimitReader(counted, maxRecordedBodyBytes+1))
-	if errors.Is(err, errResponseTooLarge) {
-		return nil, err
+	if err = counted.reserve(length); err == nil {
+		data, err = readAll(counted, length)
 	}
-	if err != nil {
-		return nil, errors.Wrapf(web.ErrTruncated, "%v", err)
+	if err == nil {
+		return data, sync.OnceFunc(counted.release), nil
 	}
-	if len(data) > maxRecordedBodyBytes {
-		return nil, errResponseTooLarge
+	counted.release()
+	if !errors.Is(err, errResponseTooLarge) {
+		err = errors.Wrapf(web.ErrTruncated, "%v", err)
 	}
-	return data, nil
+	return nil, nil, err
 }
 
-// longBodyReader counts the bytes of a body beyond shortBodyBytes, and returns errResponseTooLarge if the total of all
-// calls passes maxLongBodyBytes.
+// readAll is io.ReadAll without the copies of a growing buffer if the length is known; it is -1 otherwise.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buffer.ReadFrom(body)
+	return buffer.Bytes(), err
+}
+
+// longBodyReader counts the bytes of a body beyond shortBodyBytes, and returns errResponseTooLarge if they pass
+// maxRecordedBodyBytes, or the total of all calls passes maxLongBodyBytes.
 type longBodyReader struct {
 	reader io.Reader
 	total  *atomic.Int64
 	read   int64
+	// reserved is the length of the body as far as it is known.
+	reserved int64
 }
 
 // Read implements io.Reader.
 func (r *longBodyReader) Read(data []byte) (int, error) {
 	n, err := r.reader.Read(data)
-	before := r.counted()
 	r.read += int64(n)
+	if tooLarge := r.reserve(r.read); tooLarge != nil {
+		return n, tooLarge
+	}
+	return n, err
+}
+
+// reserve counts a body of at least the given length.
+func (r *longBodyReader) reserve(length int64) error {
+	if length <= r.reserved {
+		return nil
+	}
+	if length > maxRecordedBodyBytes {
+		return errResponseTooLarge
+	}
+	before := r.counted()
+	r.reserved = length
 	added := r.counted() - before
 	if r.total.Add(added) > maxLongBodyBytes && added > 0 {
-		return n, errResponseTooLarge
+		return errResponseTooLarge
 	}
-	return n, err
+	return nil
 }
 
-func (r *longBodyReader) counted() int64 { return max(r.read-shortBodyBytes, 0) }
+func (r *longBodyReader) counted() int64 { return max(r.reserved-shortBodyBytes, 0) }
 
 // release removes the body from the total.
 func (r *longBodyReader) release() { r.total.Add(-r.counted()) }
