web: give no report of a health check whose response is cut

What could happen: an upstream cut its response to a health check, in whose head it said that it leaves. The check failed, but the upstream was drained all the same, and stays so until it starts again.

Cause: the head of a truncated response was returned beside the error.

Evidence: transport/web "to a health check gives no report if its body is cut" failed before.

Why this works: a truncated response is none, so nothing of it is returned.

--- a/transport/web/malformed_test.go
+++ b/transport/web/malformed_test.go
@@ -128,6 +128,15 @@
 		})
 	}
 
+	// Guards against an upstream that is drained for good because a health check that was cut says that it leaves.
+	It("to a health check gives no report if its body is cut", func() {
+		client := web.NewUpstreamClient(startEarlyUpstream("HTTP/1.1 200 OK\r\nX-Leaving: 1\r\nContent-Length: 3\r\n\r\nok", closeWrite), 1)
+		DeferCleanup(client.Close)
+		report, err := client.Get(context.Background(), "/health", 1000)
+		Expect(err).To(MatchError(web.ErrTruncated))
+		Expect(report).To(Equal(web.Report{}))
+	})
+
 	// Guards against a rule that looks at the bodies of responses, or at the first response of a connection only.
 	It("is found after well-formed ones on the same connection", func() {
 		const body = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/transport/web/upstream.go
+++ b/transport/web/upstream.go
@@ -257,7 +257,7 @@
 	}
 	report := Report{Status: response.StatusCode, Header: response.Header}
 	if report.Body, err = io.ReadAll(io.LimitReader(response.Body, limit)); err != nil {
-		return report, errors.Wrapf(ErrTruncated, "%v", err)
+		return Report{}, errors.Wrapf(ErrTruncated, "%v", err)
 	}
 	return report, nil
 }
