--- a/node/irreversible.go
+++ b/node/irreversible.go
@@ -24,7 +24,8 @@
 	// lateResponseTime is how long after the caller's deadline an upstream may still respond to an irreversible call.
 	// Such a response is recorded and returned when the caller sends the request again.
 	lateResponseTime = 10 * time.Second
-	// maxRecordedBodyBytes bounds the response body of an irreversible call, which stays in memory until recorded.
+	// maxRecordedBodyBytes bounds the response body of an irreversible call, which stays in memory until its caller has read
+	// it.
 	maxRecordedBodyBytes = 16 << 20
 	// maxLongBodyBytes bounds what all calls together hold of such bodies until their callers have read them, beyond the
 	// first shortBodyBytes of each: upstreams with long responses, or callers that read little, would use up the memory of
@@ -94,7 +95,7 @@
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		call.post(call.stateMachine.CallerGone)
-		go func() { call.awaitReply().finish() }()
+		go func() { call.awaitReply().finish() }() // The reply that nobody waits for may hold memory.
 		return unknownReply(abandonReason(ctx))
 	}
 	return call.awaitReply()
