web: let a test of streamed bodies wait for the read that it needs

Cause: "leaves a streamed body alone after the request has ended" ends the request and then writes to a pipe, which needs a read in progress. On a busy machine the request ended before that read had begun.

Why this works: the test waits for that read before it ends the request.

--- a/transport/web/upstream_test.go
+++ b/transport/web/upstream_test.go
@@ -91,6 +91,8 @@
 		_, err := writer.Write([]byte("a part"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(goroutines()).To(ContainSubstring("interruptibleBody"))
+		// Without a read in progress, the write after the end of the request would wait for ever.
+		Eventually(goroutines).Should(ContainSubstring("io.(*pipe).read("))
 		cancel()
 		Eventually(ended).Should(Receive(HaveOccurred()))
 		_, err = writer.Write([]byte("what the read in progress gets"))
