control: replace a member that leaves as planned before it ends

Operators saw: three of five control members replaced as planned, the new ones first, the signals 1.3 s apart.

Cause: a stop handed over the leadership, but neither the vote nor the place. The leader took the member for one that had fallen silent and replaced it after 3 s. The third member left before, and two voters of five can't replace anyone. Ruled out: successors that lag (they hold nothing until they are added), and elections (it fails alike without a leader among the leavers).

Change: a member that leaves says so, votes until its successor does, and ends once the leader of its term has released it or the committed membership no longer lists it. It counts heartbeat rounds that began after the request, no clock, and a release is void in a later term: a new leader therefore knows all that it has to count. Membership changes that would leave a quorum out of contact are refused. Where no process asks to join, the member keeps its place and is released as soon as the others are a quorum, so that stops for a restart wait for each other only if they have to.

--- a/control/automembership.go
+++ b/control/automembership.go
@@ -36,12 +36,14 @@
 	if m.options.Voters == 0 || !r.isLeader() {
 		return
 	}
-	change, ok := m.membershipPolicy().NextChange(now, r.raft.Status(), &m.candidates)
+	status := r.raft.Status()
+	change, ok := m.membershipPolicy().NextChange(now, status, &m.candidates)
 	if !ok {
+		m.releaseMember(now, status)
 		return
 	}
 	if _, _, err := r.raft.ProposeMembership(now, change); err != nil {
-		if !errors.IsAny(err, raft.ErrMembershipPending, raft.ErrNotCaughtUp, raft.ErrTransferring) {
+		if !errors.IsAny(err, raft.ErrMembershipPending, raft.ErrNotCaughtUp, raft.ErrTransferring, raft.ErrQuorumAtRisk) {
 			m.logger.Warn().Err(err).Str("member", string(change.Member.ID)).Msg("membership change refused")
 		}
 		return
@@ -50,6 +52,20 @@
 		Str("address", change.Member.Address).Msg("membership change proposed")
 }
 
+// releaseMember lets a member that is leaving end if no process can take its place and the group does without it.
+func (m *Member) releaseMember(now time.Time, status raft.Status) {
+	id, ok := m.membershipPolicy().NextRelease(now, status, &m.candidates)
+	if !ok {
+		return
+	}
+	err := m.replicas[registryGroup].raft.Release(now, id)
+	if err == nil {
+		m.logger.Info().Str("member", string(id)).Msg("member released")
+	} else if !errors.IsAny(err, raft.ErrMembershipPending, raft.ErrQuorumAtRisk) {
+		m.logger.Warn().Err(err).Str("member", string(id)).Msg("member not released")
+	}
+}
+
 // describeGroup fills in what this member knows of the group, for a process that asks to join, and registers the
 // process as a candidate unless it is a member. A process that takes itself for a member is none: if it was replaced, it
 // discards its state, and an identity without its state must not be added again.
@@ -150,10 +166,13 @@
 // identity must not be used again. When the member is started again, it joins as a candidate.
 func (m *Member) stopRemoved() {
 	m.logger.Warn().Str("member", m.ID()).Msg("the group has replaced this member; its state is discarded")
-	close(m.removed)
+	m.markRemoved()
 	go m.Kill()
 }
 
+// markRemoved makes Kill discard the state of this member.
+func (m *Member) markRemoved() { m.removeOnce.Do(func() { close(m.removed) }) }
+
 // discardIfRemoved empties the folder of the registry if the group has removed this member. The member must have
 // stopped: a replica that still runs would confirm entries, and write files, that the folder then lacks. The folders of
 // the ledger stay, since their groups leave the membership to operators.
--- a/control/member.go
+++ b/control/member.go
@@ -95,10 +95,6 @@
 	readHeaderTimeout       = 10 * time.Second
 	// adminShutdownTimeout bounds the wait for open requests of operators when the member stops.
 	adminShutdownTimeout = 200 * time.Millisecond
-	// transferTimeout bounds the transfer of the leadership before a planned stop. Without a transfer, the others would
-	// have no leader for an election timeout.
-	transferTimeout      = time.Second
-	transferPollInterval = 20 * time.Millisecond
 )
 
 // registryGroup is the group of the registry's log; the groups of the ledger follow it.
@@ -141,7 +137,8 @@
 	candidates membership.Candidates
 	rollouts   rollouts
 	// removed is closed once this member has learned that the group removed its identity.
-	removed chan struct{}
+	removed    chan struct{}
+	removeOnce sync.Once
 }
 
 // New opens the data folders and then forms or rejoins the groups in the background. It returns ErrStorage if a folder
@@ -481,36 +478,6 @@
 	return term, leads
 }
 
-// Stop transfers the leadership and stops the member.
-func (m *Member) Stop(ctx context.Context) error {
-	transferCtx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	if m.waitRunning(transferCtx) == nil {
-		m.transferLeadership(transferCtx)
-	}
-	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, adminShutdownTimeout)
-	defer cancelShutdown()
-	_ = m.adminServer.Shutdown(shutdownCtx)
-	m.Kill()
-	return nil
-}
-
-// transferLeadership transfers the leadership of all logs and waits until this member leads none, or ctx ends.
-func (m *Member) transferLeadership(ctx context.Context) {
-	for ctx.Err() == nil {
-		leading := false
-		err := m.host.Query(ctx, func(now time.Time) {
-			for _, r := range m.replicas {
-				leading = r.transferLeadership(now) || leading
-			}
-		})
-		if err != nil || !leading {
-			return
-		}
-		sleep(ctx, transferPollInterval)
-	}
-}
-
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
--- a/control/replica.go
+++ b/control/replica.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"sapphiregate.example/sapphiregate/coordination/membership"
 	"sapphiregate.example/sapphiregate/coordination/raft"
 	"sapphiregate.example/sapphiregate/protocol"
 	"sapphiregate.example/sapphiregate/state/disk"
@@ -363,23 +364,15 @@
 	r.onFailure(err)
 }
 
-// transferLeadership asks the voter with the longest log to take over the leadership. It reports whether a transfer is
-// under way; it is not if this replica does not lead or there is no other voter.
+// transferLeadership asks a voter that stays to take over the leadership. It reports whether a transfer is under way; it
+// is not if this replica does not lead or there is no such voter.
 func (r *replica) transferLeadership(now time.Time) bool {
 	status := r.raft.Status()
 	if status.Role != raft.RoleLeader {
 		return false
 	}
-	var target raft.MemberID
-	var longest uint64
-	for _, id := range status.Membership.Voters() {
-		progress, ok := status.Progress[id]
-		if id == r.id || !ok || progress.Match < longest {
-			continue
-		}
-		target, longest = id, progress.Match
-	}
-	if target == "" {
+	target, found := membership.TransferTarget(status)
+	if !found {
 		return false
 	}
 	if err := r.raft.TransferLeadership(now, target); err != nil {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -3,6 +3,9 @@
 // back, and two such losses at once. It proposes one membership change at a time, and removes a member only after its
 // replacement is a voter and holds every committed entry. A second loss right after a replacement therefore loses no
 // committed entry.
+//
+// A voter that leaves as planned is replaced at once if a process asks to join, and ends only after that. If none does,
+// it may be a restart: the voter keeps its place, and is released as soon as the group does without it (raft.Release).
 package membership
 
 import (
@@ -29,6 +32,10 @@
 	learnerShare = 2.0 / 3
 )
 
+// candidatesKnownAfter is the time after which a new leader knows all processes that ask to join: they do so several
+// times a second, and one request to an address that does not respond may come between.
+const candidatesKnownAfter = time.Second
+
 // Policy holds the figures by which members are replaced.
 type Policy struct {
 	// Voters is the number of voters when nothing has failed.
@@ -124,7 +131,7 @@
 		}
 		progress := status.Progress[member.ID]
 		switch {
-		case addressTakenByCandidate(member, joining), progress.Silence > p.LearnerTimeout:
+		case addressTakenByCandidate(member, joining), progress.Silence > p.LearnerTimeout, progress.Leaving:
 			return raft.MembershipChange{Kind: raft.ChangeRemove, Member: raft.Member{ID: member.ID}}, true
 		case progress.Match >= status.Commit && progress.SinceContact >= 0:
 			return raft.MembershipChange{Kind: raft.ChangePromote, Member: raft.Member{ID: member.ID}}, true
@@ -141,10 +148,51 @@
 	}}, true
 }
 
+// NextRelease returns a voter that is leaving and may end if the group keeps a quorum without it; false if there is none.
+// A voter for which a process asks to join is not released but replaced.
+func (p Policy) NextRelease(now time.Time, status raft.Status, candidates *Candidates) (raft.MemberID, bool) {
+	if status.Role != raft.RoleLeader || status.MembershipPending || status.LeaderFor < candidatesKnownAfter {
+		return "", false
+	}
+	hasLearner := slices.ContainsFunc(status.Membership.Members, func(m raft.Member) bool { return m.Learner })
+	if hasLearner || len(status.Membership.Voters()) > p.Voters || len(candidates.eligible(now, status)) > 0 {
+		return "", false
+	}
+	var first raft.MemberID
+	for _, id := range status.Membership.Voters() {
+		progress := status.Progress[id]
+		if !progress.Leaving || progress.Released || id == status.ID {
+			continue
+		}
+		if first == "" || progress.LeavingFor > status.Progress[first].LeavingFor {
+			first = id
+		}
+	}
+	return first, first != ""
+}
+
+// TransferTarget returns the voter to which a leader that is leaving should transfer the leadership: of those that stay
+// and are in contact, the one with the longest log. It returns false if there is none; the leader then leads until the
+// others that are leaving are replaced.
+func TransferTarget(status raft.Status) (raft.MemberID, bool) {
+	var target raft.MemberID
+	for _, id := range status.Membership.Voters() {
+		progress := status.Progress[id]
+		if id == status.ID || progress.Leaving || !progress.InContact {
+			continue
+		}
+		if target == "" || progress.Match > status.Progress[target].Match {
+			target = id
+		}
+	}
+	return target, target != ""
+}
+
 // replaceableVoters lists the voters that should be replaced. First come those whose address is now used by another ID,
-// which proves that their disk was lost, then those without contact for longer than ReplaceAfter.
+// which proves that their disk was lost, then those without contact for longer than ReplaceAfter, then those that are
+// leaving: they vote until they are replaced. A voter that was released is expected back.
 func (p Policy) replaceableVoters(status raft.Status, joining []Candidate) []raft.MemberID {
-	var addressReused, unreachable []raft.MemberID
+	var addressReused, unreachable, leaving []raft.MemberID
 	for _, member := range status.Membership.Members {
 		switch {
 		case member.Learner || member.ID == status.ID:
@@ -152,9 +200,11 @@
 			addressReused = append(addressReused, member.ID)
 		case status.Progress[member.ID].Silence > p.ReplaceAfter:
 			unreachable = append(unreachable, member.ID)
+		case status.Progress[member.ID].Leaving && !status.Progress[member.ID].Released:
+			leaving = append(leaving, member.ID)
 		}
 	}
-	return append(addressReused, unreachable...)
+	return slices.Concat(addressReused, unreachable, leaving)
 }
 
 // addressTakenByCandidate reports whether a candidate with another ID announces the member's address as its own.
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -119,7 +119,7 @@
 
 // ProposeMembership appends a single-step membership change on the leader. The change is in effect at once, and the
 // next one is refused until this one is committed. The error is ErrNotLeader, ErrTransferring, ErrMembershipPending,
-// ErrInvalidChange, ErrUnknownMember or ErrNotCaughtUp.
+// ErrInvalidChange, ErrUnknownMember, ErrNotCaughtUp or ErrQuorumAtRisk.
 func (n *Node) ProposeMembership(now time.Time, change MembershipChange) (index, term uint64, err error) {
 	n.setNow(now)
 	if n.role != RoleLeader {
@@ -135,6 +135,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if !n.keepsQuorum(next) {
+		return 0, 0, errors.Wrapf(ErrQuorumAtRisk, "%s %q", change.Kind, change.Member.ID)
+	}
 	n.appendEntry(Entry{Kind: EntryMembership, Data: encodeMembership(next)})
 	return n.log.last(), n.term, nil
 }
@@ -182,7 +185,7 @@
 // election timeout.
 func (n *Node) isCaughtUp(id MemberID) bool {
 	p := n.leaderState.progress[id]
-	return p.contacted && p.match >= n.commit && n.now.Sub(p.lastContact) < n.config.ElectionTimeout
+	return p.match >= n.commit && p.inContact(n.now, n.config.ElectionTimeout)
 }
 
 func (m Membership) sorted() Membership {
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -54,6 +54,12 @@
 	// votersSilence is the shortest silence of leaders that a member reported with its vote in the present election.
 	votersSilence time.Duration
 
+	// leaving is set once this member is about to end, released once it may, and removed once it may because the group has
+	// removed it. nextLeave is when it asks again, leaveRequest the number of its request.
+	leaving, released, removed bool
+	nextLeave                  time.Time
+	leaveRequest               uint64
+
 	leaderState leaderState
 	freshness   freshness
 
@@ -180,10 +186,14 @@
 // Tick advances the member's time and runs its timers. It must be called about every 20 ms.
 func (n *Node) Tick(now time.Time) {
 	n.setNow(now)
+	if n.mayEnd() {
+		return
+	}
 	if n.role == RoleLeader {
 		n.tickLeader()
 		return
 	}
+	n.tickLeave()
 	if !n.now.Before(n.electionDeadline) {
 		n.leader = ""
 		n.startPreVote()
@@ -211,6 +221,9 @@
 	if err := n.validateMessage(m); err != nil {
 		return err
 	}
+	if n.mayEnd() {
+		return nil
+	}
 	if m.Term > n.term && !n.stepNewerTerm(m) {
 		return nil
 	}
@@ -261,6 +274,9 @@
 		if n.hasLeaderContact() && !m.Force {
 			return false
 		}
+	case MessageLeave:
+		// A member that was removed must not depose the leader.
+		return false
 	}
 	leader := MemberID("")
 	if m.fromLeader() {
@@ -273,7 +289,8 @@
 // fromLeader reports whether only a leader of the message's term sends such a message.
 func (m Message) fromLeader() bool {
 	switch m.Type {
-	case MessageAppend, MessageCommit, MessageHeartbeat, MessageSnapshot, MessagePollReply, MessageTimeoutNow:
+	case MessageAppend, MessageCommit, MessageHeartbeat, MessageSnapshot, MessagePollReply, MessageTimeoutNow,
+		MessageLeaveReply:
 		return true
 	}
 	return false
@@ -286,7 +303,7 @@
 	switch m.Type {
 	case MessagePreVote:
 		n.send(Message{To: m.From, Type: MessagePreVoteReply, Reject: true})
-	case MessageAppend, MessageHeartbeat, MessageSnapshot:
+	case MessageAppend, MessageHeartbeat, MessageSnapshot, MessageLeave:
 		n.send(Message{To: m.From, Type: MessageAppendReply, Reject: true})
 	}
 }
@@ -322,6 +339,10 @@
 		n.handlePollReply(m)
 	case MessageTimeoutNow:
 		n.handleTimeoutNow()
+	case MessageLeave:
+		n.handleLeave(m)
+	case MessageLeaveReply:
+		n.handleLeaveReply(m)
 	default:
 		return errors.Wrapf(ErrInvalidMessage, "unknown message type %d", m.Type)
 	}
@@ -354,6 +375,7 @@
 // send queues a message. Votes and append replies tell others what this member has stored, so they wait for the write.
 func (n *Node) send(m Message) {
 	m.From = n.config.ID
+	m.Leaving = n.leaving
 	if m.Term == 0 {
 		m.Term = n.term
 	}
@@ -397,6 +419,9 @@
 		MembershipPending: n.membershipPending(),
 		QuorumLost:        n.quorumLost,
 		Transferring:      n.leaderState.transferee,
+		Leaving:           n.leaving,
+		Released:          n.mayEnd(),
+		Removed:           n.removed,
 	}
 	if n.role != RoleLeader {
 		return s
@@ -405,7 +430,7 @@
 	s.FormerSilence = n.leaderState.formerSilence
 	s.Progress = make(map[MemberID]MemberProgress)
 	for id, p := range n.leaderState.progress {
-		s.Progress[id] = p.status(n.now)
+		s.Progress[id] = p.status(n.now, n.config.ElectionTimeout)
 	}
 	return s
 }
--- a/coordination/raft/progress.go
+++ b/coordination/raft/progress.go
@@ -31,6 +31,8 @@
 	repliedRound, appendRound uint64
 	// sentCommit is the commit index that was last sent to the member.
 	sentCommit uint64
+	// departure is set while the member is leaving.
+	departure departure
 }
 
 // startProbe makes the leader search for the last index at which its log and the member's match, starting before next.
@@ -76,9 +78,18 @@
 	p.inflight = append(p.inflight, last)
 }
 
-func (p *progress) status(now time.Time) MemberProgress {
+// inContact reports whether the member has sent a message in this term within a time.
+func (p *progress) inContact(now time.Time, within time.Duration) bool {
+	return p.contacted && now.Sub(p.lastContact) < within
+}
+
+func (p *progress) status(now time.Time, electionTimeout time.Duration) MemberProgress {
 	s := MemberProgress{Match: p.match, Next: p.next, State: p.state, Inflight: len(p.inflight), SinceContact: -1,
-		Silence: now.Sub(p.silentSince)}
+		InContact: p.inContact(now, electionTimeout),
+		Silence:   now.Sub(p.silentSince), Leaving: p.departure.announced, Released: p.departure.released}
+	if p.departure.announced {
+		s.LeavingFor = now.Sub(p.departure.since)
+	}
 	if p.contacted {
 		s.SinceContact = now.Sub(p.lastContact)
 	}
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -234,6 +234,7 @@
 	}
 	p.lastContact, p.silentSince, p.contacted = n.now, n.now, true
 	p.repliedRound = max(p.repliedRound, m.Round)
+	n.recordDeparture(m, p)
 	return p
 }
 
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -34,6 +34,8 @@
 	ErrUnknownMember = errors.New("raft: unknown member")
 	// ErrInvalidChange reports a membership change that cannot be made to the present membership.
 	ErrInvalidChange = errors.New("raft: invalid membership change")
+	// ErrQuorumAtRisk reports a membership change, or a release, after which the group might lack a quorum.
+	ErrQuorumAtRisk = errors.New("raft: the group may lack a quorum")
 	// ErrInvalidMessage reports a malformed message.
 	ErrInvalidMessage = errors.New("raft: invalid message")
 	// ErrInvalidState reports restored state that is inconsistent.
@@ -159,6 +161,11 @@
 	MessagePollReply
 	// MessageTimeoutNow asks the receiver to start an election at once.
 	MessageTimeoutNow
+	// MessageLeave asks the leader whether the sender, which is leaving, may end. Poll is the number of the request.
+	MessageLeave
+	// MessageLeaveReply replies to Poll: the receiver may end. If Reject is set, the committed membership does not
+	// list it.
+	MessageLeaveReply
 )
 
 // ExpectsReply reports whether the receiver replies to messages of this type unless it is in another term.
@@ -188,6 +195,8 @@
 	Poll     uint64        `cbor:"13,keyasint,omitempty"`
 	Age      time.Duration `cbor:"14,keyasint,omitempty"`
 	Force    bool          `cbor:"15,keyasint,omitempty"`
+	// Leaving is set in all messages of a member that is leaving.
+	Leaving bool `cbor:"16,keyasint,omitempty"`
 }
 
 // ChangeKind is the kind of a membership change.
@@ -308,9 +317,15 @@
 	Inflight int
 	// SinceContact is the time since the last message of this member; negative if there was none in this term.
 	SinceContact time.Duration
+	// InContact is set if the member has sent a message in this term within the election timeout.
+	InContact bool
 	// Silence is the time since the last message of this member. If there was none in this term, it is the time since the
 	// leader started to replicate to it or, for the former leader, since its last message as the leader.
 	Silence time.Duration
+	// Leaving is set if the member has said that it is about to end, LeavingFor is the time since then, and Released is set
+	// if the leader has let it.
+	Leaving, Released bool
+	LeavingFor        time.Duration
 }
 
 // Status describes a member.
@@ -331,6 +346,9 @@
 	// FormerSilence is a lower bound of the time from the last message of any former leader that a member of a quorum
 	// replied to until this member was elected. It is set on leaders only.
 	FormerSilence time.Duration
+	// Leaving is set after Leave. Released is set once this member may end, and Removed once it may end because the
+	// committed membership does not list it.
+	Leaving, Released, Removed bool
 	// Transferring is the target of a leadership transfer in progress.
 	Transferring MemberID
 	// Progress is set on leaders only.
