mesh: read the clock for each input of a batch

Cause: the control goroutine read the clock once for a batch of up to 256 inputs. Reads that arrived after a suspension were handled in the batch that had begun before it, so that the age of the last confirmation was measured at the time before the suspension. Ruled out: the clock (it counts suspensions), the age (an upper bound at the time at which it is measured).

All decisions of control members and of the control goroutine of nodes come this way: reads, replies to polls of the log and of the distribution tree, the answer that a process is no member, proposals, silences of candidates, members and links.

--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -322,4 +322,25 @@
 			return err
 		}, eventuallyTimeout).Should(MatchError(operator.ErrNoQuorum))
 	})
+
+	// Guards against a member that is suspended in the middle of a batch and answers the reads that arrive afterwards by the
+	// time before: it takes its last confirmation for a recent one.
+	It("answers no read from before a suspension that ended after the read arrived", func() {
+		const applyWithin = 2 * time.Second
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		Eventually(g.isRepaired(1), eventuallyTimeout).Should(BeTrue())
+		follower := slices.IndexFunc(g.members, func(m *control.Member) bool { _, leads := m.Leads(); return !leads })
+		suspended := g.members[follower]
+		suspended.Suspend(applyWithin + time.Second)
+		g.members = slices.Delete(g.members, follower, follower+1)
+		DeferCleanup(suspended.Kill)
+		g.put(2, 1)
+		time.Sleep(applyWithin)
+		ctx, cancel := context.WithTimeout(context.Background(), eventuallyTimeout)
+		defer cancel()
+		version, _, err := suspended.Latest(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(version).To(BeEquivalentTo(2))
+	})
 })
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -52,3 +52,13 @@
 	})
 	return ids
 }
+
+// Suspend keeps the control goroutine from running for a duration, and returns once it does.
+func (m *Member) Suspend(duration time.Duration) {
+	suspended := make(chan struct{})
+	m.host.Post(func(time.Time) {
+		close(suspended)
+		time.Sleep(duration)
+	})
+	<-suspended
+}
--- a/mesh/host.go
+++ b/mesh/host.go
@@ -38,7 +38,8 @@
 	Outputs() []relay.Output
 }
 
-// Options configures a Host. The callbacks run on the control goroutine.
+// Options configures a Host. The callbacks run on the control goroutine; the time that they get was read after the inputs
+// before them had arrived.
 type Options struct {
 	Peer   Peer
 	Pool   *rpc.Pool
@@ -90,39 +91,43 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.tick(h.options.Now())
+			h.tick()
 		case input := <-h.inputs:
 			h.runBatch(input)
 		}
 	}
 }
 
-func (h *Host) tick(now time.Time) {
+func (h *Host) tick() {
 	if h.options.Tick != nil {
-		h.options.Tick(now)
+		h.options.Tick(h.options.Now())
 	}
-	h.options.Peer.Tick(now)
-	h.finishBatch(now)
+	h.options.Peer.Tick(h.options.Now())
+	h.finishBatch()
 }
 
 // runBatch runs the input and those that already wait, so that they share costs per batch, such as a synced write.
+//
+// Each input gets a reading of the clock that was made after the input had arrived. They must not share one: the process
+// may be suspended in the middle of a batch, and inputs that arrive afterwards would be decided by the time before, at
+// which leases, confirmations and links that have since expired look valid.
 func (h *Host) runBatch(input func(now time.Time)) {
-	now := h.options.Now()
-	input(now)
+	input(h.options.Now())
 	for range maxBatchInputs {
 		select {
 		case next := <-h.inputs:
-			next(now)
+			next(h.options.Now())
 			continue
 		default:
 		}
 		break
 	}
-	h.finishBatch(now)
+	h.finishBatch()
 }
 
 // finishBatch runs AfterBatch and then executes the outputs of the peer until there are no more.
-func (h *Host) finishBatch(now time.Time) {
+func (h *Host) finishBatch() {
+	now := h.options.Now()
 	if h.options.AfterBatch != nil {
 		h.options.AfterBatch(now)
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -225,4 +225,27 @@
 			Should(MatchError(mesh.ErrStopped))
 		p.stop()
 	})
+
+	// Guards against decisions by a time that was read before their input arrived, or before a suspension that has ended:
+	// leases, confirmations and silences look shorter than they are.
+	It("reads the clock for each input of a batch, and again after the batch", func() {
+		const suspension = 3 * time.Second
+		now := time.Unix(1_000, 0)
+		var times []time.Time
+		record := func(at time.Time) { times = append(times, at) }
+		ctx, cancel := context.WithCancel(context.Background())
+		host := mesh.NewHost(mesh.Options{
+			Peer: &fakePeer{}, Now: func() time.Time { return now },
+			AfterBatch: func(at time.Time) { record(at); cancel() },
+		})
+		suspend := func(at time.Time) { record(at); now = now.Add(suspension) }
+		for range 3 {
+			Expect(host.Post(suspend)).To(BeTrue())
+		}
+		host.Run(ctx)
+		start := time.Unix(1_000, 0)
+		Expect(times).To(Equal([]time.Time{
+			start, start.Add(suspension), start.Add(2 * suspension), start.Add(3 * suspension),
+		}))
+	})
 })
