node: keep lookups at an instance that is silent for a while

Cause: the node that took the request probes an instance that has sent nothing for 0.4 s. No answer within a second counted as a failure, and the lookups there were canceled, to be sent to others. Where no other instance had room, the caller got 502 while its time was not up. Ruled out: a stop of the instance at which the request ran (it had none), the end of the ingress's own stop (4 s later), the caller, the deadline. The signal has no part in it.

Change: a silent instance still owes its response. New calls avoid it and a further attempt runs beside the silent one, within the retry budget; the first response counts, and a refusal of the further attempt ends nothing. The call is given up with a proof only: its connection broke, another process answers in the place of the one that got it, or 3 s of silence. A connection that carries nothing although its instance responds on others is probed before its calls are given up. An attempt beside another one never goes to an instance that has the call already: the new test found a hedge that queued there and ran a second time.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -132,6 +132,8 @@
 	Zone  bundle.ZonePolicy
 	// Exclude lists the IDs of upstreams that were already tried. They are avoided while others are available.
 	Exclude []string
+	// Beside is set for an attempt that runs beside another one of its call: excluded upstreams are never chosen then.
+	Beside bool
 	// TargetRemaining is the time left in which a response has its full value for the caller; 0 if the route has no
 	// target. A call stays in its zone as long as the upstreams there are expected to respond well within this time:
 	// links between zones are slow and costly, and spreading an overload over all zones shortens no queue.
--- a/coordination/balance/pick.go
+++ b/coordination/balance/pick.go
@@ -75,6 +75,9 @@
 	if e := p.pickFrom(p.service.suspects); e != nil {
 		return e
 	}
+	if p.request.Beside {
+		return p.anyAcceptable()
+	}
 	p.level = allowExcluded
 	if e := p.pickServing(); e != nil {
 		return e
--- a/coordination/detector/detector.go
+++ b/coordination/detector/detector.go
@@ -1,7 +1,9 @@
 // Package detector detects that an instance that receives calls has failed. If an instance loses power, hangs or is cut
 // off from the network, its connections stay open without traffic: every call to it waits until its deadline, and nodes
 // keep sending more. The detector therefore probes an instance that has calls waiting and has sent no response for some
-// time. If the probe is not answered, the instance has failed and its calls should be sent to other instances.
+// time. If the probe is not answered, the instance has failed: it should get no further calls, and those that wait
+// should be sent to other instances as well. They are not over: the instance may only be short of processor time, with
+// its upstream at work. Only an instance that stays silent, or has been replaced by another process, has lost its calls.
 //
 // A probe that ends later than its timeout is inconclusive: the process did not run for a while, and its timer may have
 // been handled before a reply that had arrived in time. It is followed by another probe at once.
@@ -30,6 +32,9 @@
 	// maxLateProbes bounds the number of inconclusive probes in a row, so that a process that always stalls detects
 	// failures as well.
 	maxLateProbes = 2
+	// lostAfter is the time without a response after which an instance has lost its calls. It is that after which the
+	// distribution tree announces a silent node as suspect (endpoints.SuspectAfter).
+	lostAfter = 3 * time.Second
 )
 
 // Change says how an event changed the state of an instance.
@@ -40,6 +45,8 @@
 	Unchanged Change = iota
 	// Failed means that the instance stopped responding.
 	Failed
+	// Lost means that the calls that wait for a failed instance get no response any more.
+	Lost
 	// Recovered means that a failed instance responds again.
 	Recovered
 )
@@ -57,8 +64,10 @@
 	probeStarted time.Time
 	// lateProbes is the number of inconclusive probes since the last response. A further probe is due while it is not 0.
 	lateProbes int
-	// failedSince is when the failure was detected; zero while the instance responds.
-	failedSince time.Time
+	// failedSince is when the failure was detected; zero while the instance responds. silentSince is when the probe began
+	// that detected it, and lost is set once Lost was returned.
+	failedSince, silentSince time.Time
+	lost                     bool
 }
 
 // CallSent records that a call was sent.
@@ -82,7 +91,7 @@
 	if d.failedSince.IsZero() {
 		return Unchanged
 	}
-	d.failedSince = time.Time{}
+	d.failedSince, d.lost = time.Time{}, false
 	return Recovered
 }
 
@@ -128,7 +137,7 @@
 		return false
 	}
 	if d.Failed() && now.Sub(d.failedSince) > stopProbingAfter {
-		d.failedSince = time.Time{}
+		d.failedSince, d.lost = time.Time{}, false
 		return false
 	}
 	d.probing, d.probeStarted = true, now
@@ -143,13 +152,33 @@
 		d.lateProbes = 0
 		return d.markRecovered()
 	}
-	if d.lastResponse.After(d.probeStarted) || d.Failed() {
-		return Unchanged // A call was answered during the probe, or the failure is already known.
-	}
-	if now.Sub(d.probeStarted) > timeout+lateProbeTolerance && d.lateProbes < maxLateProbes {
+	late := now.Sub(d.probeStarted) > timeout+lateProbeTolerance
+	switch {
+	case d.lastResponse.After(d.probeStarted):
+		return Unchanged // A call was answered during the probe.
+	case d.Failed():
+		if d.lost || late || now.Sub(d.silentSince) < lostAfter {
+			return Unchanged
+		}
+		d.lost = true
+		return Lost
+	case late && d.lateProbes < maxLateProbes:
 		d.lateProbes++
 		return Unchanged
 	}
-	d.failedSince, d.lateProbes = now, 0
+	d.failedSince, d.silentSince, d.lateProbes = now, d.probeStarted, 0
 	return Failed
 }
+
+// Replaced records that a probe was answered by another process than the one to which the calls were sent.
+func (d *Detector) Replaced(now time.Time) Change {
+	d.probing, d.lateProbes = false, 0
+	if d.failedSince.IsZero() {
+		d.failedSince, d.silentSince = now, d.probeStarted
+	}
+	if d.lost {
+		return Unchanged
+	}
+	d.lost = true
+	return Lost
+}
--- a/coordination/detector/detector_test.go
+++ b/coordination/detector/detector_test.go
@@ -190,6 +190,49 @@
 		})
 	})
 
+	Describe("with calls to a failed instance", func() {
+		const timeout = time.Second
+		var d *detector.Detector
+		var failedAt time.Time
+		probe := func(at time.Time, responded bool) detector.Change {
+			Expect(d.StartProbe(at)).To(BeTrue())
+			return d.EndProbe(at.Add(timeout), timeout, responded)
+		}
+		BeforeEach(func() {
+			d = &detector.Detector{}
+			d.CallSent(time.Unix(1, 0), 1)
+			failedAt = time.Unix(1, 0).Add(1400 * time.Millisecond)
+			Expect(probe(failedAt.Add(-timeout), false)).To(Equal(detector.Failed))
+		})
+
+		// Guards against giving up calls that run at an instance which is short of processor time for a second or two.
+		It("has lost them only after three seconds without a response", func() {
+			Expect(probe(failedAt, false)).To(Equal(detector.Unchanged))
+			Expect(probe(failedAt.Add(timeout), false)).To(Equal(detector.Lost))
+			Expect(probe(failedAt.Add(2*timeout), false)).To(Equal(detector.Unchanged), "reported once")
+		})
+
+		It("keeps them if it responds again, and counts anew", func() {
+			Expect(probe(failedAt, true)).To(Equal(detector.Recovered))
+			again := failedAt.Add(time.Minute)
+			Expect(probe(again, false)).To(Equal(detector.Failed))
+			Expect(probe(again.Add(timeout), false)).To(Equal(detector.Unchanged))
+		})
+
+		// Guards against calls that wait until their deadline for a process that is known to be gone.
+		It("has lost them once another process answers in its place", func() {
+			Expect(d.StartProbe(failedAt)).To(BeTrue())
+			Expect(d.Replaced(failedAt.Add(time.Millisecond))).To(Equal(detector.Lost))
+			Expect(d.Failed()).To(BeTrue())
+		})
+
+		It("has not lost them by a probe that ended late", func() {
+			Expect(probe(failedAt, false)).To(Equal(detector.Unchanged))
+			Expect(d.StartProbe(failedAt.Add(timeout))).To(BeTrue())
+			Expect(d.EndProbe(failedAt.Add(3*timeout), timeout, false)).To(Equal(detector.Unchanged))
+		})
+	})
+
 	It("stops probing an instance that stays failed", func() {
 		start := time.Unix(1, 0)
 		var d detector.Detector
--- a/coordination/forward/forward.go
+++ b/coordination/forward/forward.go
@@ -35,6 +35,8 @@
 	ErrorResponse bool
 	// Suspect is set if the request was in flight when an upstream crashed.
 	Suspect bool
+	// WasSilent is set if AttemptSilent was called for the attempt.
+	WasSilent bool
 }
 
 // Action is what the ingress does next.
@@ -64,6 +66,8 @@
 	// attempts counts the attempts that were started, and pending those of them that have not ended.
 	attempts int
 	pending  int
+	// silent counts those of the pending attempts whose instance does not respond.
+	silent int
 	// mayHaveRun is set once an attempt has ended that may have run.
 	mayHaveRun bool
 	// suspect is set if the request was in flight when an upstream crashed.
@@ -93,9 +97,32 @@
 	return c.MayHedge(now) && c.pending == 1 && !c.final && c.config.Budget.Allow(now)
 }
 
+// AttemptSilent records that the instance of a pending attempt does not respond, and decides whether another attempt runs
+// beside it. The silent attempt goes on: its upstream may be at work on it, and the caller gets the response that comes
+// first.
+func (c *Call) AttemptSilent(now time.Time, source rand.Source) Decision {
+	c.silent++
+	return c.retryBesideSilent(now, retry.Unknown, source)
+}
+
+// retryBesideSilent decides what follows if no attempt is in flight but silent ones, which are still waited for.
+func (c *Call) retryBesideSilent(now time.Time, outcome retry.Outcome, source rand.Source) Decision {
+	if c.pending > c.silent || c.final || !c.config.Resendable {
+		return Decision{Action: Wait}
+	}
+	delay, allowed := c.config.Budget.Decide(now, c.attempt(now, outcome), source)
+	if !allowed {
+		return Decision{Action: Wait}
+	}
+	return Decision{Action: Retry, Delay: delay}
+}
+
 // AttemptEnded records the result of an attempt and decides what follows. source randomises the delay of a retry.
 func (c *Call) AttemptEnded(now time.Time, r Result, source rand.Source) Decision {
 	c.pending--
+	if r.WasSilent {
+		c.silent--
+	}
 	c.suspect = c.suspect || r.Suspect
 	c.final = c.final || r.Final
 	switch r.Outcome {
@@ -105,7 +132,7 @@
 		c.mayHaveRun = true
 	}
 	if c.pending > 0 {
-		return Decision{Action: Wait}
+		return c.retryBesideSilent(now, r.Outcome, source)
 	}
 	if c.final || !c.config.Resendable {
 		return Decision{Action: Fail}
--- a/coordination/forward/forward_test.go
+++ b/coordination/forward/forward_test.go
@@ -77,6 +77,47 @@
 		Expect(call.AttemptEnded(start, refused, rand.NewPCG(1, 1)).Action).To(Equal(forward.Fail))
 	})
 
+	// Guards against a call that ends without a response although its upstream is at work, because the instance beside it
+	// does not answer probes and no other one takes the call.
+	It("waits for a silent attempt, whatever becomes of those beside it", func() {
+		call := newCall(bundle.ClassLookup)
+		call.AttemptStarted()
+		Expect(call.AttemptSilent(start, rand.NewPCG(1, 1)).Action).To(Equal(forward.Retry))
+		for range 5 {
+			call.AttemptStarted()
+			refused := call.AttemptEnded(start, forward.Result{Outcome: retry.NotRun}, rand.NewPCG(1, 1))
+			Expect(refused.Action).To(BeElementOf(forward.Retry, forward.Wait))
+			if refused.Action == forward.Wait {
+				break
+			}
+		}
+		Expect(call.Outcome()).To(Equal(retry.Unknown))
+		Expect(call.AttemptEnded(start, forward.Result{Outcome: retry.Done, WasSilent: true}, rand.NewPCG(1, 1)).Action).
+			To(Equal(forward.Respond))
+	})
+
+	It("starts no attempt beside a silent one while another one is in flight, and none of an irreversible call", func() {
+		call := newCall(bundle.ClassLookup)
+		call.AttemptStarted()
+		call.AttemptStarted()
+		Expect(call.AttemptSilent(start, rand.NewPCG(1, 1)).Action).To(Equal(forward.Wait))
+		Expect(call.AttemptSilent(start, rand.NewPCG(1, 1)).Action).To(Equal(forward.Retry))
+		irreversible := newCall(bundle.ClassIrreversible)
+		irreversible.AttemptStarted()
+		Expect(irreversible.AttemptSilent(start, rand.NewPCG(1, 1)).Action).To(Equal(forward.Wait))
+	})
+
+	It("goes on as usual once the silent attempt has ended as well", func() {
+		call := newCall(bundle.ClassLookup)
+		call.AttemptStarted()
+		Expect(call.AttemptSilent(start, rand.NewPCG(1, 1)).Action).To(Equal(forward.Retry))
+		call.AttemptStarted()
+		Expect(call.AttemptEnded(start, forward.Result{Outcome: retry.Unknown, WasSilent: true}, rand.NewPCG(1, 1)).Action).
+			To(Equal(forward.Wait))
+		Expect(call.AttemptEnded(start, forward.Result{Outcome: retry.NotRun, Final: true}, rand.NewPCG(1, 1)).Action).
+			To(Equal(forward.Fail))
+	})
+
 	It("never has two attempts of an irreversible call in flight", func() {
 		call := newCall(bundle.ClassIrreversible)
 		call.AttemptStarted()
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// GiveBack returns a retry that was allowed and not made.
+func (b *Budget) GiveBack() { b.add(tokensPerRetry) }
+
 // Decide reports whether the call is sent again, and after which delay. It takes a retry from the budget only if the
 // call may be retried and the delay ends before the deadline.
 func (b *Budget) Decide(now time.Time, a Attempt, source rand.Source) (time.Duration, bool) {
--- a/node/call_stream.go
+++ b/node/call_stream.go
@@ -165,13 +165,12 @@
 	return n, nil
 }
 
-// callRemote sends a call to the node beside the target. It calls onAcknowledged when the executor's progress frame
-// arrives.
+// callRemote sends a call to the node beside the target.
 func (n *Node) callRemote(
-	callerCtx context.Context, target balance.Target, meta *protocol.CallMetadata, body *requestBody, onAcknowledged func(),
+	callerCtx context.Context, target balance.Target, meta *protocol.CallMetadata, body *requestBody, events callEvents,
 ) *callReply {
 	ctx, cancel := context.WithCancel(callerCtx)
-	pending := n.liveness.trackCall(target, meta.Class, cancel)
+	pending := n.liveness.trackCall(target, meta.Class, repeatableCall{silent: events.silent, cancel: cancel})
 	defer pending.finish()
 	stream, err := n.calls.Call(ctx, target.Address)
 	if err != nil {
@@ -186,7 +185,7 @@
 	}
 	first, err := stream.Recv()
 	if err == nil && first.Progress {
-		onAcknowledged()
+		events.acknowledged()
 		pending.responded()
 		first, err = stream.Recv()
 	}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -363,15 +362,13 @@
 		Class: c.route.Class, Budget: c.policy.budget, Deadline: c.node.callDeadline(c.deadline), WithinRetry: c.metadata.Retry,
 		Resendable: c.body.buffered(), Exclusive: c.exclusive,
 	})
-	f := &forwarder{call: c, plan: plan, results: make(chan attemptResult, maxAttemptsInFlight)}
-	f.random = rand.NewPCG(rand.Uint64(), rand.Uint64())
-	return f.run(ctx)
+	return newForwarder(c, plan).run(ctx)
 }
 
 // attempt sends the call to one upstream and returns once its response has begun. It reports the result to the
 // balancer.
 func (c *ingressCall) attempt(
-	ctx context.Context, target balance.Target, isRetry, returnIfBusy bool, onAcknowledged func(),
+	ctx context.Context, target balance.Target, isRetry, returnIfBusy bool, events callEvents,
 ) attemptResult {
 	now := time.Now()
 	meta := c.metadata
@@ -382,7 +379,7 @@
 	meta.Exclusive = c.exclusive
 	meta.ReturnIfBusy = returnIfBusy
 	meta.Retry = c.metadata.Retry || isRetry
-	reply := c.node.send(ctx, target, &meta, &c.body, onAcknowledged)
+	reply := c.node.send(ctx, target, &meta, &c.body, events)
 	c.chargeRepeatedRun(reply)
 	if c.limitedBody != nil && c.limitedBody.exceeded.Load() && reply.metadata.Outcome != protocol.OutcomeDone {
 		reply.metadata.Reason = protocol.ReasonTooLarge
@@ -446,14 +443,21 @@
 	return report
 }
 
-// send runs a call on the upstream beside this node, or sends it to the node beside another upstream. It calls
-// onAcknowledged once an executor has received the call.
+// callEvents are called while a call waits for its response.
+type callEvents struct {
+	// acknowledged is called once an executor has received the call.
+	acknowledged func()
+	// silent is called if the instance to which the call was sent does not respond. It must not block.
+	silent func()
+}
+
+// send runs a call on the upstream beside this node, or sends it to the node beside another upstream.
 func (n *Node) send(
-	ctx context.Context, target balance.Target, meta *protocol.CallMetadata, body *requestBody, onAcknowledged func(),
+	ctx context.Context, target balance.Target, meta *protocol.CallMetadata, body *requestBody, events callEvents,
 ) *callReply {
 	if target.ID == n.id {
-		onAcknowledged()
+		events.acknowledged()
 		return n.executor.run(ctx, meta, body)
 	}
-	return n.callRemote(ctx, target, meta, body, onAcknowledged)
+	return n.callRemote(ctx, target, meta, body, events)
 }
--- a/node/liveness.go
+++ b/node/liveness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/coordination/balance"
@@ -45,9 +46,15 @@
 	target   balance.Target
 	detector detector.Detector
 	timer    *time.Timer
-	// repeatable holds the cancel functions of the calls that may be sent to another instance. Irreversible calls wait
-	// for their response.
-	repeatable map[uint64]context.CancelFunc
+	// repeatable holds the calls that may be sent to another instance. Irreversible calls wait for their response.
+	repeatable map[uint64]repeatableCall
+}
+
+// repeatableCall is a call that may be sent to another instance while this one is silent. silent reports the silence and
+// must not block; cancel gives the call up.
+type repeatableCall struct {
+	silent func()
+	cancel context.CancelFunc
 }
 
 // pendingCall is a call that waits for a response from a remote instance.
@@ -57,8 +64,8 @@
 	callID   uint64
 }
 
-// trackCall records that a call was sent. cancel ends the call, so that it can be sent to another instance.
-func (l *liveness) trackCall(target balance.Target, class bundle.Class, cancel context.CancelFunc) *pendingCall {
+// trackCall records that a call was sent.
+func (l *liveness) trackCall(target balance.Target, class bundle.Class, call repeatableCall) *pendingCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.instances[target.ID]
@@ -68,13 +75,13 @@
 		known = nil
 	}
 	if known == nil {
-		known = &remoteInstance{target: target, repeatable: make(map[uint64]context.CancelFunc)}
+		known = &remoteInstance{target: target, repeatable: make(map[uint64]repeatableCall)}
 		l.instances[target.ID] = known
 	}
 	l.nextCall++
 	known.detector.CallSent(time.Now(), l.nextCall)
 	if class.Repeatable() {
-		known.repeatable[l.nextCall] = cancel
+		known.repeatable[l.nextCall] = call
 	}
 	l.armTimer(known)
 	return &pendingCall{liveness: l, instance: known, callID: l.nextCall}
@@ -127,19 +134,26 @@
 		return
 	}
 	timeout := pingTimeout + 2*l.zoneDelay(i.target.Zone)
-	responded := l.probe(i.target, timeout, failed)
+	incarnation, responded := l.probe(i.target, timeout, failed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.applyChange(i, i.detector.EndProbe(now, timeout, responded))
+	var change detector.Change
+	if responded && incarnation != i.target.Incarnation {
+		change = i.detector.Replaced(now)
+	} else {
+		change = i.detector.EndProbe(now, timeout, responded)
+	}
 	if i.detector.Failed() {
+		// Before the calls go to others, which must not be this one.
 		l.balancer.Suspend(i.target, now.Add(suspensionTime))
 	}
+	l.applyChange(i, change)
 	l.armTimer(i)
 }
 
-// probe reports whether the process to which the calls were sent responds.
-func (l *liveness) probe(target balance.Target, timeout time.Duration, failed bool) bool {
+// probe returns the incarnation of the process that responds at the target; false if none does.
+func (l *liveness) probe(target balance.Target, timeout time.Duration, failed bool) (incarnation uint64, responded bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	pool := l.calls
@@ -148,29 +162,50 @@
 		defer pool.Forget(target.Address)
 	}
 	reply, err := pool.Ping(ctx, target.Address)
-	return err == nil && reply.Incarnation == target.Incarnation
+	if err != nil {
+		return 0, false
+	}
+	return reply.Incarnation, true
 }
 
-// applyChange cancels the repeatable calls to an instance that has failed, or resumes one that has recovered. The
-// caller holds l.mu.
+// applyChange applies the change of an instance's state. The calls to an instance that fails go to others as well, and
+// are given up only once they are lost. The caller holds l.mu.
 func (l *liveness) applyChange(i *remoteInstance, change detector.Change) {
 	switch change {
 	case detector.Failed:
 		l.logger.Warn().Str("to", i.target.ID).Str("zone", i.target.Zone).Int("repeatable_calls", len(i.repeatable)).
 			Msg("instance does not respond; its calls go to others")
-		for _, cancel := range i.repeatable {
-			cancel()
+		for _, call := range i.repeatable {
+			call.silent()
+		}
+	case detector.Lost:
+		l.logger.Warn().Str("to", i.target.ID).Str("zone", i.target.Zone).Int("repeatable_calls", len(i.repeatable)).
+			Msg("calls to an instance are lost")
+		for _, call := range i.repeatable {
+			call.cancel()
 		}
 	case detector.Recovered:
 		l.logger.Info().Str("to", i.target.ID).Str("zone", i.target.Zone).Msg("instance responds again")
 		l.balancer.Resume(i.target)
+		// After a link was cut, TCP's retransmission timeout on an old connection has grown to seconds.
 		if i.detector.WaitingCalls() == 0 {
-			// After a link was cut, TCP's retransmission timeout on an old connection has grown to seconds.
 			l.calls.Forget(i.target.Address)
+		} else if old, ok := l.calls.Detach(i.target.Address); ok {
+			go l.closeIfSilent(old, pingTimeout+2*l.zoneDelay(i.target.Zone))
 		}
 	}
 }
 
+// closeIfSilent closes a connection that carries no data although the process at its end responds on others: the calls
+// that wait on it are lost.
+func (l *liveness) closeIfSilent(connection *rpc.Detached, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if _, err := connection.Ping(ctx); errors.Is(err, rpc.ErrTimeout) {
+		connection.Close()
+	}
+}
+
 // stop ends all probes.
 func (l *liveness) stop() {
 	l.mu.Lock()
--- a/node/search.go
+++ b/node/search.go
@@ -21,12 +21,12 @@
 // where it can start at once; if there is none either, it waits where it is expected to be served first. It has reached
 // no upstream until then, so that this counts as one attempt.
 func (c *ingressCall) place(
-	ctx context.Context, request balance.Request, target balance.Target, isRetry bool, onAcknowledged func(),
+	ctx context.Context, request balance.Request, target balance.Target, isRetry bool, events callEvents,
 ) attemptResult {
 	var returnedBy []balance.Candidate
 	mayReturn := c.mayReturn(0, request)
 	for {
-		result := c.attempt(ctx, target, isRetry, mayReturn, onAcknowledged)
+		result := c.attempt(ctx, target, isRetry, mayReturn, events)
 		result.target = target
 		returned := result.reply.metadata.Reason == protocol.ReasonBusy
 		if len(returnedBy) > 0 && mayReturn {
--- a/transport/rpc/client.go
+++ b/transport/rpc/client.go
@@ -155,6 +155,32 @@
 	}
 }
 
+// Detached is a connection that no further call uses. Calls that were made on it go on until it is closed.
+type Detached struct {
+	pool *Pool
+	conn *grpc.ClientConn
+}
+
+// Detach lets further calls to an address use a new connection and returns the present one; false if there is none.
+func (p *Pool) Detach(address string) (*Detached, bool) {
+	p.mu.Lock()
+	conn := p.conns[address]
+	p.mu.Unlock()
+	if conn == nil {
+		return nil, false
+	}
+	p.retire(address, conn)
+	return &Detached{pool: p, conn: conn}, true
+}
+
+// Ping sends a probe on the connection. Its errors are those of Pool.Ping.
+func (d *Detached) Ping(ctx context.Context) (*protocol.PingReply, error) {
+	return invokeOn[protocol.PingReply](ctx, d.conn, d.conn.Target(), methodPing, &protocol.PingRequest{})
+}
+
+// Close closes the connection. The calls on it fail.
+func (d *Detached) Close() { d.pool.closeAfter(0, d.conn) }
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
