control: let a member stop at once that takes part in no group, and keep a leader that stops open to changes

A member whose group had not formed waited 3.8 s for a release that nobody could give. A leader that stopped asked for the transfer of its leadership every 20 ms, which renewed the time in which it refuses proposals: if the target did not take over, changes were refused for as long as the stop lasted, rather than for an election timeout (by reading).

A process that has not started its logs has nothing to hand over. A transfer under way is not asked for again; the leader repeats its message with each reply.

--- a/control/leave.go
+++ b/control/leave.go
@@ -26,8 +26,11 @@
 func (m *Member) Stop(ctx context.Context) error {
 	leaveCtx, cancel := m.leaveContext(ctx)
 	defer cancel()
-	if m.waitRunning(leaveCtx) == nil {
+	select {
+	case <-m.ready:
 		m.leave(leaveCtx)
+	default:
+		// This process has taken part in nothing yet.
 	}
 	shutdownCtx, cancelShutdown := context.WithTimeout(ctx, adminShutdownTimeout)
 	defer cancelShutdown()
--- a/control/leave_test.go
+++ b/control/leave_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"sapphiregate.example/sapphiregate/control"
+	"sapphiregate.example/sapphiregate/state/bundle"
+	"sapphiregate.example/sapphiregate/state/disk"
 )
 
 // leaveWithin is the time that a member has to stop.
@@ -122,3 +126,23 @@
 		Eventually(stopped, leaveWithin).Should(BeClosed())
 	})
 })
+
+var _ = Describe("a member whose group has not formed", func() {
+	// Guards against a stop that waits for its release although there is nobody to give it.
+	It("stops at once", func() {
+		address := net.JoinHostPort(ownLoopbackHost(), "0")
+		m, err := control.New(control.Options{
+			Zone: "a", MeshListener: listenAt(address), AdminListener: listenAt(address),
+			Founders:       []control.Founder{{Address: "127.0.0.1:9"}, {Address: "127.0.0.1:10"}},
+			RegistryFolder: disk.NewFake(rand.New(rand.NewSource(1))), Keys: bundle.NewKeyring(nil), Voters: 5,
+			Seeds: func() []string { return nil }, Logger: zerolog.New(GinkgoWriter),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		m.Start()
+		ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
+		defer cancel()
+		began := time.Now()
+		Expect(m.Stop(ctx)).To(Succeed())
+		Expect(time.Since(began)).To(BeNumerically("<", leaveWithin/2))
+	})
+})
--- a/control/replica.go
+++ b/control/replica.go
@@ -371,6 +371,9 @@
 	if status.Role != raft.RoleLeader {
 		return false
 	}
+	if status.Transferring != "" {
+		return true
+	}
 	target, found := membership.TransferTarget(status)
 	if !found {
 		return false
--- a/coordination/raft/leave_test.go
+++ b/coordination/raft/leave_test.go
@@ -122,7 +122,8 @@
 		return
 	}
 	now := f.clock(m)
-	if target, ok := membership.TransferTarget(m.node.Status()); ok {
+	current := m.node.Status()
+	if target, ok := membership.TransferTarget(current); ok && current.Transferring == "" {
 		_ = m.node.TransferLeadership(now, target)
 	}
 	m.node.Leave(now)
