--- a/soak/command.go
+++ b/soak/command.go
@@ -47,7 +47,7 @@
 				}
 			}
 			failed := 0
-			options.Core = options.Core || options.Teams
+			options.Core = options.Core || options.Teams || options.Replacements
 			for _, seed := range seeds {
 				seedOptions := options
 				seedOptions.Seed = seed
@@ -75,6 +75,7 @@
 	flags.IntVar(&options.Nodes, "nodes", DefaultNodes, "number of nodes")
 	flags.BoolVar(&options.Planned, "planned", false, "series of planned work instead of random faults")
 	flags.BoolVar(&options.Core, "core", false, "faults of the control members, and a check of when versions come into force")
+	flags.BoolVar(&options.Replacements, "replacements", false, "planned stops of control members in series, with spare processes, as well as the checks of --core")
 	flags.BoolVar(&options.Teams, "teams", false, "keys and a quota of teams, and rollouts, as well as --core, and herds of nodes that are killed")
 	flags.BoolVar(&regressions, "regressions", false, "run the seeds that failed before instead of --seed and --seeds")
 	flags.BoolVarP(&verbose, "verbose", "v", false, "print the timeline of every seed, not only of those that violate a guarantee")
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -146,7 +146,7 @@
 		if options.Teams {
 			m.settings["objectives"] = objectives()
 		}
-		m.settings["platform"] = map[string]any{"operators": operatorAddress, "first_start": true, "tolerated_instances": options.memberTotal() / 2}
+		m.settings["platform"] = map[string]any{"operators": operatorAddress, "first_start": true, "tolerated_instances": options.toleratedMembers()}
 	}
 	for i, n := range d.nodes {
 		u, err := newUpstream(recorder, n.name)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,6 +32,8 @@
 	locks        map[*process]*sync.Mutex
 	lastWipe     time.Time
 	activeFaults sync.WaitGroup
+	// supervisors start members again that have ended by themselves.
+	supervisors sync.WaitGroup
 	// operator is the client that finds the leader.
 	operator *operator.Client
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,16 +56,31 @@
 	// Core selects faults of the control members, and a check of the time in which versions come into force. There are
 	// no callers but those that probe the versions.
 	Core bool
+	// Replacements selects planned stops of members in series, with spare processes that take their places, as well as the
+	// checks of Core.
+	Replacements bool
 	// Teams adds teams to Core: keys that versions add and remove, a quota, and herds of nodes that are killed.
 	Teams bool
 }
 
 // memberTotal returns the number of control members of a seed.
 func (o *Options) memberTotal() int {
-	if o.Core {
+	switch {
+	case o.Replacements:
+		return coreMemberCount + spareCount
+	case o.Core:
 		return coreMemberCount
+	default:
+		return memberCount
+	}
+}
+
+// toleratedMembers returns the number of control members that may be lost at once.
+func (o *Options) toleratedMembers() int {
+	if o.Core {
+		return coreMemberCount / 2
 	}
-	return memberCount
+	return memberCount / 2
 }
 
 // Result is what the run of one seed observed.
@@ -124,6 +139,9 @@
 	recorder.checkNotRun()
 	recorder.checkCuts()
 	recorder.checkVersions()
+	if options.Replacements {
+		recorder.checkAcknowledgements(r.acknowledgements)
+	}
 	report.Busiest = recorder.checkQuota()
 	recorder.checkRollouts()
 	report.LeadersKilled = recorder.leadersKilled
@@ -230,6 +248,8 @@
 	switch {
 	case options.Teams:
 		injector.runTeams(faultCtx)
+	case options.Replacements:
+		injector.runReplacements(faultCtx)
 	case options.Core:
 		injector.runCore(faultCtx)
 	case options.Planned:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -109,6 +109,21 @@
 	Entry("the core is for long, and the node was", 17.1, []work{disturbance("member-0", 11, 16), disturbance("node-0", 14, 15)}, false),
 )
 
+// Guards against a check that misses a group without a quorum, or reports one that has lost members.
+var _ = DescribeTable("the check of acknowledgements beside planned stops", func(kind workKind, reported bool) {
+	r := newRecorder()
+	second := func(s int) time.Time { return r.started.Add(time.Duration(s) * time.Second) }
+	r.works = []*work{{kind: kind, process: "member-0", started: second(11), ended: second(12)}}
+	r.checkAcknowledgements([]acknowledgement{{1, second(10)}, {2, second(14)}})
+	Expect(r.violations).To(BeEmpty())
+	r.checkAcknowledgements([]acknowledgement{{1, second(10)}, {2, second(15)}})
+	Expect(r.violations).To(HaveLen(map[bool]int{true: 1}[reported]))
+},
+	Entry("a planned stop", workStop, true),
+	Entry("a member is killed", workKill, false),
+	Entry("another fault", workFault, false),
+)
+
 // disturbance is a fault of a process, in seconds.
 func disturbance(process string, from, to int64) work {
 	return work{kind: workFault, process: process, started: time.Unix(from, 0), ended: time.Unix(to, 0)}
@@ -415,6 +430,18 @@
 		Expect(report.ApprovedVersion).To(BeNumerically(">", 5))
 	})
 
+	It("keeps the group at work in a short seed of planned replacements", func() {
+		report, err := Run(context.Background(), Options{
+			Binary: binary, Seed: 2, FaultDuration: 12 * time.Second, Nodes: DefaultNodes, Core: true, Replacements: true,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range report.Timeline {
+			GinkgoWriter.Printf("%7.3f s  %s\n", e.At.Seconds(), e.Text)
+		}
+		Expect(report.Violations).To(BeEmpty(), "logs: %s", report.Folder)
+		Expect(report.ApprovedVersion).To(BeNumerically(">", 5))
+	})
+
 	It("keeps the promises about teams in a short seed", func() {
 		report, err := Run(context.Background(), Options{
 			Binary: binary, Seed: 1, FaultDuration: 16 * time.Second, Nodes: DefaultNodes, Core: true, Teams: true,
