--- a/node/liveness.go
+++ b/node/liveness.go
@@ -179,8 +179,10 @@
 			call.silent()
 		}
 	case detector.Lost:
-		l.logger.Warn().Str("to", i.target.ID).Str("zone", i.target.Zone).Int("repeatable_calls", len(i.repeatable)).
-			Msg("calls to an instance are lost")
+		if len(i.repeatable) > 0 {
+			l.logger.Warn().Str("to", i.target.ID).Str("zone", i.target.Zone).Int("repeatable_calls", len(i.repeatable)).
+				Msg("calls to an instance are lost")
+		}
 		for _, call := range i.repeatable {
 			call.cancel()
 		}
