--- /dev/null
+++ b/review/harness-3/rollout.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["rollout"] = playRollout }
+
+const rolloutDuration = 12 * time.Second
+
+// playRollout orders a rollout of a good version while the new workers have a short trouble, which the system rightly
+// rolls back, and orders it again later.
+func playRollout(c *caseRun) (bool, error) {
+	c.addControls(5, 2)
+	var failing atomic.Bool
+	start := func(n *process, id, version string) (*worker, error) {
+		w := newWorker(n, id, version, 9)
+		w.work = func(rw http.ResponseWriter, _ *http.Request) {
+			time.Sleep(20 * time.Millisecond)
+			if version == "v2" && failing.Load() {
+				rw.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			_, _ = rw.Write([]byte("done"))
+		}
+		return w, w.start()
+	}
+	for i := range 3 {
+		if _, err := start(c.addNode("svc-a"), fmt.Sprintf("i-old-%d", i+1), "v1"); err != nil {
+			return false, err
+		}
+	}
+	var newNodes []*process
+	for range 3 {
+		newNodes = append(newNodes, c.addNode("svc-a"))
+	}
+	if err := c.startAll(); err != nil {
+		return false, err
+	}
+	if err := c.put(0, configuration(3,
+		[]route{{"r-1", "h.example", "/a/", "safe", "svc-a", 2 * time.Second, 500 * time.Millisecond, 2}},
+		[]string{"svc-a"}, nil)); err != nil {
+		return false, err
+	}
+	if err := c.awaitReady(10 * time.Second); err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	defer close(stop)
+	for i := range 3 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(12 * time.Millisecond):
+				}
+				id := newID()
+				got := call{method: "GET", host: "h.example", path: "/a/x", deadline: 2 * time.Second}.send(c.nodes[i], id)
+				c.record.line("%s answers %s: %d %v", c.nodes[i].name, id, got.status, got.err)
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+
+	var workers []*worker
+	startNew := func(suffix string) error {
+		workers = nil
+		for i, n := range newNodes {
+			w, err := start(n, fmt.Sprintf("i-new-%s-%d", suffix, i+1), "v2")
+			if err != nil {
+				return err
+			}
+			workers = append(workers, w)
+		}
+		return nil
+	}
+	if err := startNew("a"); err != nil {
+		return false, err
+	}
+	failing.Store(c.trouble)
+	if err := c.orderRollout(); err != nil {
+		return false, err
+	}
+	state := c.awaitRollout(rolloutDuration + 2*time.Second)
+	c.record.say("the first rollout is %s", state)
+	if !c.trouble {
+		return state != "completed", nil
+	}
+	if state != "rolled_back" {
+		return false, fmt.Errorf("the first rollout was not rolled back")
+	}
+	time.Sleep(2 * time.Second)
+	var leaving sync.WaitGroup
+	for _, w := range workers {
+		leaving.Go(w.leave)
+	}
+	leaving.Wait()
+	failing.Store(false)
+	// An order may be resent for Ack (4 s) at most; this one comes later, and is another order.
+	time.Sleep(8 * time.Second)
+	if err := startNew("b"); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	before := 0
+	for _, w := range workers {
+		before += len(w.all())
+	}
+	if err := c.orderRollout(); err != nil {
+		c.record.say("the second order is refused: %v", err)
+		return false, nil
+	}
+	ordered := time.Now()
+	time.Sleep(time.Second)
+	state = c.rolloutState()
+	c.record.say("1 s after the second order was acknowledged, the rollout is %s", state)
+	state = c.awaitRollout(rolloutDuration)
+	time.Sleep(time.Until(ordered.Add(rolloutDuration)))
+	state = c.rolloutState()
+	after := 0
+	for _, w := range workers {
+		after += len(w.all())
+	}
+	c.record.say("at the deadline of the second order, the rollout is %s; the new workers got %d requests", state, after-before)
+	return state != "completed", nil
+}
+
+func (d *deployment) orderRollout() error {
+	status, answer := d.order("/v1/rollouts/start", nil, map[string]any{
+		"Service": "svc-a", "TargetVersion": "v2", "Duration": fmt.Sprintf("%ds", int(rolloutDuration.Seconds())),
+	})
+	if status != http.StatusOK {
+		return fmt.Errorf("status %d %s", status, answer)
+	}
+	return nil
+}
+
+// rolloutState asks for the state of the rollout.
+func (d *deployment) rolloutState() string {
+	for _, p := range d.controls {
+		status, data, err := request("GET", "http://"+address(p.ip, d.ports.control)+"/v1/rollouts/svc-a/get", nil, nil,
+			time.Second)
+		d.record.line("operator: state of the rollout from %s: %d %s %v", p.name, status, data, err)
+		var got struct {
+			State         string
+			TargetVersion string
+		}
+		if err == nil && status == http.StatusOK && json.Unmarshal(data, &got) == nil {
+			return got.State
+		}
+	}
+	return "unknown"
+}
+
+// awaitRollout asks for the state until the rollout has ended.
+func (d *deployment) awaitRollout(within time.Duration) string {
+	began := time.Now()
+	state := d.rolloutState()
+	for state != "completed" && state != "rolled_back" && time.Since(began) < within {
+		time.Sleep(400 * time.Millisecond)
+		state = d.rolloutState()
+	}
+	return state
+}
