--- a/review/harness-3/rollout.go
+++ b/review/harness-3/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,20 +12,37 @@
 
 func init() { cases["rollout"] = playRollout }
 
-const rolloutDuration = 12 * time.Second
+const rolloutDuration = 16 * time.Second
 
-// playRollout orders a rollout of a good version while the new workers have a short trouble, which the system rightly
-// rolls back, and orders it again later.
+// Workers of svc-b fail greyShare of their requests for greyTime, with a good health check.
+const (
+	greyShare = 0.44
+	greyTime  = 6600 * time.Millisecond
+)
+
+// playRollout orders the rollout of a good version of svc-a, whose workers call svc-b, while the workers of svc-b are grey.
+// The system rightly rolls it back. Long after svc-b has recovered, the operator orders the rollout again.
 func playRollout(c *caseRun) (bool, error) {
 	c.addControls(5, 2)
-	var failing atomic.Bool
+	var greyUntil atomic.Pointer[time.Time]
 	start := func(n *process, id, version string) (*worker, error) {
 		w := newWorker(n, id, version, 9)
-		w.work = func(rw http.ResponseWriter, _ *http.Request) {
+		w.work = func(rw http.ResponseWriter, r *http.Request) {
 			time.Sleep(20 * time.Millisecond)
-			if version == "v2" && failing.Load() {
+			if n.service == "svc-a" && version == "v1" {
+				time.Sleep(22 * time.Millisecond) // About as long as the calls of the other version take.
+			}
+			until := greyUntil.Load()
+			switch {
+			case n.service == "svc-b" && until != nil && time.Now().Before(*until) && rand.Float64() < greyShare:
 				rw.WriteHeader(http.StatusInternalServerError)
 				return
+			case version == "v2":
+				got := call{method: "GET", host: "h.example", path: "/b/x", deadline: time.Second}.send(n, newID())
+				if got.status != http.StatusOK {
+					rw.WriteHeader(http.StatusInternalServerError)
+					return
+				}
 			}
 			_, _ = rw.Write([]byte("done"))
 		}
@@ -39,12 +57,19 @@
 	for range 3 {
 		newNodes = append(newNodes, c.addNode("svc-a"))
 	}
+	for i := range 2 {
+		if _, err := start(c.addNode("svc-b"), fmt.Sprintf("i-other-%d", i+1), "v1"); err != nil {
+			return false, err
+		}
+	}
 	if err := c.startAll(); err != nil {
 		return false, err
 	}
 	if err := c.put(0, configuration(3,
-		[]route{{"r-1", "h.example", "/a/", "safe", "svc-a", 2 * time.Second, 500 * time.Millisecond, 2}},
-		[]string{"svc-a"}, nil)); err != nil {
+		[]route{
+			{"r-1", "h.example", "/a/", "safe", "svc-a", 2 * time.Second, 500 * time.Millisecond, 2},
+			{"r-2", "h.example", "/b/", "safe", "svc-b", time.Second, 200 * time.Millisecond, 1},
+		}, []string{"svc-a", "svc-b"}, nil)); err != nil {
 		return false, err
 	}
 	if err := c.awaitReady(10 * time.Second); err != nil {
@@ -85,7 +110,11 @@
 	if err := startNew("a"); err != nil {
 		return false, err
 	}
-	failing.Store(c.trouble)
+	if c.trouble {
+		until := time.Now().Add(greyTime)
+		greyUntil.Store(&until)
+		c.record.say("the workers of svc-b are grey for %s", greyTime)
+	}
 	if err := c.orderRollout(); err != nil {
 		return false, err
 	}
@@ -103,7 +132,6 @@
 		leaving.Go(w.leave)
 	}
 	leaving.Wait()
-	failing.Store(false)
 	// An order may be resent for Ack (4 s) at most; this one comes later, and is another order.
 	time.Sleep(8 * time.Second)
 	if err := startNew("b"); err != nil {
