--- a/review/harness-3/rollout.go
+++ b/review/harness-3/rollout.go
@@ -79,7 +79,8 @@
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	defer close(stop)
-	for i := range 3 {
+	for i := range 15 {
+		node := c.nodes[i%3]
 		clients.Go(func() {
 			for {
 				select {
@@ -88,8 +89,8 @@
 				case <-time.After(12 * time.Millisecond):
 				}
 				id := newID()
-				got := call{method: "GET", host: "h.example", path: "/a/x", deadline: 2 * time.Second}.send(c.nodes[i], id)
-				c.record.line("%s answers %s: %d %v", c.nodes[i].name, id, got.status, got.err)
+				got := call{method: "GET", host: "h.example", path: "/a/x", deadline: 2 * time.Second}.send(node, id)
+				c.record.line("%s answers %s: %d %v", node.name, id, got.status, got.err)
 			}
 		})
 	}
