--- a/review/harness-3/quota.go
+++ b/review/harness-3/quota.go
@@ -92,7 +92,7 @@
 	}
 	send(1100, 4*time.Millisecond)
 	for _, p := range away {
-		<-p.ended
+		<-p.end()
 		if err := p.start(); err != nil {
 			return false, err
 		}
--- a/review/harness-3/zone.go
+++ b/review/harness-3/zone.go
@@ -59,7 +59,7 @@
 			p.signal(syscall.SIGKILL)
 		}
 		for _, p := range lost {
-			<-p.ended
+			<-p.end()
 			if err := os.RemoveAll(filepath.Join(c.folder, p.name)); err != nil {
 				return false, err
 			}
