--- a/review/harness-3/leader.go
+++ b/review/harness-3/leader.go
@@ -3,14 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"time"
 )
 
-func sortRuns(runs []run) {
-	slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
-}
-
 // leader returns the control member that leads, as the operators' status says; the first member if none does.
 func (d *deployment) leader() *process {
 	for _, p := range d.controls {
--- a/review/harness-3/rollout.go
+++ b/review/harness-3/rollout.go
@@ -7,12 +7,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 func init() { cases["rollout"] = playRollout }
 
-const rolloutDuration = 16 * time.Second
+const rolloutDuration = 40 * time.Second
 
 // Workers of svc-b fail greyShare of their requests for greyTime, with a good health check.
 const (
@@ -21,7 +22,8 @@
 )
 
 // playRollout orders the rollout of a good version of svc-a, whose workers call svc-b, while the workers of svc-b are grey.
-// The system rightly rolls it back. Long after svc-b has recovered, the operator orders the rollout again.
+// The system rightly rolls it back. Long after svc-b has recovered, the operator orders the rollout again. Right after the
+// acknowledgement the processes of the core are killed.
 func playRollout(c *caseRun) (bool, error) {
 	c.addControls(5, 2)
 	var greyUntil atomic.Pointer[time.Time]
@@ -121,45 +123,58 @@
 	}
 	state := c.awaitRollout(rolloutDuration + 2*time.Second)
 	c.record.say("the first rollout is %s", state)
-	if !c.trouble {
-		return state != "completed", nil
+	if want := map[bool]string{true: "rolled_back", false: "completed"}[c.trouble]; state != want {
+		return false, fmt.Errorf("the first rollout is not %s", want)
 	}
-	if state != "rolled_back" {
-		return false, fmt.Errorf("the first rollout was not rolled back")
-	}
-	time.Sleep(2 * time.Second)
-	var leaving sync.WaitGroup
-	for _, w := range workers {
-		leaving.Go(w.leave)
-	}
-	leaving.Wait()
-	// An order may be resent for Ack (4 s) at most; this one comes later, and is another order.
-	time.Sleep(8 * time.Second)
-	if err := startNew("b"); err != nil {
-		return false, err
+	if c.trouble {
+		time.Sleep(2 * time.Second)
+		var leaving sync.WaitGroup
+		for _, w := range workers {
+			leaving.Go(w.leave)
+		}
+		leaving.Wait()
+		// An order may be resent for Ack (4 s) at most; the next one comes later, and is another order.
+		time.Sleep(8 * time.Second)
+		if err := startNew("b"); err != nil {
+			return false, err
+		}
+		time.Sleep(2 * time.Second)
 	}
-	time.Sleep(2 * time.Second)
-	before := 0
-	for _, w := range workers {
-		before += len(w.all())
+	runs := func() int {
+		sum := 0
+		for _, w := range workers {
+			sum += len(w.all())
+		}
+		return sum
 	}
+	before := runs()
 	if err := c.orderRollout(); err != nil {
 		c.record.say("the second order is refused: %v", err)
 		return false, nil
 	}
 	ordered := time.Now()
+	c.record.say("the second order is acknowledged; the final fault: all processes of the core are killed")
+	for _, p := range c.controls {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range c.controls {
+		<-p.end()
+	}
 	time.Sleep(time.Second)
+	for _, p := range c.controls {
+		if err := p.start(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(recovery)
+	// The operator reads the state for longer than Contact.
 	state = c.rolloutState()
-	c.record.say("1 s after the second order was acknowledged, the rollout is %s", state)
-	state = c.awaitRollout(rolloutDuration)
-	time.Sleep(time.Until(ordered.Add(rolloutDuration)))
-	state = c.rolloutState()
-	after := 0
-	for _, w := range workers {
-		after += len(w.all())
+	for began := time.Now(); time.Since(began) < 4*time.Second && state != "running" && state != "completed"; state = c.rolloutState() {
+		time.Sleep(200 * time.Millisecond)
 	}
-	c.record.say("at the deadline of the second order, the rollout is %s; the new workers got %d requests", state, after-before)
-	return state != "completed", nil
+	c.record.say("%.0f s after the second order, of %s, the rollout is %s; the new workers got %d requests since", time.Since(ordered).Seconds(),
+		rolloutDuration, state, runs()-before)
+	return state != "running" && state != "completed", nil
 }
 
 func (d *deployment) orderRollout() error {
--- a/review/harness-3/seeds.go
+++ b/review/harness-3/seeds.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -132,7 +133,15 @@
 		time.Sleep(catchUp + 2*time.Second)
 	}
 	if restarts && c.trouble {
-		for _, p := range c.controls[:3] {
+		left := slices.Clone(c.controls[:3])
+		for len(left) > 0 {
+			p := left[0]
+			// The leader first: where the last of the three leads, the requests fail before the final fault.
+			if l := c.leader(); slices.Contains(left, l) {
+				p = l
+			}
+			left = slices.DeleteFunc(left, func(other *process) bool { return other == p })
+			c.record.say("%s is restarted", p.name)
 			p.kill()
 			time.Sleep(seedDown)
 			if err := p.start(); err != nil {
