--- a/review/harness-3/rollout.go
+++ b/review/harness-3/rollout.go
@@ -25,6 +25,7 @@
 // The system rightly rolls it back. Long after svc-b has recovered, the operator orders the rollout again. Right after the
 // acknowledgement the processes of the core are killed.
 func playRollout(c *caseRun) (bool, error) {
+	c.sheet = lankajobs
 	c.addControls(5, 2)
 	var greyUntil atomic.Pointer[time.Time]
 	start := func(n *process, id, version string) (*worker, error) {
