--- a/review/harness-3/tenants.go
+++ b/review/harness-3/tenants.go
@@ -10,12 +10,16 @@
 
 func init() { cases["tenants"] = playTenants }
 
-// configApply is the bound in defaultBounds.
-const configApply = 2 * time.Second
+// configApply and revoke are the bounds in defaultBounds.
+const (
+	configApply = 2 * time.Second
+	revoke      = 5 * time.Second
+)
 
 // playTenants removes the only tenant from the configuration and sends requests with its key, and with a key that no
 // configuration ever held.
 func playTenants(c *caseRun) (bool, error) {
+	c.sheet = lankajobs
 	c.addControls(5, 2)
 	type seen struct{ id, authorization, tenant string }
 	var mu sync.Mutex
@@ -90,7 +94,7 @@
 	if status != http.StatusOK {
 		return false, nil // Not acknowledged, so that the former configuration stays in force.
 	}
-	time.Sleep(configApply + time.Second)
+	time.Sleep(max(configApply, revoke) + time.Second)
 	ask("key-of-t1", !c.trouble)
 	ask("key-of-nobody", false)
 	read, data, err := request("GET", "http://"+address(c.controls[0].ip, c.ports.control)+"/v1/config/get", nil, nil, time.Second)
