An order of a rollout counts as a copy only while copies may arrive

Callers: the operator ordered the rollout of a release again, 10 s after it had been rolled back, and got 200.

Cause: the registry took an order that equals the latest one of its service for a copy, whenever it came, unless it had another request identifier; the platform's orders have none. Ruled out: the restart of the control members (the state is rolled_back before it), and the judge (it never sees the second order).

Change: checkAgainstLatest states when two orders are the same order. Without identifiers the age of the earlier order decides. The leader measures it on a clock that counts suspensions and does not jump, as a bracket of the commit, and writes it into the entry; replicas decide by the entry alone. 200 is given only for an order that starts a rollout, that has the latest one's identifier, or that equals a running one no older than resend_within. An equal order after the end gets 503 until no copy can arrive any more, and then starts a rollout.

Related paths: an equal order long after the first one, while that still runs, was acknowledged and ended with it: now a conflict. A copy that came after another order had taken its place and ended started its rollout again: the order before the latest one is now remembered. Approvals, stops, cancels and membership changes name a version, a member or a state.

--- a/control/member.go
+++ b/control/member.go
@@ -79,6 +79,9 @@
 	// RepairWithin is the time within which a process that takes the place of a member counts as its full replacement; 0
 	// means 4 s.
 	RepairWithin time.Duration
+	// ResendWithin is the time for which operators send an order without an identifier again if they got no response; 0
+	// means 4 s.
+	ResendWithin time.Duration
 	// Rollout holds the objectives for rollouts of releases; zero fields take the defaults.
 	Rollout rollout.Config
 	// Relay overrides the limits of the distribution tree; zero fields take the defaults.
@@ -89,6 +92,7 @@
 	defaultSnapshotEntries = 10_000
 	defaultApplyWithin     = 2 * time.Second
 	defaultRepairWithin    = 4 * time.Second
+	defaultResendWithin    = 4 * time.Second
 	// registryTrailingEntries is the number of entries of the registry that are kept after a snapshot. A member that lacks
 	// more gets the snapshot, which takes less time to restore than so many entries take to apply.
 	registryTrailingEntries = 32
@@ -149,6 +153,7 @@
 	}
 	options.ApplyWithin = cmp.Or(options.ApplyWithin, defaultApplyWithin)
 	options.RepairWithin = cmp.Or(options.RepairWithin, defaultRepairWithin)
+	options.ResendWithin = cmp.Or(options.ResendWithin, defaultResendWithin)
 	if options.Advertise == "" {
 		options.Advertise = options.MeshListener.Addr().String()
 	}
@@ -190,6 +195,7 @@
 // openReplicas creates the replicas and reads their folders.
 func (m *Member) openReplicas() ([]wal.Recovered, error) {
 	m.registryState = newRegistryStateMachine(m.options.Keys)
+	m.registryState.latestOrder = m.latestOrder
 	registryReplica := m.newReplica(registryGroup, m.registryState, m.pool)
 	registryReplica.onApplied = m.publishSource
 	registryReplica.onMembershipChange = m.publishMembers
--- a/control/replica.go
+++ b/control/replica.go
@@ -125,7 +125,7 @@
 		done <- r.notLeaderReply()
 		return
 	}
-	entry, err := r.machine.prepare(now.UnixMilli(), command)
+	entry, err := r.machine.prepare(now, command)
 	if err != nil {
 		done <- &protocol.ProposeReply{Status: protocol.ProposeRefused, Detail: err.Error()}
 		return
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -30,8 +30,14 @@
 	judgedAt   time.Time
 	// confirmedAt is a time at which the tracked rollouts were all that a quorum had stored; zero if none is known.
 	confirmedAt time.Time
+	// commits brackets the time at which each known order was committed, by the log index of the order.
+	commits map[uint64]commitTime
 }
 
+// commitTime brackets the time of a commit on the local monotonic clock. earliest is zero if the entry was committed before
+// this process knew the state of the group.
+type commitTime struct{ earliest, latest time.Time }
+
 func newRollouts(config rollout.Config) rollouts {
 	return rollouts{
 		judge: rollout.New(config), orderedAt: make(map[uint64]time.Time), proposedAt: make(map[uint64]time.Time),
@@ -52,7 +58,12 @@
 	s.running = s.running[:0]
 	orderedAt := make(map[uint64]time.Time)
 	proposedAt := make(map[uint64]time.Time)
+	commits := make(map[uint64]commitTime)
 	for _, r := range all {
+		commits[r.Started] = s.commitTime(now, r.Started)
+		if r.Former.Started != 0 {
+			commits[r.Former.Started] = s.commitTime(now, r.Former.Started)
+		}
 		if r.State != release.Running {
 			continue
 		}
@@ -69,10 +80,45 @@
 			proposedAt[r.Revision] = proposed
 		}
 	}
-	s.orderedAt, s.proposedAt = orderedAt, proposedAt
+	s.orderedAt, s.proposedAt, s.commits = orderedAt, proposedAt, commits
 	s.judge.Retain(now, s.running)
 }
 
+// commitTime brackets the time of an order's commit. A member that sees the order first knows only that it was not committed
+// when the state without it was confirmed.
+func (s *rollouts) commitTime(now time.Time, started uint64) commitTime {
+	if known, ok := s.commits[started]; ok {
+		return known
+	}
+	return commitTime{earliest: s.confirmedAt, latest: now}
+}
+
+// latestOrder describes the latest order of a service to the state machine, which decides by it whether the next one is a
+// copy.
+func (m *Member) latestOrder(now time.Time, service string) *registry.LatestOrder {
+	known := &registry.LatestOrder{
+		MaxAgeMs: registry.AgeUnknown, ResendMs: m.options.ResendWithin.Milliseconds(),
+		Outdated: !m.replicas[registryGroup].raft.KnowsCommitted(),
+	}
+	latest, ok := m.registryState.registry.Rollout(service)
+	if !ok {
+		return known
+	}
+	known.Started = latest.Started
+	committed := m.rollouts.commits[latest.Started]
+	if since, ok := m.replicas[registryGroup].raft.ProposedSince(latest.Started); ok && since.After(committed.earliest) {
+		committed.earliest = since
+	}
+	known.MinAgeMs = now.Sub(committed.latest).Milliseconds()
+	if latest.Former.Started != 0 {
+		known.FormerMinAgeMs = now.Sub(m.rollouts.commits[latest.Former.Started].latest).Milliseconds()
+	}
+	if !committed.earliest.IsZero() {
+		known.MaxAgeMs = now.Sub(committed.earliest).Milliseconds() + 1
+	}
+	return known
+}
+
 // decideRollouts lets the leader change the rollouts whose results ask for it. The other members judge too, so that they
 // can go on at once if they become the leader.
 func (m *Member) decideRollouts(now time.Time) {
--- a/control/rollouts_test.go
+++ b/control/rollouts_test.go
@@ -9,6 +9,7 @@
 
 	"sapphiregate.example/sapphiregate/control"
 	"sapphiregate.example/sapphiregate/protocol/operator"
+	"sapphiregate.example/sapphiregate/state/registry"
 	"sapphiregate.example/sapphiregate/state/release"
 )
 
@@ -67,3 +68,37 @@
 		Entry("at one that has just started: the leader's clock counts", time.Duration(0), 5*time.Second, 5*time.Second),
 	)
 })
+
+var _ = Describe("an order of a rollout without an identifier", func() {
+	// Guards against an order that is acknowledged, and dropped because it equals a former one that was rolled back.
+	It("starts the rollout again once it cannot be a copy", func() {
+		g := newSelfManagedGroup()
+		g.put(1, 0)
+		order := registry.StartRollout{Operator: "ops", Service: "desk", Release: "v2", DurationMs: 1000}
+		place := func() (operator.Decision, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return g.members[0].StartRollout(ctx, order)
+		}
+		first, err := place()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(place()).To(Equal(first), "a copy while the rollout runs")
+		rollout := func() release.Rollout {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			found, _, err := g.members[0].Rollout(ctx, "desk")
+			Expect(err).NotTo(HaveOccurred())
+			return found
+		}
+		Eventually(rollout, eventuallyTimeout).Should(HaveField("State", release.RolledBack))
+		_, err = place()
+		Expect(err).To(MatchError(operator.ErrMaybeCopy))
+		var second operator.Decision
+		Eventually(func() (err error) {
+			second, err = place()
+			return err
+		}, eventuallyTimeout).Should(Succeed())
+		Expect(second.Index).To(BeNumerically(">", first.Index))
+		Expect(rollout()).To(And(HaveField("State", release.Running), HaveField("Started", second.Index)))
+	})
+})
--- a/control/statemachine.go
+++ b/control/statemachine.go
@@ -13,9 +13,8 @@
 
 // stateMachine is the replicated state machine of one log. Only the control goroutine uses it.
 type stateMachine interface {
-	// prepare checks a proposed command on the leader and returns the data of its log entry. nowMs is the leader's wall
-	// clock in milliseconds since 1970.
-	prepare(nowMs int64, command []byte) ([]byte, error)
+	// prepare checks a proposed command on the leader and returns the data of its log entry. now is the leader's time.
+	prepare(now time.Time, command []byte) ([]byte, error)
 	// apply executes the committed entry at a log index and returns the encoded result.
 	apply(index uint64, data []byte) ([]byte, error)
 	snapshot() ([]byte, error)
@@ -27,6 +26,8 @@
 type registryStateMachine struct {
 	keyring  *bundle.Keyring
 	registry *registry.Registry
+	// latestOrder returns what this member, as the leader, knows of the latest order of a rollout of a service.
+	latestOrder func(now time.Time, service string) *registry.LatestOrder
 }
 
 func newRegistryStateMachine(keyring *bundle.Keyring) *registryStateMachine {
@@ -34,14 +35,14 @@
 }
 
 // prepare reduces the update of a stage to the parts that the registry lacks, so that the log carries each part once,
-// and sets the time of an order of a rollout.
-func (s *registryStateMachine) prepare(nowMs int64, data []byte) ([]byte, error) {
+// and sets what the leader knows of an order of a rollout.
+func (s *registryStateMachine) prepare(now time.Time, data []byte) ([]byte, error) {
 	command, err := registry.DecodeCommand(data)
 	if err != nil {
 		return nil, err
 	}
 	if command.Rollout != nil {
-		command.Stamp(time.UnixMilli(nowMs))
+		command.Stamp(now, func(service string) *registry.LatestOrder { return s.latestOrder(now, service) })
 		return registry.EncodeCommand(command)
 	}
 	if command.Stage == nil {
@@ -88,12 +89,12 @@
 }
 
 // prepare sets the time of the command to the leader's, so that all replicas apply the command at the same time.
-func (s *ledgerStateMachine) prepare(nowMs int64, data []byte) ([]byte, error) {
+func (s *ledgerStateMachine) prepare(now time.Time, data []byte) ([]byte, error) {
 	var command ledger.Command
 	if err := protocol.Unmarshal(data, &command); err != nil {
 		return nil, err
 	}
-	command.NowMs = nowMs
+	command.NowMs = now.UnixMilli()
 	return protocol.Marshal(command)
 }
 
--- a/coordination/raft/freshness.go
+++ b/coordination/raft/freshness.go
@@ -136,6 +136,21 @@
 	}
 }
 
+// KnowsCommitted reports whether this member leads and has applied an entry of its own term. From then on it has proposed
+// every entry itself that it has not applied; before, it may lack committed entries of former leaders.
+func (n *Node) KnowsCommitted() bool {
+	return n.role == RoleLeader && n.applied >= n.leaderState.termStart
+}
+
+// ProposedSince returns a time before the proposal of the entry at an index; false unless this member leads and has proposed
+// the entry in its present term.
+func (n *Node) ProposedSince(index uint64) (time.Time, bool) {
+	if n.role != RoleLeader || index < n.leaderState.termStart {
+		return time.Time{}, false
+	}
+	return n.leaderState.electedAt, true
+}
+
 // ConfirmedAge returns an upper bound on the time since a quorum confirmed the applied state as current. It returns
 // false if there was no confirmation since the start of this member. The age grows while a member is partitioned from
 // the group.
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -52,6 +53,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.index++
+	// As a leader that has proposed all entries itself, right after each other.
+	c.Stamp(time.Now(), func(string) *registry.LatestOrder {
+		return &registry.LatestOrder{ResendMs: time.Minute.Milliseconds()}
+	})
 	return operator.DecisionFromResult(m.registry.Apply(m.index, c))
 }
 
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -77,6 +77,7 @@
 		"run 'sapphirectl members list', 'sapphirectl quarantine list' or 'sapphirectl release list'"},
 	{operator.ErrRolloutBusy, "", ExitRefused,
 		"wait until 'sapphirectl release list' shows that the other rollout has ended, or cancel it"},
+	{operator.ErrMaybeCopy, "", ExitRefused, "run the command again in some seconds: nothing was kept of the order"},
 	{operator.ErrRolloutEnded, "", ExitRefused, "run 'sapphirectl release list' and decide again about what it shows"},
 	{operator.ErrUnknownService, "", ExitRefused, "approve a bundle that declares the service first"},
 	{operator.ErrMembershipBusy, "", ExitRefused, "wait until 'sapphirectl members list' shows the other change as done"},
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -145,6 +145,7 @@
 		SnapshotEntries:   uint64(loaded.Limits.SnapshotEntries),
 		ApplyWithin:       loaded.Objectives.ApplyWithin.Std(),
 		RepairWithin:      loaded.Objectives.RepairWithin.Std(),
+		ResendWithin:      loaded.Objectives.ResendWithin.Std(),
 		Rollout: rollout.Config{
 			CanaryShare: loaded.Objectives.CanaryShare, CanaryAllowance: loaded.Objectives.CanaryAllowance,
 		},
--- a/protocol/operator/attempt.go
+++ b/protocol/operator/attempt.go
@@ -90,7 +90,7 @@
 
 // retryable reports whether another attempt may give another result.
 func retryable(err error) bool {
-	return errors.IsAny(err, ErrNotLeader, ErrNoQuorum, ErrOutcomeUnknown, ErrUnreachable, ErrInternal)
+	return errors.IsAny(err, ErrNotLeader, ErrNoQuorum, ErrOutcomeUnknown, ErrUnreachable, ErrInternal, ErrMaybeCopy)
 }
 
 // leaderOf returns the address of the leader that an error names, or an empty string.
@@ -132,6 +132,8 @@
 		return &Error{Kind: ErrInternal, Message: message}
 	case errors.IsAny(r.lastError, ErrNoQuorum, ErrNotLeader):
 		return &Error{Kind: ErrNoQuorum, Message: message}
+	case errors.Is(r.lastError, ErrMaybeCopy):
+		return &Error{Kind: ErrMaybeCopy, Message: message}
 	default:
 		return &Error{Kind: ErrUnreachable, Message: message}
 	}
--- a/protocol/operator/errors.go
+++ b/protocol/operator/errors.go
@@ -29,6 +29,9 @@
 	ErrBadRequest = errors.New("operator: malformed request")
 	// ErrRolloutBusy reports an order for a service whose rollout of another release is in progress.
 	ErrRolloutBusy = errors.New("operator: another rollout of the service is in progress")
+	// ErrMaybeCopy reports an order that cannot be told apart yet from a copy of the service's latest order. It has not taken
+	// effect, and can be sent again.
+	ErrMaybeCopy = errors.New("operator: the order may be a copy of the latest one")
 	// ErrRolloutEnded reports a change of a rollout that has ended or changed meanwhile.
 	ErrRolloutEnded = errors.New("operator: rollout has ended")
 	// ErrUnknownService reports a service that the latest bundle does not declare.
@@ -88,6 +91,7 @@
 	registry.CodeRolloutChanged: ErrRolloutEnded,
 	registry.CodeUnknownService: ErrUnknownService,
 	registry.CodeUnknownRollout: ErrNotFound,
+	registry.CodeMaybeCopy:      ErrMaybeCopy,
 }
 
 // DecisionFromResult converts a result of the registry to the result of a Backend method.
--- a/protocol/operator/wire.go
+++ b/protocol/operator/wire.go
@@ -54,6 +54,7 @@
 	{ErrBadRequest, "bad-request", http.StatusBadRequest},
 	{ErrNotFound, "not-found", http.StatusNotFound},
 	{ErrRolloutBusy, "rollout-busy", http.StatusConflict},
+	{ErrMaybeCopy, "maybe-copy", http.StatusServiceUnavailable},
 	{ErrRolloutEnded, "rollout-ended", http.StatusConflict},
 	{ErrUnknownService, "unknown-service", http.StatusNotFound},
 	{ErrMembershipBusy, "membership-busy", http.StatusConflict},
--- a/settings/objectives.go
+++ b/settings/objectives.go
@@ -16,6 +16,9 @@
 	// RepairWithin is the time within which an instance that returns, or takes the place of another one, is a full
 	// member of its group.
 	RepairWithin Duration `json:"repair_within,omitempty"`
+	// ResendWithin is the time for which operators send an order without an identifier again if they got no response. Later
+	// an equal order is another one.
+	ResendWithin Duration `json:"resend_within,omitempty"`
 	// RetryShare bounds the retries of all nodes together as a share of the calls of a service.
 	RetryShare float64 `json:"retry_share,omitempty"`
 	// RetryWindow is the time over which retries are counted, and RetryAllowance the number that each service may have
@@ -44,6 +47,7 @@
 	defaultApplyWithin  = 2 * time.Second
 	defaultDrainWithin  = 3 * time.Second
 	defaultRepairWithin = 4 * time.Second
+	defaultResendWithin = 4 * time.Second
 	defaultRetryShare   = 0.2
 	defaultRetryWindow  = 10 * time.Second
 
@@ -62,8 +66,8 @@
 func DefaultObjectives() Objectives {
 	return Objectives{
 		ApplyWithin: Duration(defaultApplyWithin), DrainWithin: Duration(defaultDrainWithin),
-		RepairWithin: Duration(defaultRepairWithin), RetryShare: defaultRetryShare,
-		RetryWindow: Duration(defaultRetryWindow),
+		RepairWithin: Duration(defaultRepairWithin), ResendWithin: Duration(defaultResendWithin),
+		RetryShare: defaultRetryShare, RetryWindow: Duration(defaultRetryWindow),
 		QuotaWindow: Duration(defaultQuotaWindow), QuotaOvershoot: defaultQuotaOvershoot, QuotaAllowance: defaultQuotaAllowance,
 		RevokeWithin: Duration(defaultRevokeWithin),
 		CanaryShare:  defaultCanaryShare, CanaryAllowance: defaultCanaryAllowance, RollbackWithin: Duration(defaultRollbackWithin),
@@ -76,6 +80,7 @@
 	minApplyWithin    = 600 * time.Millisecond
 	minDrainWithin    = 200 * time.Millisecond
 	minRepairWithin   = 1500 * time.Millisecond
+	minResendWithin   = 100 * time.Millisecond
 	minRetryWindow    = 100 * time.Millisecond
 	maxObjective      = time.Hour
 	maxRetryAllowance = 1_000_000
@@ -91,6 +96,7 @@
 	c.durationBetween("objectives.apply_within", o.ApplyWithin, minApplyWithin, maxObjective)
 	c.durationBetween("objectives.drain_within", o.DrainWithin, minDrainWithin, maxObjective)
 	c.durationBetween("objectives.repair_within", o.RepairWithin, minRepairWithin, maxObjective)
+	c.durationBetween("objectives.resend_within", o.ResendWithin, minResendWithin, maxObjective)
 	c.durationBetween("objectives.retry_window", o.RetryWindow, minRetryWindow, maxObjective)
 	c.numberBetween("objectives.retry_share", o.RetryShare, 0, 1)
 	c.numberBetween("objectives.retry_allowance", o.RetryAllowance, 0, maxRetryAllowance)
--- a/state/registry/apply.go
+++ b/state/registry/apply.go
@@ -38,10 +38,11 @@
 }
 
 // isFinal reports whether the result is kept for copies of the command that arrive later. A stage that lacks its base
-// is proposed again with another update, so its refusal is not kept. Results of commands that cannot be attributed to
-// an operator are not kept either, so that they cannot displace others.
+// is proposed again with another update, and an order that may be a copy is sent again later, so their refusals are not
+// kept. Results of commands that cannot be attributed to an operator are not kept either, so that they cannot displace
+// others.
 func isFinal(c Command, code Code) bool {
-	if code == CodeUnauthorized || code == CodeMalformed {
+	if code == CodeUnauthorized || code == CodeMalformed || code == CodeMaybeCopy {
 		return false
 	}
 	return c.Stage == nil || code != CodeMissingParts
--- a/state/registry/command.go
+++ b/state/registry/command.go
@@ -77,8 +77,8 @@
 }
 
 // key returns the key under which the result of the command is kept. The key does not cover the update of a stage: the
-// digest identifies its content, and the leader may encode the update of a copy differently. Nor does it cover the time
-// that the leader sets.
+// digest identifies its content, and the leader may encode the update of a copy differently. Nor does it cover what the
+// leader sets.
 func (c Command) key() (bundle.Digest, error) {
 	if c.Stage != nil {
 		stage := *c.Stage
@@ -87,7 +87,7 @@
 	}
 	if c.Rollout != nil && c.Rollout.Start != nil {
 		start := *c.Rollout.Start
-		start.UnixMs = 0
+		start.UnixMs, start.Latest = 0, nil
 		c.Rollout = &RolloutChange{Start: &start}
 	}
 	data, err := EncodeCommand(c)
--- a/state/registry/result.go
+++ b/state/registry/result.go
@@ -39,6 +39,8 @@
 	CodeUnknownService
 	// CodeUnknownRollout means that the service has no rollout of the release.
 	CodeUnknownRollout
+	// CodeMaybeCopy means that the order may be a copy of the latest one, or another order: it can be told apart later.
+	CodeMaybeCopy
 )
 
 // Errors that Result.Err returns. Callers test for them with errors.Is.
@@ -56,6 +58,7 @@
 	ErrRolloutChanged = errors.New("registry: rollout has ended or changed")
 	ErrUnknownService = errors.New("registry: service is not in the latest approved bundle")
 	ErrUnknownRollout = errors.New("registry: service has no rollout of the release")
+	ErrMaybeCopy      = errors.New("registry: the order may be a copy of the latest one")
 )
 
 // Effect tells what a successful command did.
@@ -103,6 +106,7 @@
 	CodeRolloutChanged: ErrRolloutChanged,
 	CodeUnknownService: ErrUnknownService,
 	CodeUnknownRollout: ErrUnknownRollout,
+	CodeMaybeCopy:      ErrMaybeCopy,
 }
 
 // Err returns nil for CodeOK, and otherwise an error that wraps the error of the code.
--- a/state/release/release.go
+++ b/state/release/release.go
@@ -47,6 +47,22 @@
 	StartedUnixMs int64 `json:"started_unix_ms,omitempty" cbor:"10,keyasint,omitempty"`
 	// Reason says why the rollout has ended or got its present share.
 	Reason string `json:"reason,omitempty" cbor:"11,keyasint,omitempty"`
+	// RequestID is the identifier that the order carried; empty if it had none.
+	RequestID string `json:"request_id,omitempty" cbor:"12,keyasint,omitempty"`
+	// Former is the order without an identifier before this one if copies of it could still arrive when this one came.
+	Former Order `json:"former,omitzero" cbor:"13,keyasint,omitempty"`
+}
+
+// Order is what an order of a rollout asks for, with the log index at which it was accepted.
+type Order struct {
+	Release    string `json:"release" cbor:"1,keyasint,omitempty"`
+	DurationMs int64  `json:"duration_ms" cbor:"2,keyasint,omitempty"`
+	Started    uint64 `json:"started" cbor:"3,keyasint,omitempty"`
+}
+
+// Order returns the order of the rollout.
+func (r Rollout) Order() Order {
+	return Order{Release: r.Release, DurationMs: r.DurationMs, Started: r.Started}
 }
 
 // Duration returns the time from the order within which the rollout has to end.
