Nodes ask the members that the distribution tree names for quotas

Cause: the quotas of a node knew only the addresses in its settings, while the distribution tree told the relay who the members are. A control process without a vote knew no leader, so that each seed said that there was no owner. Ruled out: the owner (it lends to others).

Change: one list in each node, which the tree keeps up to date and the settings complete (controlMembers).

Related paths: the ledger's client had the same list. Orders that reach a process without a vote are passed on to the leader. Such a process that knows no leader says that it is outside: a node took that for the word of a member that there is no owner, and would have let in its reserve.

--- a/control/automembership.go
+++ b/control/automembership.go
@@ -148,14 +148,26 @@
 			return nil
 		}
 		if reply.IsLeader {
+			m.host.Post(func(time.Time) { m.observeLeader(address) })
 			return reply.Members
 		}
 		members = append(members, reply.Members...)
 		addresses = append(addresses, reply.Members...)
 	}
+	m.host.Post(func(time.Time) { m.observeLeader("") })
 	return members
 }
 
+// observeLeader takes the address of the leader that has answered a process outside the group, empty if none has. A member
+// knows it from its log.
+func (m *Member) observeLeader(address string) {
+	r := m.replicas[registryGroup]
+	r.outsideLeader = ""
+	if r.isOutside() {
+		r.outsideLeader = address
+	}
+}
+
 func (m *Member) sendJoinRequest(address string, listed bool) (*protocol.IdentifyReply, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, joinRequestTimeout)
 	defer cancel()
--- a/control/automembership_test.go
+++ b/control/automembership_test.go
@@ -36,6 +36,8 @@
 	zones     []string
 	voters    int
 	placement membership.Placement
+	// seeds holds the addresses that all processes know at their start; those of the first three processes if it is empty.
+	seeds []string
 
 	electionTimeout   time.Duration
 	heartbeatInterval time.Duration
@@ -167,7 +169,7 @@
 	m, err := control.New(control.Options{
 		Zone: zone, MeshListener: listenAt(g.addresses[i]), AdminListener: listenAt("127.0.0.1:0"), Founders: founders,
 		RegistryFolder: g.disks[i], Keys: bundle.NewKeyring(nil).WithTrustedOperators("ops"),
-		Voters: g.voters, Placement: g.placement, Seeds: func() []string { return g.addresses[:3] },
+		Voters: g.voters, Placement: g.placement, Seeds: g.seedAddresses,
 		ElectionTimeout: g.electionTimeout, HeartbeatInterval: g.heartbeatInterval, Dialer: g.network.dial,
 		Logger: zerolog.New(GinkgoWriter),
 	})
@@ -176,6 +178,13 @@
 	g.members[i] = m
 }
 
+func (g *selfManagedGroup) seedAddresses() []string {
+	if len(g.seeds) > 0 {
+		return g.seeds
+	}
+	return g.addresses[:3]
+}
+
 // restartWithEmptyDisk kills process i and starts it again with an empty disk.
 func (g *selfManagedGroup) restartWithEmptyDisk(i int) {
 	g.members[i].Kill()
--- a/control/export_test.go
+++ b/control/export_test.go
@@ -32,6 +32,9 @@
 
 // Lists reports whether the membership of the registry's group, as this member knows it, has a member.
 func (m *Member) Lists(id string) (found bool) {
+	if m.waitRunning(context.Background()) != nil {
+		return false
+	}
 	_ = m.host.Query(context.Background(), func(time.Time) {
 		_, found = m.replicas[registryGroup].raft.Status().Membership.Find(raft.MemberID(id))
 	})
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -60,7 +60,7 @@
 	admin     map[string]string
 }
 
-func newGroup() *group {
+func newGroup(nodes ...experiment.NodeSpec) *group {
 	g := &group{admin: make(map[string]string), operators: map[string]ed25519.PrivateKey{
 		"ana": ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
 		"ben": ed25519.NewKeyFromSeed(append(make([]byte, ed25519.SeedSize-1), 1)),
@@ -69,6 +69,7 @@
 	g.Deployment, err = local.New(experiment.Spec{
 		Network: shape.NewNetwork(1), Operators: g.operators, DataFolder: GinkgoT().TempDir(),
 		Members: []experiment.MemberSpec{{ID: "a", Zone: "za"}, {ID: "b", Zone: "zb"}, {ID: "c", Zone: "zc"}},
+		Nodes:   nodes,
 	}, local.Options{Logger: zerolog.New(GinkgoWriter)})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { Expect(g.Close()).To(Succeed()) })
@@ -78,8 +79,11 @@
 
 // formGroup starts the members of a new group in the given order. It checks that the founders form one group whatever
 // their order is.
-func formGroup(order ...string) *group {
-	g := newGroup()
+func formGroup(order ...string) *group { return formGroupWith(nil, order...) }
+
+// formGroupWith forms a group beside nodes that are not started yet.
+func formGroupWith(nodes []experiment.NodeSpec, order ...string) *group {
+	g := newGroup(nodes...)
 	g.start(order[:2]...)
 	// The identity of the third founder is not known yet, so that the first two must not form a group.
 	_, formed := g.Leader()
--- a/control/member.go
+++ b/control/member.go
@@ -362,7 +362,7 @@
 	m.refreshQuotaLimits(now)
 }
 
-// publishMembers passes the membership of the registry's group to the distribution tree.
+// publishMembers passes the membership of the registry's group to the distribution tree, by which the nodes learn it.
 func (m *Member) publishMembers(now time.Time, current raft.Membership) {
 	infos := make([]relay.MemberInfo, 0, len(current.Members))
 	for _, member := range current.Members {
--- a/control/quota.go
+++ b/control/quota.go
@@ -45,6 +45,8 @@
 	// until is the time until which this member may lend, and at which all that it has lent has expired.
 	until  time.Time
 	leader string
+	// outside is set while this process does not belong to the group.
+	outside bool
 	// seenTerm is the present term and seenTermAt when this process saw it first; formerTermAt is the same of the term
 	// before it, or of this one if a term between them was missed.
 	seenTerm                 uint64
@@ -93,7 +95,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.term == 0 || !now.Before(o.until) {
-		return &quota.Reply{Owner: o.leader}
+		return &quota.Reply{Owner: o.leader, Outside: o.outside && o.leader == ""}
 	}
 	o.requests++
 	var begins []string
@@ -120,7 +122,7 @@
 	o := m.quotas
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leader = r.leaderAddress()
+	o.leader, o.outside = r.leaderAddress(), r.isOutside()
 	o.observeTerm(now, status.Term)
 	wait := openingWait(o.confirmed)
 	if status.Role != raft.RoleLeader || status.LeaderFor+status.FormerSilence < wait || !confirmed {
--- a/control/replica.go
+++ b/control/replica.go
@@ -38,6 +38,10 @@
 	onMembershipChange func(now time.Time, membership raft.Membership)
 	snapshotEntries    uint64
 
+	// outsideLeader is the mesh address of the leader that has answered this process, which does not belong to the group;
+	// empty in members.
+	outsideLeader string
+
 	raft          *raft.Node
 	transport     *raftTransport
 	membership    raft.Membership
@@ -112,7 +116,13 @@
 	if leader, ok := status.Membership.Find(status.Leader); ok {
 		return leader.Address
 	}
-	return ""
+	return r.outsideLeader
+}
+
+// isOutside reports whether this replica's log does not list it as a member.
+func (r *replica) isOutside() bool {
+	_, listed := r.raft.Membership().Find(r.id)
+	return !listed
 }
 
 func (r *replica) notLeaderReply() *protocol.ProposeReply {
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -36,6 +36,8 @@
 	IsOwner bool    `cbor:"1,keyasint,omitempty"`
 	Owner   string  `cbor:"2,keyasint,omitempty"`
 	Grants  []Grant `cbor:"3,keyasint,omitempty"`
+	// Outside is set if the sender is no member and knows no owner: there may be one.
+	Outside bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant lends tokens of one team.
--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -44,6 +44,7 @@
 	}
 	knewHome := p.knowsHomeMember()
 	p.members = slices.Clone(members)
+	p.emit(MembersChanged{Members: slices.Clone(members)})
 	if !knewHome && p.knowsHomeMember() {
 		// The first whole bundle usually follows soon after the first list; it should not cross a link between zones.
 		p.scheduleHomeProbe()
--- a/coordination/relay/output.go
+++ b/coordination/relay/output.go
@@ -52,6 +52,11 @@
 	IDs []string
 }
 
+// MembersChanged reports the control members, whenever this peer learns another list of them.
+type MembersChanged struct {
+	Members []MemberInfo
+}
+
 // ParentChanged reports that this node follows another parent, or none.
 type ParentChanged struct {
 	// Former and Parent are the IDs of the former and the new parent; empty if there was or is none. Zone is the zone of the
@@ -90,6 +95,7 @@
 func (Activate) output()         {}
 func (Refused) output()          {}
 func (EndpointsChanged) output() {}
+func (MembersChanged) output()   {}
 func (ParentChanged) output()    {}
 func (UpstreamLeaving) output()  {}
 func (CrashesReceived) output()  {}
--- a/node/control.go
+++ b/node/control.go
@@ -37,7 +37,7 @@
 		active:         make(map[uint64]*activeCall),
 		deregistered:   make(map[string]int64),
 		verify:         make(chan struct{}, 1),
-		ledger:         &ledgerClient{pool: n.ledgerPool, members: func() []string { return n.options.Members }},
+		ledger:         &ledgerClient{pool: n.ledgerPool, members: n.members.addresses},
 		service: func(name string) (bundle.Service, bool) {
 			current := n.snapshot.Load()
 			if current == nil {
@@ -84,6 +84,8 @@
 		for _, id := range output.IDs {
 			n.changedIDs[id] = true
 		}
+	case relay.MembersChanged:
+		n.members.learn(output.Members)
 	case relay.ParentChanged:
 		n.logParent(output)
 	case relay.UpstreamLeaving:
--- a/node/node.go
+++ b/node/node.go
@@ -153,7 +153,9 @@
 	confirmedAt atomic.Pointer[time.Time]
 	delays      *zonedelay.Estimator
 	// fleet holds this node's share of the retries.
-	fleet      *retry.Fleet
+	fleet *retry.Fleet
+	// members holds the addresses of the control members.
+	members    *controlMembers
 	quotas     *quotas
 	requests   requestTracker
 	uploads    uploadBuffers
@@ -224,6 +226,7 @@
 	n.delays = zonedelay.New(options.ZoneDelay)
 	n.balancer = balance.New(balance.Config{Policy: options.Policy, ID: n.id, Zone: options.Zone, ZoneDelay: n.zoneDelay})
 	n.fleet = retry.NewFleet(options.RetryLimits)
+	n.members = newControlMembers(options.Members)
 	n.quotas = newQuotas(n)
 	n.quarantine = quarantine.New(quarantine.Config{ID: n.id, Incarnation: n.incarnation})
 	n.executor = n.newExecutor()
@@ -316,7 +319,7 @@
 // SetJoinAddresses replaces the addresses by which the node joins the mesh.
 func (n *Node) SetJoinAddresses(addresses []string) {
 	n.control.Post(func(time.Time) { n.peer.SetJoinAddresses(addresses) })
-	n.quotas.setMembers(addresses)
+	n.members.configure(addresses)
 }
 
 // Follow serves a child of this node in the distribution tree.
--- a/node/quota.go
+++ b/node/quota.go
@@ -69,11 +69,10 @@
 	// waiting holds the requests of each team that wait for a token, in the order of their arrival.
 	waiting map[string][]*quotaWaiter
 	// asking is set while the goroutine of ask runs.
-	asking  bool
-	members []string
+	asking bool
 	// owner is the address of the owner; empty if it is not known.
 	owner string
-	// nextMember is the member that is asked if the owner is not known.
+	// nextMember is the index of the member that is asked if the owner is not known.
 	nextMember int
 	// lostSince is the time since which no request got grants; zero if the last one did. retryDelay is the pause before
 	// the next one.
@@ -93,7 +92,7 @@
 	return &quotas{
 		node: n, logger: n.logger.With().Str("part", "quota").Logger(),
 		holder:  quota.NewHolder(clock.Now(), n.options.QuotaBounds, n.id),
-		waiting: make(map[string][]*quotaWaiter), members: slices.Clone(n.options.Members),
+		waiting: make(map[string][]*quotaWaiter),
 	}
 }
 
@@ -109,13 +108,6 @@
 	q.holder.SetNodes(count)
 }
 
-// setMembers adds further addresses of control members.
-func (q *quotas) setMembers(addresses []string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.members = slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(q.node.options.Members), addresses...))))
-}
-
 func (q *quotas) status() []quota.HoldingStatus {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -363,10 +355,11 @@
 	if q.owner != "" && q.owner != avoided {
 		return q.owner
 	}
-	for range q.members {
-		address := q.members[q.nextMember%len(q.members)]
+	members := q.node.members.addresses()
+	for range members {
+		address := members[q.nextMember%len(members)]
 		q.nextMember++
-		if address != avoided || len(q.members) == 1 {
+		if address != avoided || len(members) == 1 {
 			return address
 		}
 	}
@@ -381,12 +374,14 @@
 	switch {
 	case err != nil:
 		q.node.metrics.quotaAsks.WithLabelValues("failed").Inc()
-		q.owner = ""
+		if q.owner != "" {
+			q.owner, q.nextMember = "", 0
+		}
 		q.avoided, q.avoidedUntil = address, now.Add(quotaAvoidTime)
 	case !reply.IsOwner:
 		q.node.metrics.quotaAsks.WithLabelValues("not-owner").Inc()
 		q.owner = reply.Owner
-		if reply.Owner == "" || reply.Owner == address {
+		if !reply.Outside && (reply.Owner == "" || reply.Owner == address) {
 			q.ownerlessAt = now
 		}
 	default:
