The leader tells seeds outside the group who its members are

Cause: after its restart a control process without a vote asks the seeds for the group, and these were processes like itself. So it knew no member, nor did the nodes that followed it in the distribution tree.

Change: the leader, which has the same seeds, tells those outside the group the members' addresses, once a second. Their join requests then reach it, and its answer has the membership, which they pass on to nodes: those that follow them move to a member, those that join are sent there at once. Such a process opens no links of members.

Evidence: "hears of the members from the leader if the seeds name no member" fails before (no owner is named for 20 s).

--- a/control/automembership.go
+++ b/control/automembership.go
@@ -19,6 +19,9 @@
 	joinInterval = 300 * time.Millisecond
 	// joinRequestTimeout bounds one join request, so that an address that does not answer does not hold up the others.
 	joinRequestTimeout = 500 * time.Millisecond
+	// announceInterval is the time between two announcements of the leader to the seeds outside the group. Nodes that have
+	// just started may know no others, and look for the members for some seconds.
+	announceInterval = time.Second
 )
 
 // ErrRemoved means that the group has replaced this member, which has discarded its state. It joins under a new
@@ -84,6 +87,9 @@
 		age, confirmed := r.raft.ConfirmedAge(now)
 		reply.IsLeader = status.Role == raft.RoleLeader && !status.MembershipPending && confirmed && age < m.maxConfirmationAge()
 		reply.Members = memberAddresses(status)
+		if reply.IsLeader {
+			reply.Membership = &status.Membership
+		}
 		if !reply.IsMember && !request.IsMember {
 			m.candidates.Announce(membership.Candidate{
 				ID: raft.MemberID(request.ID), Address: request.Address, Zone: request.Zone, LastSeen: now,
@@ -109,22 +115,51 @@
 }
 
 // joinGroup sends join requests while this process belongs to no group. A member that knows no leader sends them too:
-// the group may have replaced it while it was stopped.
+// the group may have replaced it while it was stopped. The leader tells the seeds outside the group who its members are.
 func (m *Member) joinGroup() {
 	var known []string
+	var announcedAt time.Time
 	for m.ctx.Err() == nil {
 		var status raft.Status
 		if m.host.Query(m.ctx, func(time.Time) { status = m.replicas[registryGroup].raft.Status() }) != nil {
 			return
 		}
 		_, listed := status.Membership.Find(status.ID)
-		if !listed || status.Leader == "" {
-			known = m.requestJoin(listed, append(known, memberAddresses(status)...))
+		switch {
+		case !listed || status.Leader == "":
+			known = m.requestJoin(listed, slices.Concat(known, memberAddresses(status), m.membersTold()))
+		case status.Role == raft.RoleLeader && time.Since(announcedAt) >= announceInterval:
+			announcedAt = time.Now()
+			m.announceMembers(memberAddresses(status))
 		}
 		sleep(m.ctx, joinInterval)
 	}
 }
 
+// membersTold lists the addresses of members that a leader has sent to this process.
+func (m *Member) membersTold() []string {
+	if told := m.toldMembers.Load(); told != nil {
+		return *told
+	}
+	return nil
+}
+
+// announceMembers tells the seeds outside the group the addresses of the members. After a restart, such a process knows
+// only the seeds, and these may all be outside the group.
+func (m *Member) announceMembers(members []string) {
+	for _, seed := range m.options.Seeds() {
+		if slices.Contains(members, seed) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, joinRequestTimeout)
+		_, err := m.pool.Identify(ctx, seed, &protocol.IdentifyRequest{Members: members})
+		cancel()
+		if err != nil {
+			m.logger.Debug().Err(err).Str("seed", seed).Msg("cannot tell a seed the members")
+		}
+	}
+}
+
 // requestJoin sends a join request to all known addresses and seeds, and to the members that they name, until a leader
 // answers. It returns the addresses of the members. If this process is listed in its own membership but a leader says
 // that it is no member, it stops and discards its state.
@@ -148,23 +183,27 @@
 			return nil
 		}
 		if reply.IsLeader {
-			m.host.Post(func(time.Time) { m.observeLeader(address) })
+			m.host.Post(func(now time.Time) { m.observeGroup(now, address, reply.Membership) })
 			return reply.Members
 		}
 		members = append(members, reply.Members...)
 		addresses = append(addresses, reply.Members...)
 	}
-	m.host.Post(func(time.Time) { m.observeLeader("") })
+	m.host.Post(func(now time.Time) { m.observeGroup(now, "", nil) })
 	return members
 }
 
-// observeLeader takes the address of the leader that has answered a process outside the group, empty if none has. A member
-// knows it from its log.
-func (m *Member) observeLeader(address string) {
+// observeGroup takes what a process outside the group has learned of it: the address of its leader, empty if none has
+// answered, and its membership, nil if that is not known. A member has both from its log.
+func (m *Member) observeGroup(now time.Time, leader string, current *raft.Membership) {
 	r := m.replicas[registryGroup]
-	r.outsideLeader = ""
-	if r.isOutside() {
-		r.outsideLeader = address
+	if !r.isOutside() {
+		r.outsideLeader = ""
+		return
+	}
+	r.outsideLeader = leader
+	if current != nil {
+		m.publishMembers(now, *current)
 	}
 }
 
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -118,6 +118,9 @@
 // join: the reply then describes the registry's group as well.
 func (m *Member) Identify(ctx context.Context, request *protocol.IdentifyRequest) (*protocol.IdentifyReply, error) {
 	reply := &protocol.IdentifyReply{Admin: m.options.AdvertiseAdmin, Zone: m.options.Zone}
+	if len(request.Members) > 0 {
+		m.toldMembers.Store(&request.Members)
+	}
 	if request.ID != "" {
 		m.describeGroup(ctx, request, reply)
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -145,6 +146,8 @@
 	// removed is closed once this member has learned that the group removed its identity.
 	removed    chan struct{}
 	removeOnce sync.Once
+	// toldMembers holds the addresses of members that a leader has sent; nil before.
+	toldMembers atomic.Pointer[[]string]
 }
 
 // New opens the data folders and then forms or rejoins the groups in the background. It returns ErrStorage if a folder
--- a/control/outside_test.go
+++ b/control/outside_test.go
@@ -70,6 +70,25 @@
 			return err == nil && reply.Owner == "" && reply.Outside
 		}, eventuallyTimeout).Should(BeTrue())
 	})
+
+	// Guards against a process that knows no member after its restart, because all seeds are without a vote.
+	It("hears of the members from the leader if the seeds name no member", func() {
+		Eventually(outside, eventuallyTimeout).Should(HaveLen(2))
+		g.seeds = nil
+		for i, m := range g.members {
+			if !m.Lists(m.ID()) {
+				g.seeds = append(g.seeds, g.addresses[i])
+			}
+		}
+		for i, m := range g.members {
+			if !m.Lists(m.ID()) {
+				g.restartWithEmptyDisk(i)
+			}
+		}
+		for _, m := range outside() {
+			Eventually(func() string { return namesOwner(m) }, eventuallyTimeout).Should(Equal(leader()))
+		}
+	})
 })
 
 var _ = Describe("A node", func() {
--- a/coordination/relay/join.go
+++ b/coordination/relay/join.go
@@ -81,8 +81,12 @@
 
 // redirectAddresses reports whether the joiner has to follow another peer, and returns addresses that it may try. Members
 // and joiners of lower order than this peer are always redirected. A joiner of another zone is redirected by a member to
-// the members of the joiner's zone, unless it has set AnyZone, and by a node to nodes of that zone or to members.
+// the members of the joiner's zone, unless it has set AnyZone, and by a node to nodes of that zone or to members. A control
+// process outside the group redirects each joiner to the members that it knows.
 func (p *Peer) redirectAddresses(l *link, join Join) ([]string, bool) {
+	if p.isOutside() {
+		return p.memberAddresses(l.remote.Zone), true
+	}
 	if l.remote.Member || !p.order.Before(l.remote.Order()) {
 		return p.addressesAbove(l.remote.Zone), true
 	}
@@ -109,8 +113,8 @@
 	return addresses
 }
 
-// memberAddresses returns the addresses of the members of a zone. If there are none, a node returns those of all
-// members and a member none.
+// memberAddresses returns the addresses of the members of a zone. If there are none, a member returns none, and any other
+// peer those of all members.
 func (p *Peer) memberAddresses(zone string) []string {
 	var home, all []string
 	for _, m := range p.members {
@@ -122,7 +126,7 @@
 		}
 		all = append(all, m.Address)
 	}
-	if len(home) > 0 || p.config.Member {
+	if len(home) > 0 || p.config.Member && !p.isOutside() {
 		return home
 	}
 	return all
--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -14,9 +14,12 @@
 // to be lost, since a scan costs about 1 ms at 16,000 records.
 const fullScanEvery = 10
 
-// setMembers updates the links of a member to the other members.
+// setMembers updates the links of a member to the other members. A control process that is none has no such links.
 func (p *Peer) setMembers(members []MemberInfo) {
 	p.learnMembers(members)
+	if p.isOutside() {
+		members = nil
+	}
 	known := make(map[string]bool, len(members))
 	for _, m := range members {
 		known[m.ID] = true
@@ -54,6 +57,12 @@
 	}
 }
 
+// isOutside reports whether this peer is a control process that does not belong to the group: it has no state to distribute.
+// One that knows no members yet may be one of them, as the group forms.
+func (p *Peer) isOutside() bool {
+	return p.config.Member && len(p.members) > 0 && !p.isMember(p.config.ID)
+}
+
 func (p *Peer) knowsHomeMember() bool {
 	return slices.ContainsFunc(p.members, func(m MemberInfo) bool { return m.Zone == p.config.Zone })
 }
@@ -70,6 +79,9 @@
 
 // dialMembers dials the members with a smaller ID to which there is no link.
 func (p *Peer) dialMembers() {
+	if p.isOutside() {
+		return
+	}
 	for _, m := range p.members {
 		if m.ID >= p.config.ID || p.memberLink(m.ID) != nil || p.now.Before(p.nextRedial[m.ID]) {
 			continue
--- a/coordination/relay/scenario_test.go
+++ b/coordination/relay/scenario_test.go
@@ -672,3 +672,38 @@
 		s.checkTree(0)
 	})
 })
+
+var _ = Describe("A control process outside the group", func() {
+	// outside adds a control process that knows the given members and is none of them.
+	outside := func(s *sim, knows []relay.MemberInfo) {
+		members := s.members
+		h := s.add("o", "z0", true)
+		s.withoutQuorum["o"], s.members = true, knows
+		s.start(h)
+		s.members = members
+	}
+
+	// Guards against nodes that follow such a process, which has nothing to tell them, until its silence shows.
+	It("sends nodes that join to the members at once", func() {
+		s := fastMesh(1)
+		outside(s, s.members)
+		node := s.add("n", "z0", false, "o")
+		node.config = shortIntervals
+		s.start(node)
+		const joinJitter = 200 * time.Millisecond // by shortIntervals; as much again for the messages
+		s.await(2*joinJitter, func() bool { return node.inForce > 0 })
+		Expect(node.peer.Status().Parent).NotTo(Equal("o"))
+	})
+
+	// Guards against nodes that stay with such a process when the seeds name no other.
+	It("loses the nodes that follow it to the members once it knows them", func() {
+		s := settledMesh(1, 3, 2)
+		outside(s, nil)
+		node := s.add("n", "z0", false, "o")
+		s.start(node)
+		s.run(s.now + 3*time.Second)
+		Expect(node.inForce).To(BeZero())
+		s.hosts["o"].peer.SetMembers(s.localTime(s.hosts["o"]), s.members)
+		s.await(3*time.Second, func() bool { return node.inForce > 0 })
+	})
+})
--- a/protocol/control.go
+++ b/protocol/control.go
@@ -63,6 +63,8 @@
 	Zone    string `cbor:"3,keyasint,omitempty"`
 	// IsMember is set if the sender's log lists it as a member: it asks whether it still is one, and not to join.
 	IsMember bool `cbor:"4,keyasint,omitempty"`
+	// Members is set by a leader that does not ask, but tells a process outside the group the members' mesh addresses.
+	Members []string `cbor:"5,keyasint,omitempty"`
 }
 
 // GroupIdentity describes a member's replica of one raft group.
@@ -90,6 +92,8 @@
 	Members []string `cbor:"6,keyasint,omitempty"`
 	// IsMember is set if the process that sent the request is one of Members.
 	IsMember bool `cbor:"7,keyasint,omitempty"`
+	// Membership is that of the registry's group. It is set if IsLeader is.
+	Membership *raft.Membership `cbor:"8,keyasint,omitempty"`
 }
 
 // LedgerIndex returns the ledger group, from 0 to groups-1, that holds the idempotency key of an irreversible call.
