A bundle states whom it admits, whatever the number of its teams

Cause: that callers need a key was kept nowhere. The platform's translation, the encoding of files and the node's index of keys each derived it from the number of teams, so that an empty table and none were the same from the boundary on. Ruled out: the distribution of the version; all nodes had it in force.

Change: Bundle.Access, settled once when a bundle enters, and asked by all that needs it. Its encoding is that of former releases wherever they can tell it, so that their bundles keep digest and meaning. Keys without a team are a part, and in files a field, that former releases refuse: none of them opens the mesh.

Fixtures that set teams on a canonical bundle set the access too; "reports all problems of all files" names the new field in its list.

--- a/coordination/relay/bundles.go
+++ b/coordination/relay/bundles.go
@@ -306,25 +306,13 @@
 
 // checkNames checks that the parts have the names that the manifest lists in the same order.
 func checkNames(manifest bundle.Manifest, b *bundle.Bundle) error {
-	names := make([]string, 0, len(manifest.Entries))
-	for _, service := range b.Services {
-		names = append(names, service.Name)
-	}
-	for _, route := range b.Routes {
-		names = append(names, route.Name)
-	}
-	for _, resource := range b.Resources {
-		names = append(names, resource.Name)
-	}
-	for _, team := range b.Teams {
-		names = append(names, team.Name)
-	}
-	if !invariant.Check(len(names) == len(manifest.Entries), invariant.PartialApply, "bundle lacks parts of its manifest",
-		map[string]any{"parts": len(names), "entries": len(manifest.Entries)}) {
+	ids := b.PartIDs()
+	if !invariant.Check(len(ids) == len(manifest.Entries), invariant.PartialApply, "bundle lacks parts of its manifest",
+		map[string]any{"parts": len(ids), "entries": len(manifest.Entries)}) {
 		return bundle.ErrMissingPart
 	}
 	for i, entry := range manifest.Entries {
-		if entry.ID.Name != names[i] {
+		if entry.ID != ids[i] {
 			return errors.Wrapf(ErrPartName, "%s", entry.ID.Name)
 		}
 	}
--- a/ctl/approve.go
+++ b/ctl/approve.go
@@ -94,7 +94,10 @@
 	if r.wait && a.output == outputJSON {
 		return a.watch(c, client, approval.Version)
 	}
-	if err := a.print(c, decision, func(w io.Writer) { printDecision(w, decision, approval.Version) }); err != nil {
+	if err := a.print(c, decision, func(w io.Writer) {
+		printDecision(w, decision, approval.Version)
+		fmt.Fprintf(w, "access %s\n", b.bundle.Access.Describe())
+	}); err != nil {
 		return err
 	}
 	if r.wait {
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -89,17 +89,19 @@
 	Routes    int           `json:"routes"`
 	Resources int           `json:"resources"`
 	Teams     int           `json:"teams"`
+	Access    bundle.Access `json:"access"`
 	File      string        `json:"file,omitempty"`
 }
 
 func (b builtBundle) summary(file string) summary {
 	return summary{Digest: b.update.Target, Services: len(b.bundle.Services), Routes: len(b.bundle.Routes),
-		Resources: len(b.bundle.Resources), Teams: len(b.bundle.Teams), File: file}
+		Resources: len(b.bundle.Resources), Teams: len(b.bundle.Teams), Access: b.bundle.Access, File: file}
 }
 
 func (s summary) print(w io.Writer) {
 	fmt.Fprintf(w, "digest\t%s\n", s.Digest)
 	fmt.Fprintf(w, "content\t%d services, %d routes, %d resources, %d teams\n", s.Services, s.Routes, s.Resources, s.Teams)
+	fmt.Fprintf(w, "access\t%s\n", s.Access.Describe())
 	if s.File != "" {
 		fmt.Fprintf(w, "file\t%s\n", s.File)
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -134,7 +134,11 @@
 	if n.options.OnApplied != nil {
 		n.options.OnApplied(output.Approval, output.Bundle, time.Now())
 	}
-	n.logger.Info().Uint64("version", next.version).Str("digest", next.digest.Short()).Msg("bundle in force")
+	event := n.logger.Info()
+	if previous != nil && previous.access.NeedsKey() && !next.access.NeedsKey() {
+		event = n.logger.Warn().Str("former_access", string(previous.access))
+	}
+	event.Uint64("version", next.version).Str("digest", next.digest.Short()).Str("access", string(next.access)).Msg("bundle in force")
 }
 
 // knownEndpoint is what the balancer was last told of an endpoint.
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -75,7 +75,7 @@
 		member := owner.server.Address()
 		f = newFixture(true, member, 4, func(http.ResponseWriter, *http.Request) {}, func(o *node.Options) { o.QuotaBounds = quotaBounds })
 		b := testBundle()
-		b.Teams = []bundle.Team{team}
+		b.Teams, b.Access = []bundle.Team{team}, bundle.AccessKeys
 		Expect(f.ingress.PutInForce(bundle.Approval{Version: 2}, b)).To(Succeed())
 	})
 
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -22,7 +22,8 @@
 	// maxBodyBytes bounds request bodies on routes that set no limit; 0 means that Limits.MaxBodyBytes applies.
 	maxBodyBytes int64
 	policies     map[string]*routePolicy
-	// teams holds the callers' teams by the digests of their keys; nil if callers need no key.
+	access       bundle.Access
+	// teams holds the callers' teams by the digests of their keys.
 	teams map[bundle.KeyDigest]*bundle.Team
 	// since is the time at which this node put the version into force.
 	since time.Time
@@ -66,6 +67,7 @@
 		routes:   routes,
 		services: make(map[string]bundle.Service, len(b.Services)),
 		policies: make(map[string]*routePolicy, len(b.Routes)),
+		access:   b.Access,
 		teams:    teamsByKey(b),
 		since:    now,
 	}
--- a/node/team.go
+++ b/node/team.go
@@ -29,7 +29,7 @@
 
 // checkTeam returns why a caller is refused whose key is that of a team; team is nil if its request has no known key.
 func (n *Node) checkTeam(team *bundle.Team, public bool, current *snapshot) protocol.Reason {
-	if current.teams == nil {
+	if !current.access.NeedsKey() {
 		return protocol.ReasonNone
 	}
 	limits := n.options.KeyLimits
@@ -48,7 +48,7 @@
 // teamOf returns the team whose key the values of headerKey hold; nil if there is none. Several values name no team, since
 // the processes on the way could choose different ones.
 func (s *snapshot) teamOf(values []string) *bundle.Team {
-	if s.teams == nil || len(values) != 1 {
+	if len(values) != 1 {
 		return nil
 	}
 	scheme, key, _ := strings.Cut(values[0], " ")
@@ -85,11 +85,8 @@
 	}
 }
 
-// teamsByKey returns the teams of a bundle by the digests of their keys; nil if the bundle has no team.
+// teamsByKey returns the teams of a bundle by the digests of their keys.
 func teamsByKey(b *bundle.Bundle) map[bundle.KeyDigest]*bundle.Team {
-	if len(b.Teams) == 0 {
-		return nil
-	}
 	teams := make(map[bundle.KeyDigest]*bundle.Team, len(b.Teams))
 	for i := range b.Teams {
 		for _, key := range b.Teams[i].Keys {
@@ -106,7 +103,7 @@
 	fields := []string{
 		dialect.Deadline, dialect.Depth, dialect.Retry, dialect.RequestID, dialect.ExpectUpstream, dialect.Team,
 	}
-	if c.snapshot.teams != nil {
+	if c.snapshot.access.NeedsKey() {
 		fields = append(fields, headerKey)
 	}
 	return fields
--- a/node/team_test.go
+++ b/node/team_test.go
@@ -23,7 +23,7 @@
 // teamBundle returns testBundle with teams; /small is public.
 func teamBundle(teams ...bundle.Team) *bundle.Bundle {
 	b := testBundle()
-	b.Teams = teams
+	b.Teams, b.Access = teams, bundle.AccessKeys
 	for i := range b.Routes {
 		b.Routes[i].Public = b.Routes[i].Name == "small"
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -338,7 +338,7 @@
 		r.submitted++
 		r.submittedBundle = newBundle(r.submitted, r.furtherRoutes, r.options.routeDeadline())
 		if r.options.Teams {
-			r.submittedBundle.Teams = soakTeams(r.submitted)
+			r.submittedBundle.Teams, r.submittedBundle.Access = soakTeams(r.submitted), bundle.AccessKeys
 			bundle.Canonicalize(r.submittedBundle)
 		}
 		r.newest.Store(r.submitted)
--- a/state/bundle/bundle.go
+++ b/state/bundle/bundle.go
@@ -55,8 +55,9 @@
 	Services  []Service  `json:"services" cbor:"1,keyasint"`
 	Routes    []Route    `json:"routes" cbor:"2,keyasint"`
 	Resources []Resource `json:"resources" cbor:"3,keyasint"`
-	// Teams are the groups of callers. If there is any, requests on routes that are not public need a key of a team.
-	Teams []Team `json:"teams,omitempty" cbor:"4,keyasint,omitempty"`
+	Teams     []Team     `json:"teams,omitempty" cbor:"4,keyasint,omitempty"`
+	// Access is set in canonical form.
+	Access Access `json:"access,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Team is a group of callers who share a priority and a quota. Its callers identify themselves by one of its keys.
--- a/state/bundle/canonical.go
+++ b/state/bundle/canonical.go
@@ -7,13 +7,14 @@
 	"strings"
 )
 
-// Canonicalize sorts all lists and normalizes header and host names in place, so that equal configurations have equal
-// digests.
+// Canonicalize sorts all lists, normalizes header and host names and sets the access in place, so that equal configurations
+// have equal digests.
 func Canonicalize(b *Bundle) {
 	slices.SortStableFunc(b.Services, func(x, y Service) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Resources, func(x, y Resource) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
+	b.settleAccess()
 	for i := range b.Routes {
 		canonicalizeRoute(&b.Routes[i])
 	}
--- a/state/bundle/changes.go
+++ b/state/bundle/changes.go
@@ -50,10 +50,11 @@
 	return text.String()
 }
 
-// Changes lists the differences between two bundles, which must be in canonical form: services, then routes, then
-// resources, then teams, each sorted by name. Keys are shown by their digests.
+// Changes lists the differences between two bundles, which must be in canonical form: the access, then services, routes,
+// resources and teams, each sorted by name. Keys are shown by their digests.
 func Changes(from, to *Bundle) []Change {
-	changes := changesOf("service", from.Services, to.Services, func(s Service) string { return s.Name })
+	changes := accessChange(from, to)
+	changes = append(changes, changesOf("service", from.Services, to.Services, func(s Service) string { return s.Name })...)
 	changes = append(changes, changesOf("route", from.Routes, to.Routes, func(r Route) string { return r.Name })...)
 	changes = append(changes,
 		changesOf("resource", from.Resources, to.Resources, func(r Resource) string { return r.Name })...)
--- a/state/bundle/load.go
+++ b/state/bundle/load.go
@@ -29,7 +29,7 @@
 		}
 		b, faults := Parse(name, data)
 		problems = append(problems, faults...)
-		merged.append(b, name, &from)
+		problems = append(problems, merged.append(b, name, &from)...)
 	}
 	problems = append(problems, validate(merged, from)...)
 	if len(merged.Services) == 0 {
@@ -70,8 +70,8 @@
 	return io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
 }
 
-// append adds the items of one file and records their origins.
-func (b *Bundle) append(other *Bundle, file string, from *origins) {
+// append adds the content of one file and records the origins. It returns what contradicts the files before.
+func (b *Bundle) append(other *Bundle, file string, from *origins) Problems {
 	for i, service := range other.Services {
 		b.Services = append(b.Services, service)
 		from.services = append(from.services, origin{file: file, index: i})
@@ -84,10 +84,14 @@
 		b.Resources = append(b.Resources, resource)
 		from.resources = append(from.resources, origin{file: file, index: i})
 	}
+	if other.Teams != nil && b.Teams == nil {
+		b.Teams = []Team{}
+	}
 	for i, team := range other.Teams {
 		b.Teams = append(b.Teams, team)
 		from.teams = append(from.teams, origin{file: file, index: i})
 	}
+	return b.mergeAccess(other, file, from)
 }
 
 // Parse decodes the content of one bundle file. Unknown fields and duplicate keys are rejected. The returned
@@ -114,6 +118,7 @@
 		Routes:    append([]Route{}, b.Routes...),
 		Resources: append([]Resource{}, b.Resources...),
 		Teams:     b.Teams,
+		Access:    b.encodedAccess(),
 	}
 	data, err := json.MarshalIndent(full, "", "  ")
 	return append(data, '\n'), errors.Wrap(err, "bundle: format")
--- a/state/bundle/load_test.go
+++ b/state/bundle/load_test.go
@@ -59,7 +59,7 @@
 			`a.json: extra: got duplicate key, allowed: each key once`,
 			`a.json: services[0].slots: got unknown field, allowed: one of name, max_concurrency, queue_limit, slow_start_ms, ` +
 				`health_path, max_connections, protocol, tls`,
-			`a.json: extra: got unknown field, allowed: one of services, routes, resources, teams`,
+			`a.json: extra: got unknown field, allowed: one of services, routes, resources, teams, access`,
 			`b/c.json: routes[1].max_body_bytes: got "1", allowed: an integer of 64 bits`,
 			`d.json: line 2, column 13: got invalid character ',' looking for beginning of value, allowed: valid JSON`,
 			`a.json: services[1].name: got "rank", allowed: a name that no other entry of the list has`,
--- a/state/bundle/part.go
+++ b/state/bundle/part.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +61,8 @@
 	KindRoute
 	KindResource
 	KindTeam
+	// KindAccess is the kind of the part that states the access of a bundle without teams that needs keys.
+	KindAccess
 )
 
 // PartID identifies a part within a bundle.
@@ -73,7 +76,7 @@
 	return cmp.Or(cmp.Compare(p.Kind, other.Kind), cmp.Compare(p.Name, other.Name))
 }
 
-// Part is the canonical encoding of one service, route, resource or team, addressed by its digest.
+// Part is the canonical encoding of one service, route, resource or team, or of the access, addressed by its digest.
 type Part struct {
 	Digest Digest `cbor:"1,keyasint"`
 	Data   []byte `cbor:"2,keyasint"`
@@ -137,39 +140,55 @@
 	return Part{Digest: sha256.Sum256(data), Data: data}, nil
 }
 
-// Split encodes the services, routes, resources and teams of a bundle as parts, and returns them with the manifest that lists
-// them.
-func Split(b *Bundle) ([]Part, Manifest, error) {
-	var parts []Part
-	var manifest Manifest
-	add := func(kind Kind, name string, value any) error {
-		part, err := encodePart(value)
-		if err != nil {
-			return err
+// eachPart returns a sequence of the parts of a bundle: their identifiers and what they encode.
+func (b *Bundle) eachPart() iter.Seq2[PartID, any] {
+	return func(yield func(PartID, any) bool) {
+		for i := range b.Services {
+			if !yield(PartID{Kind: KindService, Name: b.Services[i].Name}, &b.Services[i]) {
+				return
+			}
 		}
-		parts = append(parts, part)
-		manifest.Entries = append(manifest.Entries, Entry{ID: PartID{Kind: kind, Name: name}, Digest: part.Digest})
-		return nil
-	}
-	for _, service := range b.Services {
-		if err := add(KindService, service.Name, service); err != nil {
-			return nil, Manifest{}, err
+		for i := range b.Routes {
+			if !yield(PartID{Kind: KindRoute, Name: b.Routes[i].Name}, &b.Routes[i]) {
+				return
+			}
 		}
-	}
-	for _, route := range b.Routes {
-		if err := add(KindRoute, route.Name, route); err != nil {
-			return nil, Manifest{}, err
+		for i := range b.Resources {
+			if !yield(PartID{Kind: KindResource, Name: b.Resources[i].Name}, &b.Resources[i]) {
+				return
+			}
 		}
-	}
-	for _, resource := range b.Resources {
-		if err := add(KindResource, resource.Name, resource); err != nil {
-			return nil, Manifest{}, err
+		for i := range b.Teams {
+			if !yield(PartID{Kind: KindTeam, Name: b.Teams[i].Name}, &b.Teams[i]) {
+				return
+			}
+		}
+		if access := b.encodedAccess(); access != "" {
+			yield(PartID{Kind: KindAccess, Name: accessPartName}, &accessPart{Name: accessPartName, Access: access})
 		}
 	}
-	for _, team := range b.Teams {
-		if err := add(KindTeam, team.Name, team); err != nil {
+}
+
+// PartIDs lists the identifiers of the parts of a bundle; those of one in canonical form are sorted.
+func (b *Bundle) PartIDs() []PartID {
+	var ids []PartID
+	for id := range b.eachPart() {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Split encodes a bundle as parts, and returns them with the manifest that lists them.
+func Split(b *Bundle) ([]Part, Manifest, error) {
+	var parts []Part
+	var manifest Manifest
+	for id, value := range b.eachPart() {
+		part, err := encodePart(value)
+		if err != nil {
 			return nil, Manifest{}, err
 		}
+		parts = append(parts, part)
+		manifest.Entries = append(manifest.Entries, Entry{ID: id, Digest: part.Digest})
 	}
 	manifest.sort()
 	return parts, manifest, nil
@@ -209,10 +228,13 @@
 			return nil, err
 		}
 	}
+	if err := b.finishAccess(); err != nil {
+		return nil, err
+	}
 	return b, nil
 }
 
-// decodePart appends the value of a part to the list of its kind.
+// decodePart appends the value of a part to the list of its kind, or sets the access.
 func (b *Bundle) decodePart(id PartID, data []byte) error {
 	switch id.Kind {
 	case KindService:
@@ -223,6 +245,8 @@
 		return appendDecoded(&b.Resources, id, data, func(r *Resource) string { return r.Name })
 	case KindTeam:
 		return appendDecoded(&b.Teams, id, data, func(t *Team) string { return t.Name })
+	case KindAccess:
+		return b.decodeAccess(id, data)
 	default:
 		return errors.Wrapf(ErrUnknownKind, "%d", id.Kind)
 	}
--- a/state/bundle/store_test.go
+++ b/state/bundle/store_test.go
@@ -14,6 +14,7 @@
 			{Name: "lookup", Service: "rank", Class: bundle.ClassLookup, DeadlineMs: deadlineMs},
 			{Name: "promote", Service: "promotion", Class: bundle.ClassIrreversible, DeadlineMs: 2000},
 		},
+		Access: bundle.AccessOpen,
 	}
 }
 
--- a/state/bundle/team_test.go
+++ b/state/bundle/team_test.go
@@ -1,6 +1,7 @@
 package bundle_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -49,7 +50,7 @@
 	})
 })
 
-// Guards against a team, key or public route that is lost or changed between the operator's bundle and a node's.
+// Guards against a team, key, access or public route that is lost or changed between the operator's bundle and a node's.
 func TestTeamsSurviveDistribution(t *testing.T) {
 	draw := func(t *rapid.T, label string) *bundle.Bundle {
 		b := &bundle.Bundle{Services: []bundle.Service{{Name: "s"}}}
@@ -65,6 +66,9 @@
 			}
 			b.Teams = append(b.Teams, team)
 		}
+		if len(names) == 0 {
+			b.Access = rapid.SampledFrom([]bundle.Access{"", bundle.AccessOpen, bundle.AccessKeys}).Draw(t, "access")
+		}
 		bundle.Canonicalize(b)
 		return b
 	}
@@ -85,6 +89,7 @@
 		assembled, err := bundle.Assemble(applied, func(d bundle.Digest) ([]byte, bool) { data, ok := content[d]; return data, ok })
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(assembled.Teams).To(BeComparableTo(to.Teams))
+		g.Expect(assembled.Access).To(Equal(to.Access))
 		g.Expect(assembled.Routes).To(Equal(to.Routes))
 		text, err := bundle.Format(assembled)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -95,3 +100,100 @@
 		g.Expect(again.Digest()).To(Equal(target.Digest()))
 	})
 }
+
+var _ = Describe("access", func() {
+	// Guards against a mesh that is open to every caller once the last team has been removed, and against one that is closed,
+	// or has another digest, because it has never had a team.
+	DescribeTable("follows from what a bundle states, never from the number of its teams", func(want bundle.Access, files ...string) {
+		folder := GinkgoT().TempDir()
+		writeFile(folder, "0.json", `{"services":[{"name":"s"}]}`)
+		for i, content := range files {
+			writeFile(folder, strconv.Itoa(i+1)+".json", content)
+		}
+		b, err := bundle.Load(folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Access).To(Equal(want))
+		text, err := bundle.Format(b)
+		Expect(err).NotTo(HaveOccurred())
+		writeFile(folder, "0.json", string(text))
+		for i := range files {
+			writeFile(folder, strconv.Itoa(i+1)+".json", "{}")
+		}
+		again, err := bundle.Load(folder)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Access).To(Equal(want))
+		Expect(fullUpdate(again).Target).To(Equal(fullUpdate(b).Target))
+	},
+		Entry("no list of teams", bundle.AccessOpen),
+		Entry("open, without a list", bundle.AccessOpen, `{"access":"open"}`),
+		Entry("an empty list", bundle.AccessKeys, `{"teams":[]}`),
+		Entry("an empty list beside files without one", bundle.AccessKeys, `{"routes":[]}`, `{"teams":[]}`, `{}`),
+		Entry("keys, without a list", bundle.AccessKeys, `{"access":"keys"}`),
+		Entry("keys in two files", bundle.AccessKeys, `{"access":"keys"}`, `{"access":"keys","teams":[]}`),
+		Entry("a team without keys", bundle.AccessKeys, `{"teams":[{"name":"t"}]}`),
+		Entry("a team with an empty list of keys", bundle.AccessKeys, `{"teams":[{"name":"t","keys":[]}]}`),
+		Entry("a team with a key", bundle.AccessKeys, `{"access":"keys"}`, `{"teams":[{"name":"t","keys":["k"]}]}`),
+	)
+
+	DescribeTable("that cannot be told is refused", func(line string, files ...string) {
+		folder := GinkgoT().TempDir()
+		writeFile(folder, "0.json", `{"services":[{"name":"s"}]}`)
+		for i, content := range files {
+			writeFile(folder, strconv.Itoa(i+1)+".json", content)
+		}
+		_, err := bundle.Load(folder)
+		Expect(err).To(MatchError(ContainSubstring(line)))
+	},
+		Entry("null", `1.json: teams: got null, allowed: a list`, `{"teams":null}`),
+		Entry("null as access", `1.json: access: got null`, `{"access":null}`),
+		Entry("another access", `1.json: access: got "key", allowed: one of "open", "keys", or no value`, `{"access":"key"}`),
+		Entry("open beside a team", `1.json: access: got "open", allowed: one of "keys", or no value, beside teams`,
+			`{"access":"open","teams":[{"name":"t","keys":["k"]}]}`),
+		Entry("open beside an empty list of another file", `1.json: access: got "open"`, `{"access":"open"}`, `{"teams":[]}`),
+		Entry("two that differ", `2.json: access: got "open", allowed: "keys" as in 1.json, or no value`, `{"access":"keys"}`, `{"access":"open"}`),
+	)
+
+	It("is named first among the changes", func() {
+		team := &bundle.Bundle{Teams: []bundle.Team{{Name: "t", Keys: []string{"k"}}}}
+		none := &bundle.Bundle{}
+		bundle.Canonicalize(team)
+		bundle.Canonicalize(none)
+		changes := bundle.Changes(team, none)
+		Expect(changes).To(HaveLen(2))
+		Expect(changes[0].String()).To(Equal(
+			"~ access of callers\n    access: keys (callers need a key of a team) -> open (callers need no key)"))
+		Expect(bundle.Changes(team, &bundle.Bundle{Access: bundle.AccessKeys})).To(HaveLen(1), "the team alone")
+	})
+
+	// Guards against bundles of former releases that get another meaning or digest, and against nodes of these releases that
+	// take a bundle for an open one because they do not see its access.
+	It("changes no encoding of a bundle that former releases can tell", func() {
+		digest := func(b *bundle.Bundle) string {
+			bundle.Canonicalize(b)
+			return fullUpdate(b).Target.Short()
+		}
+		services := []bundle.Service{{Name: "s"}}
+		team := []bundle.Team{{Name: "t", Keys: []string{"k"}}}
+		Expect(digest(&bundle.Bundle{Services: services})).To(Equal("b1600873ea9a"))
+		Expect(digest(&bundle.Bundle{Services: services, Teams: team})).To(Equal("2d163c09ac99"))
+		Expect(digest(&bundle.Bundle{Services: services, Teams: team, Access: bundle.AccessKeys})).To(Equal("2d163c09ac99"))
+		closed := &bundle.Bundle{Services: services, Access: bundle.AccessKeys}
+		parts, manifest, err := bundle.Split(closed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(manifest.Entries[1].ID.Kind).To(Equal(bundle.KindAccess), "a kind that these releases refuse")
+		text, err := bundle.Format(closed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring(`"access": "keys"`), "a field that these releases refuse")
+
+		// A second encoding of one access would be a second digest.
+		withTeam, teamManifest, err := bundle.Split(&bundle.Bundle{Services: services, Teams: team})
+		Expect(err).NotTo(HaveOccurred())
+		content := make(map[bundle.Digest][]byte)
+		for _, part := range append(parts, withTeam...) {
+			content[part.Digest] = part.Data
+		}
+		both := bundle.Manifest{Entries: append(teamManifest.Entries, manifest.Entries[1])}
+		_, err = bundle.Assemble(both, func(d bundle.Digest) ([]byte, bool) { data, ok := content[d]; return data, ok })
+		Expect(err).To(MatchError(bundle.ErrNotCanonical))
+	})
+})
--- a/state/bundle/validate.go
+++ b/state/bundle/validate.go
@@ -32,10 +32,11 @@
 	index int
 }
 
-// origins holds the origins of the items of a bundle, in the order of the bundle's lists. The lists are nil if the
-// bundle was not loaded from files.
+// origins holds the origins of the items of a bundle, in the order of the bundle's lists, and the file that states the
+// access. The lists are nil if the bundle was not loaded from files.
 type origins struct {
 	services, routes, resources, teams []origin
+	access                             string
 }
 
 // location is the file and the field path of a value, as a Problem reports them.
@@ -92,6 +93,7 @@
 		v.checkRoute(itemLocation("routes", from.routes, i), &b.Routes[i], names)
 	}
 	v.checkTeams()
+	v.checkAccess()
 	v.checkAmbiguousMatches()
 	return v.problems
 }
--- a/state/registry/registry_suite_test.go
+++ b/state/registry/registry_suite_test.go
@@ -48,6 +48,7 @@
 		Services: []bundle.Service{{Name: "ledger"}, {Name: "rank", QueueLimit: number}},
 		Routes: []bundle.Route{{Name: "lookup", Service: "rank", Class: bundle.ClassLookup, DeadlineMs: 100,
 			Match: bundle.Match{PathPrefix: "/rank"}}},
+		Access: bundle.AccessOpen,
 	}
 }
 
