A node without a configuration tells no outcomes

Callers: a node that had just started answered a question for the outcome of an irreversible request with the recorded response, to anyone and without a key, until its first version was in force.

Requests were refused as not ready already.

Evidence: "tells no outcome before it has a configuration" fails before (200 where 503 is wanted).

--- a/node/response.go
+++ b/node/response.go
@@ -415,11 +415,13 @@
 
 // serveOutcome responds to a caller that asks for the outcome of an earlier irreversible request.
 func (n *Node) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	reason := protocol.ReasonNotReady // Without a configuration, whether callers need a key is not known.
 	if current := n.snapshot.Load(); current != nil {
-		if reason := n.checkTeam(current.teamOf(r.Header[headerKey]), false, current); reason != protocol.ReasonNone {
-			n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), retry.Refusal{})
-			return
-		}
+		reason = n.checkTeam(current.teamOf(r.Header[headerKey]), false, current)
+	}
+	if reason != protocol.ReasonNone {
+		n.writeOutcome(w, protocol.OutcomeUnknown, reason, refusalStatusCode(reason), retry.Refusal{})
+		return
 	}
 	key := r.URL.Query().Get("key")
 	if key == "" || len(key) > maxKeyBytes {
--- a/node/team_test.go
+++ b/node/team_test.go
@@ -35,12 +35,14 @@
 	const key, bearer = "secret-key-1", "Bearer secret-key-1"
 	alpha := bundle.Team{Name: "alpha", Keys: []string{key, "secret-key-2"}, Priority: 3}
 	var logs *logBuffer
+	var member string // the ledger's address
 
 	// start returns a fixture with team alpha, whose upstream responds with the team, the key and the trailers that it got.
 	start := func(remote bool, configure ...func(*node.Options)) *fixture {
 		logs = &logBuffer{}
 		configure = append(configure, func(o *node.Options) { o.Logger = zerolog.New(logs) })
-		f := newFixture(remote, newFakeLedger().server.Address(), 4, func(w http.ResponseWriter, r *http.Request) {
+		member = newFakeLedger().server.Address()
+		f := newFixture(remote, member, 4, func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			fmt.Fprint(w, r.Header["Sapphire-Team"], r.Header["Authorization"], r.Trailer)
 		}, configure...)
@@ -114,6 +116,27 @@
 		Entry("of a buffered body, through another node", true, 10), Entry("of a streamed body, through another node", true, 80_000),
 	)
 
+	// Guards against a node that has just started and reads out the response to another caller's request, although it does not
+	// know yet whether callers need a key.
+	It("tells no outcome before it has a configuration", func() {
+		f := start(false)
+		Expect(f.post("/promote", "", "Authorization", bearer, protocol.HeaderIdempotencyKey, "k1").status).To(Equal(http.StatusOK))
+		callers := listen()
+		started := node.New(node.Options{
+			ID: "started", Zone: "a", Callers: callers, Mesh: listen(), Admin: listen(), Members: []string{member},
+			Keys: bundle.NewKeyring(nil), Logger: zerolog.Nop(),
+		})
+		started.Start()
+		DeferCleanup(started.Kill)
+		outcome := func(callers string) callResult {
+			return (&fixture{client: f.client, callers: callers}).post(node.PathOutcome+"?key=k1", "")
+		}
+		got := outcome(callers.Addr().String())
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get(protocol.HeaderReason)).To(Equal(string(protocol.ReasonNotReady)))
+		Expect(outcome(f.callers).status).To(Equal(http.StatusUnauthorized))
+	})
+
 	// Guards against a key that works on as long as its caller keeps the connection.
 	It("refuses a removed key on a connection that is open", func() {
 		f := start(true)
