With revoke_strict, an open configuration gets old like one with keys

Callers: with revoke_strict, a node that was cut off under a configuration without teams went on running every request, however long ago that configuration had been confirmed, although teams may have come since. Under one with teams it refused all requests after revoke_within.

Cause: without teams, checkTeam left out both limits of age. Now each answer has its limit, whatever the access: to admit a caller revoke_within, to answer 401 apply_within.

Evidence: "judges requests without a key by how recently an open configuration was confirmed, long ago, strict" fails before (200, 503 wanted).

--- a/node/team.go
+++ b/node/team.go
@@ -23,21 +23,20 @@
 	// know whether an unknown key was added since: it refuses the request as not run. 0 sets no limit.
 	AddedWithin time.Duration
 	// RevokedWithin is the time after which a removed key must no longer be accepted. 0 sets no limit. A node with an older
-	// confirmation refuses all requests that need a key: a key that it knows may have been removed since.
+	// confirmation admits nobody to routes that are not public: a key that it knows may have been removed since, and so may
+	// the access of all callers.
 	RevokedWithin time.Duration
 }
 
-// checkTeam returns why a caller is refused whose key is that of a team; team is nil if its request has no known key.
+// checkTeam returns why a caller is refused whose key is that of a team; team is nil if its request has no known key. To admit
+// a caller rests on what may have been removed since the configuration was confirmed, to refuse one on what may have been added.
 func (n *Node) checkTeam(team *bundle.Team, public bool, current *snapshot) protocol.Reason {
-	if !current.access.NeedsKey() {
-		return protocol.ReasonNone
-	}
 	limits := n.options.KeyLimits
 	if !public && limits.RevokedWithin > 0 && n.confirmedAge() > limits.RevokedWithin {
 		return protocol.ReasonUnconfirmed
 	}
 	switch {
-	case team != nil || public:
+	case team != nil || public || !current.access.NeedsKey():
 		return protocol.ReasonNone
 	case limits.AddedWithin > 0 && n.confirmedAge() > limits.AddedWithin:
 		return protocol.ReasonUnconfirmed
--- a/node/team_test.go
+++ b/node/team_test.go
@@ -193,6 +193,23 @@
 		Entry("never, strict", node.KeyLimits{RevokedWithin: time.Second}, time.Duration(0), 503, 503),
 	)
 
+	// Guards against a node out of touch that goes on admitting every caller although a list of teams may have come since.
+	DescribeTable("judges requests without a key by how recently an open configuration was confirmed",
+		func(limits node.KeyLimits, age time.Duration, status int) {
+			f := start(false)
+			b := teamBundle()
+			b.Access = bundle.AccessOpen
+			Expect(f.ingress.PutInForce(bundle.Approval{Version: 3}, b)).To(Succeed())
+			f.ingress.SetKeyLimits(limits)
+			f.ingress.SetConfirmedAge(age)
+			Expect(f.post("/lookup", "").status).To(Equal(status))
+			Expect(f.post("/small", "").status).To(Equal(http.StatusOK), "a public route")
+		},
+		Entry("recently", node.KeyLimits{AddedWithin: time.Second, RevokedWithin: time.Minute}, 10*time.Second, 200),
+		Entry("long ago", node.KeyLimits{AddedWithin: time.Second}, time.Hour, 200),
+		Entry("long ago, strict", node.KeyLimits{AddedWithin: time.Second, RevokedWithin: 2 * time.Second}, time.Minute, 503),
+	)
+
 	It("does not let a team use the idempotency key of another team's request", func() {
 		f := start(false)
 		beta := bundle.Team{Name: "beta", Keys: []string{"b"}}
