A configuration that names something twice is refused

Operators: a configuration with two tables of teams, or two routes of one name, was acknowledged. The tables were joined, so that {"Tenants":{"a":...},"Tenants":{}} had team a; of two routes the last one counted. Which was meant cannot be told.

Cause: encoding/json accepts repeated keys. The bundle files' decoder refuses them already; its check now serves the platform's operators too. Unknown fields are let through as before.

Evidence: "refuses odd values and goes on, two tables of teams" fails before (200 where 400 is wanted).

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -46,6 +46,14 @@
 	return d.problems
 }
 
+// Duplicates returns a problem for each repeated key of an object, for decoders that would take one of its values. data must
+// be valid JSON.
+func Duplicates(data []byte) []Problem {
+	d := &decoder{}
+	d.parse(json.NewDecoder(bytes.NewReader(data)), "")
+	return d.problems
+}
+
 // Keys returns the top-level keys of a JSON object; it is empty if data is no object.
 func Keys(data []byte) map[string]bool {
 	var members map[string]json.RawMessage
