--- a/control/group_test.go
+++ b/control/group_test.go
@@ -5,6 +5,7 @@
 	"crypto/ed25519"
 	"encoding/json"
 	"math/rand"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -147,6 +148,19 @@
 	return &bundle.Bundle{Services: []bundle.Service{{Name: service}}}
 }
 
+// refusalOf returns why a node refuses a request with key k.
+func (g *group) refusalOf(ctx context.Context, id string) string {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.Address(id).HTTP+"/", nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer k")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	return response.Header.Get(protocol.HeaderReason)
+}
+
 func (g *group) request(name string, version uint64, b *bundle.Bundle) operator.ApproveRequest {
 	update, err := bundle.FullUpdate(b)
 	Expect(err).NotTo(HaveOccurred())
--- a/control/outside_test.go
+++ b/control/outside_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -105,17 +104,7 @@
 		defer cancel()
 		Expect(g.StartNode(ctx, "n")).To(Succeed())
 		// There is no upstream: a request that the quota lets in is refused for another reason.
-		reason := func() string {
-			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.Address("n").HTTP+"/", nil)
-			Expect(err).NotTo(HaveOccurred())
-			request.Header.Set("Authorization", "Bearer k")
-			response, err := http.DefaultClient.Do(request)
-			if err != nil {
-				return err.Error()
-			}
-			defer response.Body.Close()
-			return response.Header.Get(protocol.HeaderReason)
-		}
+		reason := func() string { return g.refusalOf(ctx, "n") }
 		letIn := Equal(string(protocol.ReasonNoUpstream))
 		Eventually(reason, eventuallyTimeout).Should(letIn)
 		for _, id := range []string{"a", "b", "c"} {
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -223,6 +223,27 @@
 		Expect(g.apply(registry.Command{Stage: &again}).Err()).To(Succeed())
 	})
 
+	// Guards against an access that is lost between two versions, in the log, or in a snapshot, which stores differences.
+	It("keeps the access of bundles with and without teams", func() {
+		for version, access := range []bundle.Access{
+			bundle.AccessKeys, bundle.AccessOpen, bundle.AccessKeys, "team", bundle.AccessKeys, "team", bundle.AccessOpen,
+		} {
+			b := bundleWith(1)
+			if b.Access = access; access == "team" {
+				b.Access, b.Teams = bundle.AccessKeys, []bundle.Team{{Name: "t", Keys: []string{"k"}}}
+			}
+			update := updateOf(b)
+			Expect(g.apply(registry.Command{Stage: &registry.Stage{
+				Version: uint64(version + 1), Digest: update.Target, Operator: "ana", Update: encode(update),
+			}}).Err()).To(Succeed())
+			a := bundle.Sign(keyOf("ana"), bundle.Approval{Version: uint64(version + 1), Digest: update.Target, Operator: "ana"})
+			Expect(g.apply(registry.Command{Approve: &a}).Err()).To(Succeed())
+			for _, r := range []*registry.Registry{g.first, g.second} {
+				Expect(r.Store().Bundle(r.State().Latest.Digest)).To(Equal(b))
+			}
+		}
+	})
+
 	It("refuses a damaged snapshot", func() {
 		g.stageAndApprove(1, 1)
 		snapshot, err := g.first.Snapshot()
