--- a/soak/soak.go
+++ b/soak/soak.go
@@ -179,7 +179,9 @@
 	// submittedBundle is the configuration of the submitted version, and furtherRoutes the number of its routes that
 	// serve no caller.
 	submittedBundle *bundle.Bundle
-	furtherRoutes   int
+	// withoutTeams leaves all teams out of the versions that follow.
+	withoutTeams  bool
+	furtherRoutes int
 	// acknowledgements lists the acknowledged versions in order. mu guards it.
 	acknowledgements []acknowledgement
 	// acknowledged holds the digest of each version whose approval the group acknowledged.
@@ -277,6 +279,9 @@
 	rollouts.Wait()
 	stopLoad()
 	background.Wait()
+	if options.Teams {
+		r.removeAllTeams(ctx)
+	}
 	return recovery
 }
 
@@ -338,7 +343,10 @@
 		r.submitted++
 		r.submittedBundle = newBundle(r.submitted, r.furtherRoutes, r.options.routeDeadline())
 		if r.options.Teams {
-			r.submittedBundle.Teams, r.submittedBundle.Access = soakTeams(r.submitted), bundle.AccessKeys
+			r.submittedBundle.Access = bundle.AccessKeys
+			if !r.withoutTeams {
+				r.submittedBundle.Teams = soakTeams(r.submitted)
+			}
 			bundle.Canonicalize(r.submittedBundle)
 		}
 		r.newest.Store(r.submitted)
--- a/soak/teams.go
+++ b/soak/teams.go
@@ -231,6 +231,24 @@
 	return ""
 }
 
+// removeAllTeams puts a version into force that needs keys and has no team, and checks that no node admits anybody then.
+func (r *seedRun) removeAllTeams(ctx context.Context) {
+	r.withoutTeams = true
+	if !r.await(ctx, recoveryTimeout, func() bool { return r.approveNext(ctx) && r.allInForce(r.approved) }) {
+		r.recorder.reportViolation("a version without teams was not in force on all nodes within %v (%s)", recoveryTimeout, r.describeVersions())
+		return
+	}
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, node := range r.deployment.nodes {
+		for n, key := range []string{limitedKey, rotatingKey(r.approved - 1), keyPrefix + "unheard-of"} {
+			attempt := teamAttempt("removed", node.name, n)
+			if status := r.sendAsTeam(ctx, client, node, key, attempt); status != http.StatusUnauthorized {
+				r.recorder.reportViolation("%s answers %d to a key although the version in force has no team", node.name, status)
+			}
+		}
+	}
+}
+
 // exceedQuota sends the requests of teamLimited to a node until the context ends.
 func (r *seedRun) exceedQuota(ctx context.Context, node *process) {
 	client := &http.Client{Timeout: probeTimeout, Transport: new(http.Transport)}
