--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -267,6 +267,23 @@
 		Expect(output + stderr).NotTo(ContainSubstring("secret"))
 	})
 
+	// Guards against a mesh that is opened or closed to all callers without a word to the operator, and against a built file
+	// that loses the access.
+	It("tells whom a bundle admits", func() {
+		folder, file := GinkgoT().TempDir(), filepath.Join(h.folder, "t.bundle")
+		write := func(more string) {
+			Expect(os.WriteFile(filepath.Join(folder, "b.json"), []byte(`{"services":[{"name":"s"}]`+more+`}`), 0o600)).To(Succeed())
+		}
+		write(`,"teams":[]`)
+		Expect(h.mustRun("bundle", "build", folder, "--file", file)).To(ContainSubstring("keys (callers need a key of a team)"))
+		Expect(h.mustRun("bundle", "validate", file, "--output", "json")).To(ContainSubstring(`"access": "keys"`))
+		Expect(h.mustRun("bundle", "diff", file, folder)).To(ContainSubstring("no differences"))
+		write("")
+		Expect(h.mustRun("bundle", "diff", file, folder)).To(Equal("~ access of callers\n    access: keys (callers need a key of a team)" +
+			" -> open (callers need no key)\n"))
+		Expect(h.mustRun("approve", folder, "--version", "1")).To(ContainSubstring("access open (callers need no key)"))
+	})
+
 	It("stages again when the staged bundle was dropped before its approval", func() {
 		h.member.dropStaged = true
 		Expect(h.mustRun("approve", kalasagBundle, "--version", "1")).To(ContainSubstring("approved"))
--- a/state/bundle/property_test.go
+++ b/state/bundle/property_test.go
@@ -46,6 +46,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"services":[{"name":"a"}]}`))
 	f.Add([]byte(`{"services":[{"name":"a"}],"teams":[{"name":"t"},{"name":"u","keys":["k"],"burst":1.5}]}`))
+	f.Add([]byte(`{"services":[{"name":"a"}],"teams":[],"access":"keys"}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b, problems := bundle.Parse("fuzz.json", data)
 		if len(problems)+len(bundle.Validate(b)) > 0 {
@@ -75,6 +76,7 @@
 // the decoder.
 func FuzzPart(f *testing.F) {
 	f.Add(byte(bundle.KindService), "a", []byte{0xa1, 0x01, 0x61, 'a'})
+	f.Add(byte(bundle.KindAccess), "access", []byte("\xa2\x01\x66access\x02\x64keys"))
 	f.Fuzz(func(t *testing.T, kind byte, name string, data []byte) {
 		digest := bundle.Digest(sha256.Sum256(data))
 		manifest := bundle.Manifest{Entries: []bundle.Entry{
