An access that was not settled is encoded like a settled one

Nobody saw this: all bundles are put into canonical form before they are encoded. One that was not, with an empty list of teams, would have been distributed as open. Encoding now asks the same function that settles the access. Under an open bundle, a node no longer digests what callers send in Authorization, as before the access was a value.

Evidence: "is encoded also before it is settled" fails before (open where keys is wanted).

--- a/coordination/relay/bundles.go
+++ b/coordination/relay/bundles.go
@@ -304,7 +304,7 @@
 	return b, nil
 }
 
-// checkNames checks that the parts have the names that the manifest lists in the same order.
+// checkNames checks that the bundle has the parts that the manifest lists, in the same order.
 func checkNames(manifest bundle.Manifest, b *bundle.Bundle) error {
 	ids := b.PartIDs()
 	if !invariant.Check(len(ids) == len(manifest.Entries), invariant.PartialApply, "bundle lacks parts of its manifest",
--- a/node/team.go
+++ b/node/team.go
@@ -47,7 +47,7 @@
 // teamOf returns the team whose key the values of headerKey hold; nil if there is none. Several values name no team, since
 // the processes on the way could choose different ones.
 func (s *snapshot) teamOf(values []string) *bundle.Team {
-	if len(values) != 1 {
+	if !s.access.NeedsKey() || len(values) != 1 {
 		return nil
 	}
 	scheme, key, _ := strings.Cut(values[0], " ")
--- a/state/bundle/access.go
+++ b/state/bundle/access.go
@@ -25,14 +25,15 @@
 // to be open.
 func (a Access) NeedsKey() bool { return a != AccessOpen }
 
-// settleAccess sets the access of a bundle that states none.
-func (b *Bundle) settleAccess() {
+// settledAccess returns the access of the bundle, whether or not it states one.
+func (b *Bundle) settledAccess() Access {
 	switch {
 	case b.Access != "":
+		return b.Access
 	case b.Teams != nil:
-		b.Access = AccessKeys
+		return AccessKeys
 	default:
-		b.Access = AccessOpen
+		return AccessOpen
 	}
 }
 
@@ -40,7 +41,7 @@
 // saying, so that their bundles keep their digests, and what former releases cannot tell has a part and a field that they
 // do not know, so that they refuse it.
 func (b *Bundle) encodedAccess() Access {
-	if b.Access == AccessKeys && len(b.Teams) == 0 {
+	if b.settledAccess() == AccessKeys && len(b.Teams) == 0 {
 		return AccessKeys
 	}
 	return ""
@@ -73,7 +74,7 @@
 	if b.Access != b.encodedAccess() {
 		return errors.Wrapf(ErrNotCanonical, "access %q beside %d teams", b.Access, len(b.Teams))
 	}
-	b.settleAccess()
+	b.Access = b.settledAccess()
 	return nil
 }
 
--- a/state/bundle/bundle.go
+++ b/state/bundle/bundle.go
@@ -56,7 +56,7 @@
 	Routes    []Route    `json:"routes" cbor:"2,keyasint"`
 	Resources []Resource `json:"resources" cbor:"3,keyasint"`
 	Teams     []Team     `json:"teams,omitempty" cbor:"4,keyasint,omitempty"`
-	// Access is set in canonical form.
+	// Access is unset only in a bundle that is not in canonical form yet.
 	Access Access `json:"access,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
--- a/state/bundle/canonical.go
+++ b/state/bundle/canonical.go
@@ -14,7 +14,7 @@
 	slices.SortStableFunc(b.Routes, func(x, y Route) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Resources, func(x, y Resource) int { return cmp.Compare(x.Name, y.Name) })
 	slices.SortStableFunc(b.Teams, func(x, y Team) int { return cmp.Compare(x.Name, y.Name) })
-	b.settleAccess()
+	b.Access = b.settledAccess()
 	for i := range b.Routes {
 		canonicalizeRoute(&b.Routes[i])
 	}
--- a/state/bundle/team_test.go
+++ b/state/bundle/team_test.go
@@ -153,6 +153,16 @@
 		Entry("two that differ", `2.json: access: got "open", allowed: "keys" as in 1.json, or no value`, `{"access":"keys"}`, `{"access":"open"}`),
 	)
 
+	// Guards against an empty list of teams that is distributed as none because the bundle was not put into canonical form.
+	It("is encoded also before it is settled", func() {
+		store := bundle.NewStore()
+		update := fullUpdate(&bundle.Bundle{Services: []bundle.Service{{Name: "s"}}, Teams: []bundle.Team{}})
+		Expect(store.Add(update)).To(Succeed())
+		b, err := store.Bundle(update.Target)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Access).To(Equal(bundle.AccessKeys))
+	})
+
 	It("is named first among the changes", func() {
 		team := &bundle.Bundle{Teams: []bundle.Team{{Name: "t", Keys: []string{"k"}}}}
 		none := &bundle.Bundle{}
