--- a/soak/soak.go
+++ b/soak/soak.go
@@ -111,6 +111,15 @@
 	if err != nil {
 		return Result{}, errors.Wrap(err, "soak: create a folder")
 	}
+	report, err := runSeed(ctx, options, folder)
+	if err != nil || len(report.Violations) > 0 {
+		return report, err
+	}
+	return report, errors.Wrap(os.RemoveAll(folder), "soak: remove the logs")
+}
+
+// runSeed runs one seed whose processes write to a folder. They have ended when it returns.
+func runSeed(ctx context.Context, options Options, folder string) (Result, error) {
 	report := Result{Seed: options.Seed, Folder: folder}
 	recorder := newRecorder()
 	d, err := newDeployment(options, folder, recorder)
@@ -155,9 +164,6 @@
 	report.Crossed, report.Kept = recorder.crossed, recorder.keptCount()
 	report.Responses, report.Served, report.ApprovedVersion = recorder.responses, recorder.served, r.approved
 	report.Violations, report.Timeline = recorder.violations, recorder.timeline
-	if len(report.Violations) == 0 {
-		return report, errors.Wrap(os.RemoveAll(folder), "soak: remove the logs")
-	}
 	return report, nil
 }
 
